--- /dev/null
+++ b/bramleybend/__init__.py
@@ -0,0 +1,1 @@
+"""A request scheduler for unlike engines."""
--- /dev/null
+++ b/bramleybend/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs."""
--- /dev/null
+++ b/bramleybend/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log service, VM list, runners."""
--- /dev/null
+++ b/bramleybend/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure policy under load: no I/O, no asyncio, the clock passed in."""
--- /dev/null
+++ b/bramleybend/events.py
@@ -0,0 +1,104 @@
+"""Event records that the time line merges over all processes.
+
+Each record is one key=value line. Order over processes comes from a hybrid
+logical clock: wall milliseconds plus a counter that never goes back and moves
+past every stamp seen in a message, so a cause sorts before its effect even
+when the wall clocks of two VMs differ.
+"""
+
+import logging
+from collections import deque
+from dataclasses import dataclass
+from typing import Final, TextIO
+
+from logfmter import Logfmter
+
+from bramleybend.clock import Clock
+
+KEPT_EVENTS: Final = 20_000
+EVENT_LOGGER: Final = 'bramleybend.events'
+LOG_FIELDS: Final = ('at', 'level', 'logger')
+MILLISECONDS: Final = 1000
+
+
+@dataclass(frozen=True, order=True)
+class Stamp:
+    """A hybrid logical time: wall milliseconds, then a counter."""
+
+    wall_ms: int
+    counter: int
+
+    def __str__(self) -> str:
+        """Read as `milliseconds.counter`, which sorts as text does not."""
+        return f'{self.wall_ms}.{self.counter}'
+
+
+class HybridClock:
+    """Gives stamps that only grow, also over messages from others."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start before every stamp."""
+        self._clock = clock
+        self._last = Stamp(0, 0)
+
+    def tick(self) -> Stamp:
+        """Return a stamp later than all given or seen so far."""
+        wall_ms = int(self._clock.now().timestamp() * MILLISECONDS)
+        if wall_ms > self._last.wall_ms:
+            self._last = Stamp(wall_ms, 0)
+        else:
+            self._last = Stamp(self._last.wall_ms, self._last.counter + 1)
+        return self._last
+
+    def observe(self, seen: Stamp) -> None:
+        """Move past a stamp that came with a message."""
+        self._last = max(self._last, seen)
+
+
+class EventLog:
+    """Writes and keeps the events of one process, bounded in memory."""
+
+    def __init__(self, process: str, incarnation: str, clock: Clock) -> None:
+        """Name the process; its events go to the `bramleybend.events` log."""
+        self._process = process
+        self._incarnation = incarnation
+        self.hybrid = HybridClock(clock)
+        self._kept: deque[tuple[str, str]] = deque(maxlen=KEPT_EVENTS)
+        self._logger = logging.getLogger(EVENT_LOGGER)
+
+    def record(self, event: str, req: str = '', **fields: object) -> None:
+        """Write one event; `fields` never hold request content."""
+        line = {
+            'hlc': str(self.hybrid.tick()),
+            'process': self._process,
+            'incarnation': self._incarnation,
+            'event': event,
+            **({'req': req} if req else {}),
+            **fields,
+        }
+        self._logger.info(line)
+        if req:
+            self._kept.append((req, Logfmter.format_params(line)))
+
+    def of_request(self, req: str) -> list[str]:
+        """Return the kept lines of one request, oldest first."""
+        return [line for kept, line in self._kept if kept == req]
+
+
+def setup_logging(level: str, stream: TextIO) -> None:
+    """Send every log record to `stream` as one key=value line."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(
+        Logfmter(
+            keys=list(LOG_FIELDS),
+            mapping={
+                'at': 'asctime',
+                'level': 'levelname',
+                'logger': 'name',
+            },
+        ),
+    )
+    root = logging.getLogger()
+    root.handlers.clear()
+    root.addHandler(handler)
+    root.setLevel(level)
--- /dev/null
+++ b/bramleybend/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The caller side: HTTP, tickets, dispatch, answers."""
--- /dev/null
+++ b/bramleybend/models.py
@@ -0,0 +1,124 @@
+"""Data inside the system: what a request, a profile and a runner are."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import IntEnum, StrEnum
+
+
+class Tier(IntEnum):
+    """Rank of a request; a lower number is more important."""
+
+    CRITICAL = 1
+    HIGH = 2
+    NORMAL = 3
+    BULK = 4
+
+
+class Repeat(StrEnum):
+    """How often a request under a profile may be run."""
+
+    NON_IDEMPOTENT = 'non_idempotent'  # runs at most once, never cancelled
+    AT_MOST_ONCE = 'at_most_once'  # dispatched at most once, may be cancelled
+    IDEMPOTENT = 'idempotent'  # may run again after a failure
+
+
+class JournalMode(StrEnum):
+    """When the intent to dispatch is written to the log."""
+
+    BEFORE_DISPATCH = 'before_dispatch'  # definite answers; stops with the log
+    BEHIND = 'behind'  # runs on in an outage; a crash leaves `unknown`
+
+
+class ServiceKind(StrEnum):
+    """What stands behind a service."""
+
+    ENGINE = 'engine'
+    PLAIN = 'plain'
+
+
+class RunnerState(StrEnum):
+    """What the VM list says of a VM."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclass(frozen=True)
+class Profile:
+    """How a class of requests is treated."""
+
+    name: str
+    service: str
+    tier: Tier
+    repeat: Repeat
+    journal: JournalMode
+    timeout: timedelta
+    hedge: bool = False
+
+    @property
+    def cancellable(self) -> bool:
+        """Whether a run may be stopped to make room for a higher tier."""
+        return self.repeat is not Repeat.NON_IDEMPOTENT
+
+
+@dataclass(frozen=True)
+class Service:
+    """A pool of runners of one kind."""
+
+    name: str
+    kind: ServiceKind
+    slots: int  # concurrent requests a runner is first trusted with
+    checks_fence: bool = False
+
+
+@dataclass(frozen=True)
+class Workspace:
+    """A customer's share of the system."""
+
+    name: str
+    weight: float
+    profiles: frozenset[str]
+
+
+@dataclass(frozen=True)
+class Terms:
+    """One accepted configuration, whole."""
+
+    version: int
+    institution: str
+    services: dict[str, Service]
+    profiles: dict[str, Profile]
+    workspaces: dict[str, Workspace]
+
+
+@dataclass(frozen=True)
+class Vm:
+    """One line of the VM list."""
+
+    name: str
+    address: str
+    port: int
+    service: str
+    domain: str
+    state: RunnerState
+
+    @property
+    def endpoint(self) -> str:
+        """Return `ip:port`."""
+        return f'{self.address}:{self.port}'
+
+
+@dataclass(frozen=True)
+class Ask:
+    """What a gateway asks an owner for: a slot for one request."""
+
+    request_id: str
+    service: str
+    tier: Tier
+    workspace: str
+    cost: float  # expected work, in prompt-token equivalents
+    prompt_tokens: int
+    prefixes: tuple[str, ...]  # hashes of growing prompt prefixes
+    deadline: float  # on the deciding process's monotonic clock, seconds
+    cancellable: bool
+    excluded: frozenset[str] = field(default_factory=frozenset)
--- /dev/null
+++ b/bramleybend/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The owner side: queues, grants, runner watch."""
--- /dev/null
+++ b/bramleybend/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a process knows: terms, journal, members, ids."""
--- /dev/null
+++ b/bramleybend/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between our own processes (generated code is committed)."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The core protocols as small models, checked exhaustively."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests and the small stand-ins they need."""
--- /dev/null
+++ b/tests/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions played without a network."""
--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""What must hold, under failures of real processes."""
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, and helpers."""
