Give a service's runners shards, each with one queue and one owner

Cause: one owner a runner splits a pool's queue as often as there are runners, so a request can wait behind one runner while another idles. Ruled out: asking several owners at once (a message for every owner and request). Nothing measured yet.

--- a/bramleybend/models.py
+++ b/bramleybend/models.py
@@ -68,6 +68,7 @@
     name: str
     kind: ServiceKind
     slots: int  # concurrent requests a runner is first trusted with
+    shards: int = 1  # queues the pool is split into, one owner each
     checks_fence: bool = False
 
 
@@ -121,4 +122,5 @@
     prefixes: tuple[str, ...]  # hashes of growing prompt prefixes
     deadline: float  # on the deciding process's monotonic clock, seconds
     cancellable: bool
+    suspect: bool = False  # its content was in flight when a runner crashed
     excluded: frozenset[str] = field(default_factory=frozenset)
