--- /dev/null
+++ b/bramleybend/clients/http.py
@@ -0,0 +1,190 @@
+"""One HTTP exchange over a connection of its own, by h11.
+
+The caller of an exchange must know whether a failed request may have had an
+effect. So connecting, sending and reading are separate steps: a failure to
+connect wrote nothing, any later one may have been acted on.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Final, TypeAlias
+from urllib.parse import urlsplit
+
+import h11
+from result import Err, Ok, Result
+
+from bramleybend.errors import ErrorKind, Problem, ProblemError
+
+READ_SIZE: Final = 65536
+DEFAULT_PORT: Final = 80
+CONNECT_TIMEOUT_S: Final = 1.0
+MAX_BODY: Final = 2**24  # bytes
+# `TimeoutError` is an `OSError`.
+BROKEN: Final = (OSError, h11.ProtocolError, EOFError)
+CALL_FAILURES: Final = (*BROKEN, ProblemError)
+
+Headers: TypeAlias = Sequence[tuple[str, str]]
+
+
+@dataclass(frozen=True)
+class HttpResponse:
+    """A whole answer: status, headers in lower case, body."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class Exchange:
+    """Sends one request and reads its answer; owns its connection."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Take over an open connection."""
+        self._reader = reader
+        self._writer = writer
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers = (),
+        body: bytes = b'',
+    ) -> None:
+        """Write the whole request."""
+        peer = self._writer.get_extra_info('peername')
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                ('Host', f'{peer[0]}:{peer[1]}'),
+                ('Content-Length', str(len(body))),
+                ('Connection', 'close'),
+                *headers,
+            ],
+        )
+        parts = [self._http.send(request)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self._writer.write(b''.join(part for part in parts if part))
+        await self._writer.drain()
+
+    async def head(self) -> HttpResponse:
+        """Read status and headers; the body is left to `chunks`."""
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise EOFError('the connection ended before an answer')
+        headers = {
+            name.decode('latin-1'): text.decode('latin-1')
+            for name, text in event.headers
+        }
+        return HttpResponse(event.status_code, headers, b'')
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises unless framing proves it whole."""
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            yield bytes(event.data)
+            event = await self._next_event()
+        if not isinstance(event, h11.EndOfMessage):
+            raise EOFError('the connection ended within an answer')
+
+    def close(self) -> None:
+        """Drop the connection, whatever state it is in."""
+        self._writer.close()
+
+    async def _next_event(self) -> object:
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            self._http.receive_data(await self._reader.read(READ_SIZE))
+            event = self._http.next_event()
+        return event
+
+
+async def connect(host: str, port: int) -> Exchange:
+    """Open a connection; an `OSError` here means nothing was sent."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+    except TimeoutError:
+        raise ConnectionError(f'{host}:{port} did not answer') from None
+    return Exchange(reader, writer)
+
+
+class HttpApi:
+    """A JSON interface at a base URL, each call within a time limit."""
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        """Name the interface; nothing is opened yet."""
+        parts = urlsplit(url)
+        self._host = parts.hostname or ''
+        self._port = parts.port or DEFAULT_PORT
+        self._timeout_s = timeout_s
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        payload: object = None,
+        extra_s: float = 0,
+    ) -> Result[HttpResponse, Problem]:
+        """Send and read whole.
+
+        `PEER_UNAVAILABLE` wrote nothing; `TIMEOUT` may have been acted on.
+        """
+        try:
+            exchange = await connect(self._host, self._port)
+        except OSError as exc:
+            return Err(self._problem(ErrorKind.PEER_UNAVAILABLE, exc))
+        body = b'' if payload is None else json.dumps(payload).encode()
+        try:
+            async with asyncio.timeout(self._timeout_s + extra_s):
+                await exchange.send(method, target, (), body)
+                return Ok(await read_whole(exchange))
+        except CALL_FAILURES as exc:
+            return Err(self._problem(ErrorKind.TIMEOUT, exc))
+        finally:
+            exchange.close()
+
+    def _problem(self, kind: ErrorKind, exc: Exception) -> Problem:
+        return Problem(
+            kind,
+            f'{self._host}:{self._port} failed: {exc or type(exc).__name__}',
+            'check that it runs and that the address is right',
+        )
+
+
+async def read_whole(exchange: Exchange) -> HttpResponse:
+    """Read head and body, up to `MAX_BODY`."""
+    head = await exchange.head()
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in exchange.chunks():
+        parts.append(chunk)
+        size += len(chunk)
+        if size > MAX_BODY:
+            raise ProblemError(
+                Problem(
+                    ErrorKind.TOO_LARGE,
+                    f'the answer is over {MAX_BODY} bytes',
+                    'ask for less at a time',
+                ),
+            )
+    return HttpResponse(head.status, head.headers, b''.join(parts))
+
+
+async def close_writer(writer: asyncio.StreamWriter) -> None:
+    """Close a connection that may be broken already."""
+    writer.close()
+    with suppress(OSError):
+        await writer.wait_closed()
--- /dev/null
+++ b/bramleybend/clients/http_vm_list.py
@@ -0,0 +1,84 @@
+"""The VM list over HTTP, as docs/PLATFORM.md describes it."""
+
+from http import HTTPStatus
+from ipaddress import IPv4Address
+from typing import Final
+
+from pydantic import BaseModel, Field, ValidationError
+from result import Err, Ok, Result
+
+from bramleybend.clients.http import HttpApi, HttpResponse
+from bramleybend.clients.vm_list import VmList
+from bramleybend.errors import ErrorKind, Problem
+from bramleybend.models import RunnerState, Vm
+
+LIST_TIMEOUT_S: Final = 2.0
+MAX_PORT: Final = 65535
+
+
+class VmBody(BaseModel):
+    """One VM as the list sends it."""
+
+    name: str = Field(min_length=1)
+    address: IPv4Address
+    port: int = Field(gt=0, le=MAX_PORT)
+    service: str
+    domain: str
+    state: RunnerState
+
+
+class ListBody(BaseModel):
+    """The whole list."""
+
+    vms: list[VmBody]
+
+
+class HttpVmList:
+    """Fetches the list; holds no state between calls."""
+
+    def __init__(self, api: HttpApi) -> None:
+        """Take the interface that carries the calls."""
+        self._api = api
+
+    async def fetch(self) -> Result[tuple[Vm, ...], Problem]:
+        """Return the list as the platform last knew it."""
+        answer = await self._api.call('GET', '/vms')
+        match answer:
+            case Err(problem):
+                return Err(_unavailable(problem.detail))
+            case Ok(response):
+                return _parsed(response)
+
+
+def make_http_vm_list(url: str) -> VmList:
+    """Build the client for the list at `url`."""
+    return HttpVmList(HttpApi(url, LIST_TIMEOUT_S))
+
+
+def _unavailable(detail: str) -> Problem:
+    return Problem(
+        ErrorKind.LIST_UNAVAILABLE,
+        f'the VM list is unavailable: {detail}',
+        'the last list read stays in force until it is back',
+    )
+
+
+def _parsed(response: HttpResponse) -> Result[tuple[Vm, ...], Problem]:
+    if response.status != HTTPStatus.OK:
+        return Err(_unavailable(f'it answered {response.status}'))
+    try:
+        body = ListBody.model_validate_json(response.body)
+    except ValidationError as exc:
+        return Err(_unavailable(f'{exc.error_count()} fields are not valid'))
+    return Ok(tuple(_vm(line) for line in body.vms))
+
+
+def _vm(line: VmBody) -> Vm:
+    return Vm(
+        line.name,
+        str(line.address),
+        line.port,
+        line.service,
+        line.domain,
+        line.state,
+    )
--- /dev/null
+++ b/bramleybend/clients/runner.py
@@ -0,0 +1,137 @@
+"""Runs one request on a runner: an engine or a plain service.
+
+Each run carries a run id of our own. An engine that has admitted an id
+refuses it a second time, and resumes its stream from any event, so a broken
+connection never needs a second dispatch.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+from bramleybend.clients.http import (
+    BROKEN,
+    Exchange,
+    HttpResponse,
+    connect,
+    read_whole,
+)
+from bramleybend.models import ServiceKind
+
+RUN_ID: Final = 'X-Run-Id'
+NOT_RUN_MARK: Final = 'x-not-run'
+DONE_EVENT: Final = b'data: [DONE]'
+DATA_FIELD: Final = b'data: '
+EVENT_END: Final = b'\n\n'
+CANCEL_TIMEOUT_S: Final = 2.0
+REFUSALS: Final = frozenset(
+    (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What an engine says a run cost, in tokens."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class RunnerAddress:
+    """Where a run goes and how it is spoken to."""
+
+    host: str
+    port: int
+    kind: ServiceKind
+
+
+@dataclass(frozen=True)
+class RunBody:
+    """What is sent: the caller's bytes under our run id."""
+
+    run_id: str
+    body: bytes
+
+
+async def start_run(address: RunnerAddress, run: RunBody) -> Exchange:
+    """Connect and send; an `OSError` from `connect` means nothing ran."""
+    exchange = await connect(address.host, address.port)
+    target = (
+        '/v1/completions' if address.kind is ServiceKind.ENGINE else '/call'
+    )
+    headers = ((RUN_ID, run.run_id), ('Content-Type', 'application/json'))
+    try:
+        await exchange.send('POST', target, headers, run.body)
+    except BROKEN:
+        # Part of the request may have been read, so the caller must go on
+        # as if it had been run; the broken exchange fails its next read.
+        exchange.close()
+    return exchange
+
+
+async def resume_run(
+    address: RunnerAddress,
+    run_id: str,
+    start: int,
+) -> Exchange:
+    """Ask an engine for a run's events from `start` on."""
+    exchange = await connect(address.host, address.port)
+    await exchange.send('GET', f'/v1/runs/{run_id}/events?from={start}')
+    return exchange
+
+
+async def cancel_run(address: RunnerAddress, run_id: str) -> bool:
+    """Stop a run; true once the engine has said that it is over."""
+    if address.kind is not ServiceKind.ENGINE:
+        return False
+    with suppress(*BROKEN):
+        async with asyncio.timeout(CANCEL_TIMEOUT_S):
+            exchange = await connect(address.host, address.port)
+            try:
+                await exchange.send('POST', f'/v1/runs/{run_id}/cancel')
+                response = await read_whole(exchange)
+            finally:
+                exchange.close()
+            return response.status == HTTPStatus.OK
+    return False
+
+
+def was_refused(head: HttpResponse, kind: ServiceKind) -> bool:
+    """Whether the runner says that nothing ran."""
+    if head.status not in REFUSALS:
+        return False
+    return kind is ServiceKind.ENGINE or NOT_RUN_MARK in head.headers
+
+
+async def events_of(exchange: Exchange) -> AsyncIterator[bytes]:
+    """Yield whole server-sent events; a torn last one is never yielded."""
+    pending = b''
+    async for chunk in exchange.chunks():
+        pending += chunk
+        *whole, pending = pending.split(EVENT_END)
+        for event in whole:
+            yield event
+
+
+def usage_in(payload: bytes) -> Usage | None:
+    """Return the usage that an event or a body carries, if any."""
+    if b'"usage"' not in payload:
+        return None
+    try:
+        usage = json.loads(payload.removeprefix(DATA_FIELD))['usage']
+        return Usage(
+            int(usage['prompt_tokens']),
+            int(usage['cached_tokens']),
+            int(usage['completion_tokens']),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
--- /dev/null
+++ b/bramleybend/gateway/border.py
@@ -0,0 +1,142 @@
+"""Checks a caller's request before anything is kept of it."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from http import HTTPStatus
+from typing import Final
+
+from result import Err, Ok, Result
+from xxhash import xxh3_128_hexdigest
+
+from bramleybend.answers import Answer, rejected
+from bramleybend.clock import Clock
+from bramleybend.gateway.run import RequestBody
+from bramleybend.models import Profile, Terms
+
+REQUEST_ID: Final = 'bramleybend-request-id'
+WORKSPACE: Final = 'bramleybend-workspace'
+SERVICE: Final = 'bramleybend-service'
+PROFILE: Final = 'bramleybend-profile'
+DEADLINE: Final = 'bramleybend-deadline'
+SHOWN: Final = 64  # characters of a bad value that an answer repeats
+NAMED: Final = (REQUEST_ID, WORKSPACE, SERVICE, PROFILE, DEADLINE)
+
+
+@dataclass(frozen=True)
+class Received:
+    """A request as it came in: headers in lower case, and the body."""
+
+    headers: Mapping[str, str]
+    body: bytes
+
+
+def check_headers(
+    received: Received,
+    clock: Clock,
+) -> Result[RequestBody, Answer]:
+    """Turn headers and body into a request, or say what is wrong."""
+    missing = [name for name in NAMED if not received.headers.get(name)]
+    if missing:
+        return Err(
+            rejected(
+                f'header {missing[0]} is missing',
+                'send it; docs/CALLERS.md lists the headers',
+            ),
+        )
+    left_s = _seconds_left(received.headers[DEADLINE], clock)
+    match left_s:
+        case Err() as err:
+            return err
+        case Ok(seconds):
+            return Ok(_request(received, clock.monotonic() + seconds))
+
+
+def check_terms(req: RequestBody, terms: Terms) -> Result[Profile, Answer]:
+    """Return the profile that the request runs under."""
+    workspace = terms.workspaces.get(req.workspace)
+    if workspace is None:
+        return Err(_no_such('workspace', req.workspace))
+    if req.service not in terms.services:
+        return Err(_no_such('service', req.service))
+    profile = terms.profiles.get(req.profile)
+    if profile is None:
+        return Err(_no_such('profile', req.profile))
+    if profile.service != req.service:
+        return Err(
+            rejected(
+                f'profile {req.profile} belongs to {profile.service}',
+                f'send it to {profile.service} or name another profile',
+            ),
+        )
+    if req.profile not in workspace.profiles:
+        return Err(
+            rejected(
+                f'workspace {req.workspace} may not use {req.profile}',
+                'name a profile that its terms list',
+                HTTPStatus.FORBIDDEN,
+            ),
+        )
+    return Ok(profile)
+
+
+def fingerprint_of(body: bytes) -> str:
+    """Return a hash that equal contents share, whatever their ids."""
+    return xxh3_128_hexdigest(body)
+
+
+def _request(received: Received, deadline: float) -> RequestBody:
+    headers = received.headers
+    return RequestBody(
+        request_id=headers[REQUEST_ID],
+        workspace=headers[WORKSPACE],
+        service=headers[SERVICE],
+        profile=headers[PROFILE],
+        deadline=deadline,
+        body=received.body,
+        fingerprint=fingerprint_of(received.body),
+        stream=wants_stream(received.body),
+    )
+
+
+def wants_stream(body: bytes) -> bool:
+    """Whether the body asks for server-sent events."""
+    if b'"stream"' not in body:
+        return False
+    try:
+        payload = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(payload, dict) and payload.get('stream') is True
+
+
+def _seconds_left(text: str, clock: Clock) -> Result[float, Answer]:
+    try:
+        deadline = datetime.fromisoformat(text)
+    except ValueError:
+        return Err(
+            rejected(
+                f'deadline {text[:SHOWN]!r} is not a time',
+                'send RFC 3339 in UTC, as in 2026-12-02T21:00:00Z',
+            ),
+        )
+    if deadline.tzinfo is None:
+        deadline = deadline.replace(tzinfo=UTC)
+    left_s = (deadline - clock.now()).total_seconds()
+    if left_s <= 0:
+        return Err(
+            rejected(
+                'the deadline has passed',
+                'send a later one; check that both clocks agree',
+            ),
+        )
+    return Ok(left_s)
+
+
+def _no_such(kind: str, name: str) -> Answer:
+    return rejected(
+        f'there is no {kind} {name[:SHOWN]!r}',
+        'use a name that the published terms hold',
+        HTTPStatus.NOT_FOUND,
+    )
