--- /dev/null
+++ b/bramleybend/gateway/ask.py
@@ -0,0 +1,85 @@
+"""What a request is expected to cost, and the ask made of it."""
+
+import json
+from collections.abc import Sequence
+from typing import Final
+
+from xxhash import xxh3_64
+
+from bramleybend.gateway.run import RequestBody
+from bramleybend.models import Ask, Profile
+from bramleybend.wire.bramleybend_pb2 import AskMessage
+
+CHARS_A_TOKEN: Final = 4
+# A decoded token takes an engine's step for itself, a prompt token shares
+# one with its whole batch; the ratio is the stand-in engines' and only ranks
+# long work against short.
+DECODE_WEIGHT: Final = 8
+DEFAULT_MAX_TOKENS: Final = 128
+PREFIX_CHARS: Final = 256
+MAX_PREFIXES: Final = 16
+
+
+def ask_of(req: RequestBody, profile: Profile, _now: float) -> Ask:
+    """Estimate from the body what an owner needs to decide."""
+    prompt, max_tokens = _prompt_of(req.body)
+    prompt_tokens = max(len(prompt) // CHARS_A_TOKEN, 1)
+    return Ask(
+        request_id=req.request_id,
+        service=req.service,
+        tier=profile.tier,
+        workspace=req.workspace,
+        cost=float(prompt_tokens + DECODE_WEIGHT * max_tokens),
+        prompt_tokens=prompt_tokens,
+        prefixes=prefixes_of(prompt),
+        deadline=req.deadline,
+        cancellable=profile.cancellable,
+    )
+
+
+def prefixes_of(prompt: str) -> tuple[str, ...]:
+    """Return hashes of the prompt's growing prefixes, shortest first."""
+    hasher = xxh3_64()
+    prefixes: list[str] = []
+    whole = len(prompt) - len(prompt) % PREFIX_CHARS
+    for start in range(
+        0, min(whole, MAX_PREFIXES * PREFIX_CHARS), PREFIX_CHARS
+    ):
+        hasher.update(prompt[start : start + PREFIX_CHARS])
+        prefixes.append(hasher.hexdigest())
+    return tuple(prefixes)
+
+
+def ask_message(
+    ask: Ask,
+    excluded: Sequence[str],
+    timeout_s: float,
+) -> AskMessage:
+    """Put an ask on the wire; its deadline travels as time left."""
+    return AskMessage(
+        request_id=ask.request_id,
+        service=ask.service,
+        tier=ask.tier,
+        workspace=ask.workspace,
+        cost=ask.cost,
+        prompt_tokens=ask.prompt_tokens,
+        prefixes=ask.prefixes,
+        timeout_s=timeout_s,
+        cancellable=ask.cancellable,
+        excluded=excluded,
+    )
+
+
+def _prompt_of(body: bytes) -> tuple[str, int]:
+    try:
+        payload = json.loads(body)
+    except ValueError:
+        return '', DEFAULT_MAX_TOKENS
+    if not isinstance(payload, dict):
+        return '', DEFAULT_MAX_TOKENS
+    prompt = payload.get('prompt', '')
+    max_tokens = payload.get('max_tokens', DEFAULT_MAX_TOKENS)
+    return (
+        prompt if isinstance(prompt, str) else '',
+        max_tokens if isinstance(max_tokens, int) else DEFAULT_MAX_TOKENS,
+    )
--- /dev/null
+++ b/bramleybend/gateway/floor_round.py
@@ -0,0 +1,111 @@
+"""Asks every owner of a pool before a request of some tier is shed.
+
+The brief's promise is over the whole pool: nothing of a higher tier is shed
+while a lower tier is being served anywhere. One owner sees one shard, so the
+gateway asks them all; each that answers also starts nothing lower for a
+while, which keeps the answer true until the permit ends.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import grpc
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.floor import ShedPermits
+from bramleybend.models import Tier
+from bramleybend.state.membership import Member
+from bramleybend.wire.bramleybend_pb2 import FloorReply, FloorRequest, Header
+from bramleybend.wire.bramleybend_pb2_grpc import OwnerStub
+from bramleybend.wire.channels import Channels
+
+FLOOR_HOLD_S: Final = 2.0
+FLOOR_TIMEOUT_S: Final = 1.0
+
+Ranked = Callable[[str, int], Sequence[Member]]
+
+
+@dataclass(frozen=True)
+class FloorPort:
+    """What is needed to speak to owners about floors."""
+
+    channels: Channels
+    port: int
+    ranked: Ranked
+    header: Callable[[], Header]
+
+
+class FloorRounds:
+    """Runs rounds, one at a time for a service and tier."""
+
+    def __init__(
+        self,
+        permits: ShedPermits,
+        port: FloorPort,
+        clock: Clock,
+    ) -> None:
+        """Hold no permit yet."""
+        self._permits = permits
+        self._port = port
+        self._clock = clock
+        self._locks: dict[tuple[str, Tier], asyncio.Lock] = {}
+
+    async def may_shed(self, service: str, tier: Tier, shards: int) -> bool:
+        """Whether no owner serves anything below `tier` of the service."""
+        lock = self._locks.setdefault((service, tier), asyncio.Lock())
+        async with lock:
+            # Under a shortage many requests ask at once; the first one's
+            # round answers for all, so rounds don't grow with the load.
+            if self._permits.permit(service, tier, self._clock.monotonic()):
+                return True
+            await self._ask_all(service, tier, shards)
+        return self._permits.permit(service, tier, self._clock.monotonic())
+
+    async def _ask_all(self, service: str, tier: Tier, shards: int) -> None:
+        started = self._permits.begin(
+            service,
+            tier,
+            range(shards),
+            self._clock.monotonic(),
+        )
+        replies = await asyncio.gather(
+            *(self._ask(service, tier, shard) for shard in range(shards))
+        )
+        for shard, reply in enumerate(replies):
+            if reply is not None:
+                self._permits.reply(
+                    started,
+                    shard,
+                    reply.settled,
+                    reply.lower_running,
+                    self._clock.monotonic(),
+                )
+
+    async def _ask(
+        self,
+        service: str,
+        tier: Tier,
+        shard: int,
+    ) -> FloorReply | None:
+        owners = self._port.ranked(service, shard)
+        if not owners:
+            return None
+        endpoint = f'{owners[0].address}:{self._port.port}'
+        request = FloorRequest(
+            header=self._port.header(),
+            service=service,
+            tier=tier,
+            shard=shard,
+            hold_s=FLOOR_HOLD_S,
+        )
+        stub = OwnerStub(self._port.channels.get(endpoint))
+        try:
+            reply: FloorReply = await stub.SetFloor(
+                request,
+                timeout=FLOOR_TIMEOUT_S,
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        return reply
--- /dev/null
+++ b/bramleybend/gateway/http_server.py
@@ -0,0 +1,294 @@
+"""Callers' connections: HTTP/1.1 by h11, with limits on every part.
+
+Each connection is one task. A caller that sends half a request, or bytes
+that are no HTTP, gets a typed answer where one can still be sent; its
+connection ends and nothing else is touched.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Final
+
+import h11
+
+from bramleybend.answers import Answer, rejected
+from bramleybend.clients.http import BROKEN, READ_SIZE, close_writer
+
+MAX_HEADER_BYTES: Final = 16_384
+MAX_REQUEST_BYTES: Final = 4 * 1024 * 1024
+# Long enough for a slow link, short enough that half-sent requests can't
+# collect: at 200 connections a second they stay under 6,000 open sockets.
+READ_TIMEOUT_S: Final = 30.0
+JSON_TYPE: Final = 'application/json'
+EVENT_TYPE: Final = 'text/event-stream'
+OUTCOME_HEADER: Final = 'Bramleybend-Outcome'
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A whole request, header names in lower case."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """What goes back: one body, or a stream of parts."""
+
+    status: int
+    content_type: str = JSON_TYPE
+    body: bytes = b''
+    parts: AsyncIterator[bytes] | None = None
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+
+
+def answer_of(answer: Answer) -> HttpAnswer:
+    """Put an answer without a runner's body in its HTTP form."""
+    headers = {OUTCOME_HEADER: str(answer.outcome)}
+    if answer.retry_after is not None:
+        seconds = max(round(answer.retry_after.total_seconds()), 1)
+        headers['Retry-After'] = str(seconds)
+    return HttpAnswer(
+        answer.http_status,
+        JSON_TYPE,
+        json.dumps(payload_of(answer)).encode(),
+        headers=headers,
+    )
+
+
+def payload_of(answer: Answer) -> dict[str, object]:
+    """Return the JSON object that tells an answer."""
+    after = answer.retry_after
+    return {
+        'outcome': answer.outcome,
+        'reason': answer.reason,
+        'remedy': answer.remedy,
+        'retry_after_s': after.total_seconds() if after else None,
+    }
+
+
+class HttpServer:
+    """Accepts callers; owns their connections."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        count_rejected: Callable[[], None],
+    ) -> None:
+        """Answer every request by `handler`."""
+        self._handler = handler
+        self._count_rejected = count_rejected
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.Task[None]] = set()
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            address,
+            port,
+            backlog=1024,
+        )
+
+    async def stop(self) -> None:
+        """Stop listening and end the connections that are idle by now."""
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._open):
+            task.cancel()
+        await asyncio.gather(*self._open, return_exceptions=True)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._open.add(task)
+        conn = Connection(reader, writer, self._handler)
+        try:
+            await conn.serve(self._count_rejected)
+        except BROKEN:
+            # The caller has gone; it will send the same id again.
+            return
+        finally:
+            self._open.discard(task)
+            with suppress(asyncio.CancelledError):
+                await close_writer(writer)
+
+
+class Connection:
+    """One caller's connection; serves its requests one by one."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+    ) -> None:
+        """Take over an accepted connection."""
+        self._reader = reader
+        self._writer = writer
+        self._handler = handler
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=MAX_HEADER_BYTES,
+        )
+
+    async def serve(self, count_rejected: Callable[[], None]) -> None:
+        """Answer requests until either side closes."""
+        while True:
+            try:
+                req = await self._read_request()
+            except h11.RemoteProtocolError as exc:
+                count_rejected()
+                await self._refuse(_malformed(exc))
+                return
+            except TimeoutError:
+                count_rejected()
+                await self._refuse(_half_sent())
+                return
+            if req is None:
+                return
+            if isinstance(req, Answer):
+                count_rejected()
+                await self._refuse(req)
+                return
+            await self._answer(await self._handled(req))
+            if not self._next_cycle():
+                return
+
+    async def _handled(self, req: HttpRequest) -> HttpAnswer:
+        """Answer while watching whether the caller is still there."""
+        handling = asyncio.ensure_future(self._handler(req))
+        leaving = asyncio.create_task(self._reader.read(1))
+        try:
+            await asyncio.wait(
+                (handling, leaving),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if handling.done():
+                return handling.result()
+            if leaving.done() and not leaving.result():
+                handling.cancel()
+                raise ConnectionResetError('the caller has gone')
+            self._http.receive_data(leaving.result())
+            return await handling
+        finally:
+            if not leaving.done():
+                leaving.cancel()
+                with suppress(asyncio.CancelledError):
+                    await leaving
+            elif handling.done() and leaving.result():
+                self._http.receive_data(leaving.result())
+
+    async def _read_request(self) -> HttpRequest | Answer | None:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            head = await self._next_event()
+            if not isinstance(head, h11.Request):
+                return None
+            parts: list[bytes] = []
+            size = 0
+            event = await self._next_event()
+            while isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > MAX_REQUEST_BYTES:
+                    return _oversized()
+                event = await self._next_event()
+            return HttpRequest(
+                head.method.decode(),
+                head.target.decode('latin-1'),
+                {
+                    name.decode(): text.decode('latin-1').strip()
+                    for name, text in head.headers
+                },
+                b''.join(parts),
+            )
+
+    async def _next_event(self) -> object:
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            if self._http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=())
+                self._writer.write(self._http.send(go_on) or b'')
+            self._http.receive_data(await self._reader.read(READ_SIZE))
+            event = self._http.next_event()
+        return event
+
+    async def _answer(self, answer: HttpAnswer) -> None:
+        headers = [
+            ('Content-Type', answer.content_type),
+            *answer.headers.items(),
+        ]
+        if answer.parts is None:
+            headers.append(('Content-Length', str(len(answer.body))))
+        else:
+            headers.append(('Cache-Control', 'no-store'))
+            headers.append(('Transfer-Encoding', 'chunked'))
+        await self._send(
+            h11.Response(status_code=int(answer.status), headers=headers),
+        )
+        if answer.parts is None:
+            await self._send(h11.Data(data=answer.body))
+        else:
+            async for part in answer.parts:
+                await self._send(h11.Data(data=part))
+        await self._send(h11.EndOfMessage())
+
+    async def _refuse(self, answer: Answer) -> None:
+        """Tell what was wrong, if the protocol still allows an answer."""
+        if self._http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            with suppress(h11.LocalProtocolError, OSError):
+                await self._answer(answer_of(answer))
+
+    async def _send(self, event: h11.Event) -> None:
+        payload = self._http.send(event)
+        if payload:
+            self._writer.write(payload)
+            await self._writer.drain()
+
+    def _next_cycle(self) -> bool:
+        if self._http.our_state is h11.MUST_CLOSE:
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+
+def _malformed(exc: h11.RemoteProtocolError) -> Answer:
+    status = HTTPStatus(exc.error_status_hint)
+    return rejected(
+        f'this is not a valid HTTP/1.1 request: {exc}',
+        'send headers under 16 KiB and a body as its length says',
+        status,
+    )
+
+
+def _half_sent() -> Answer:
+    return rejected(
+        f'the request was not whole after {READ_TIMEOUT_S:.0f} s',
+        'send it whole; nothing was run',
+        HTTPStatus.REQUEST_TIMEOUT,
+    )
+
+
+def _oversized() -> Answer:
+    return rejected(
+        f'the body is over {MAX_REQUEST_BYTES} bytes',
+        'send less in one request; nothing was run',
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    )
--- /dev/null
+++ b/bramleybend/gateway/view.py
@@ -0,0 +1,170 @@
+"""The gateway's view of terms, members and shards, from a scheduler.
+
+The VM's own scheduler is asked first; while it is down another one is, so a
+scheduler's death leaves its gateway serving. The view knows its age: a VM
+that was paused or cut off must not admit work on old terms.
+"""
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+import grpc
+from result import Err, Ok
+
+from bramleybend.clock import Clock
+from bramleybend.declarations import parse_terms
+from bramleybend.decisions.routing import ShardView
+from bramleybend.events import EventLog
+from bramleybend.identity import Identity
+from bramleybend.models import Terms
+from bramleybend.state.membership import Member, MemberState
+from bramleybend.wire.bramleybend_pb2 import (
+    Header,
+    MemberRecord,
+    ViewReply,
+    ViewRequest,
+)
+from bramleybend.wire.bramleybend_pb2_grpc import LocalStub
+from bramleybend.wire.channels import PROTOCOL, Channels
+
+VIEW_WAIT_S: Final = 0.5
+VIEW_TIMEOUT_S: Final = 1.5
+RETRY_S: Final = 0.2
+
+
+@dataclass(frozen=True)
+class View:
+    """What the last reply said; `heard_at` is when its word was fresh."""
+
+    terms: Terms | None = None
+    offset: int = -1
+    members: tuple[Member, ...] = ()
+    shards: tuple[ShardView, ...] = ()
+    endpoints: dict[str, str] = field(default_factory=dict)
+    suspects: dict[str, int] = field(default_factory=dict)
+    heard_at: float = float('-inf')
+
+
+class ViewFollower:
+    """Keeps the view fresh; owns its calls."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        scheduler_port: int,
+        channels: Channels,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        """Start with an empty view, which is too old to serve on."""
+        self.view = View()
+        self._identity = identity
+        self._port = scheduler_port
+        self._channels = channels
+        self._clock = clock
+        self._events = events
+        self._turn = 0
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the system was last heard of."""
+        return self._clock.monotonic() - self.view.heard_at
+
+    async def follow(self) -> None:
+        """Ask for views until cancelled."""
+        while True:
+            asked_at = self._clock.monotonic()
+            try:
+                reply = await self._ask(self._next_address())
+            except grpc.aio.AioRpcError:
+                self._turn += 1
+                await asyncio.sleep(RETRY_S)
+            else:
+                self._turn = 0
+                self._take(reply, asked_at)
+
+    def _next_address(self) -> str:
+        # Turn 0 is the VM's own scheduler; each failure moves on to the
+        # next member, and a success comes back to the own one.
+        others = [
+            member.address
+            for member in self.view.members
+            if member.address != self._identity.address
+        ]
+        addresses = [self._identity.address, *others]
+        return addresses[self._turn % len(addresses)]
+
+    async def _ask(self, address: str) -> ViewReply:
+        channel = self._channels.get(f'{address}:{self._port}')
+        known = self.view.terms.version if self.view.terms else 0
+        request = ViewRequest(
+            header=Header(
+                protocol=PROTOCOL,
+                vm=self._identity.vm,
+                incarnation=self._identity.incarnation,
+                terms_version=known,
+            ),
+            known_version=known,
+            wait_s=VIEW_WAIT_S,
+        )
+        stub = LocalStub(channel)
+        reply: ViewReply = await stub.View(request, timeout=VIEW_TIMEOUT_S)
+        return reply
+
+    def _take(self, reply: ViewReply, asked_at: float) -> None:
+        # The wait for a reply may have frozen this process with it, so the
+        # word is dated from before the question, never from its arrival.
+        self.view = replace(
+            self.view,
+            terms=self._terms(reply),
+            offset=max(reply.offset, self.view.offset),
+            members=tuple(_member(record) for record in reply.members),
+            shards=tuple(
+                ShardView(
+                    service=record.service,
+                    shard=record.shard,
+                    running=record.running,
+                    waiting=record.waiting,
+                    limit=record.limit,
+                    age_s=0,
+                )
+                for record in reply.shards
+            ),
+            endpoints={
+                record.name: record.endpoint for record in reply.runners
+            },
+            suspects={
+                record.fingerprint: record.crashes
+                for record in reply.suspects
+                if not record.cleared
+            },
+            heard_at=asked_at - reply.age_s,
+        )
+
+    def _terms(self, reply: ViewReply) -> Terms | None:
+        known = self.view.terms
+        # Terms never revert: a scheduler that knows less than we do is
+        # left behind, and we keep what we have.
+        if known is not None and reply.version <= known.version:
+            return known
+        if not reply.document:
+            return known
+        match parse_terms(reply.document, reply.version):
+            case Ok(terms):
+                self._events.record('terms_in_force', version=terms.version)
+                return terms
+            case Err(problem):
+                self._events.record('terms_refused', detail=problem.detail)
+        return known
+
+
+def _member(record: MemberRecord) -> Member:
+    return Member(
+        vm=record.vm,
+        address=record.address,
+        domain=record.domain,
+        incarnation=record.incarnation,
+        state=MemberState(record.state),
+        heartbeat=record.heartbeat,
+    )
--- /dev/null
+++ b/bramleybend/scheduler/owner_service.py
@@ -0,0 +1,153 @@
+"""The gRPC side of ownership: gateways ask, hold and give back slots."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from itertools import count
+
+import grpc
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.owner import RunReport
+from bramleybend.models import Ask, Tier
+from bramleybend.scheduler.messages import (
+    Adopted,
+    Asked,
+    FirstTokenSeen,
+    FloorAsked,
+    HoldChannel,
+    HoldLost,
+    RunEnded,
+)
+from bramleybend.scheduler.shard_task import ShardTask
+from bramleybend.scheduler.shards import ShardTable
+from bramleybend.wire.bramleybend_pb2 import (
+    AskMessage,
+    FloorReply,
+    FloorRequest,
+    HoldReply,
+    HoldRequest,
+)
+from bramleybend.wire.bramleybend_pb2_grpc import OwnerServicer
+from bramleybend.wire.check import refuse_other_protocol
+
+
+class OwnerService(OwnerServicer):
+    """Turns streams into messages for the shards' tasks."""
+
+    def __init__(self, shards: ShardTable, clock: Clock) -> None:
+        """Serve the shards of one scheduler."""
+        self._shards = shards
+        self._clock = clock
+        self._numbers = count()
+
+    async def Hold(  # noqa: N802
+        self,
+        request_iterator: AsyncIterator[HoldRequest],
+        context: grpc.aio.ServicerContext,
+    ) -> AsyncIterator[HoldReply]:
+        """Serve one request's stream, from its ask to its end."""
+        first = await anext(aiter(request_iterator))
+        await refuse_other_protocol(first.header, context)
+        ask = first.ask if first.HasField('ask') else first.adopt.ask
+        shard = self._shards.get(ask.service, ask.shard)
+        if shard is None:
+            await context.abort(
+                grpc.StatusCode.NOT_FOUND,
+                f'no service {ask.service}; publish terms that name it',
+            )
+            return
+        hold = self._hold(ask)
+        self._begin(shard, hold, first)
+        reading = asyncio.create_task(_read(request_iterator, shard, hold))
+        try:
+            while (reply := await hold.outbox.get()) is not None:
+                yield reply
+        finally:
+            reading.cancel()
+            shard.post(HoldLost(hold))
+
+    async def SetFloor(  # noqa: N802
+        self,
+        request: FloorRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> FloorReply:
+        """Start nothing lower for a while and say what runs below."""
+        await refuse_other_protocol(request.header, context)
+        shard = self._shards.get(request.service, request.shard)
+        if shard is None or not self._shards.settled(shard):
+            return FloorReply(settled=False)
+        reply: asyncio.Future[int] = asyncio.Future()
+        shard.post(FloorAsked(Tier(request.tier), request.hold_s, reply))
+        return FloorReply(settled=True, lower_running=await reply)
+
+    def _hold(self, ask: AskMessage) -> HoldChannel:
+        # The same request may ask twice, after a reply was lost, so the
+        # stream and not the request is what holds a slot.
+        return HoldChannel(
+            f'{ask.request_id}#{next(self._numbers)}',
+            ask.request_id,
+            Tier(ask.tier),
+            ask.fingerprint,
+        )
+
+    def _begin(
+        self,
+        shard: ShardTask,
+        hold: HoldChannel,
+        first: HoldRequest,
+    ) -> None:
+        now = self._clock.monotonic()
+        if first.HasField('adopt'):
+            ask = _ask_of(first.adopt.ask, now)
+            shard.post(Adopted(hold, ask, first.adopt.runner))
+            return
+        suspect = self._shards.is_suspect(hold.fingerprint)
+        ask = _ask_of(first.ask, now, suspect=suspect)
+        shard.post(Asked(hold, ask, first.ask.urgent))
+
+
+async def _read(
+    requests: AsyncIterator[HoldRequest],
+    shard: ShardTask,
+    hold: HoldChannel,
+) -> None:
+    async for request in requests:
+        if request.HasField('first_token'):
+            shard.post(
+                FirstTokenSeen(
+                    hold,
+                    request.first_token.prompt_tokens,
+                    request.first_token.cached_tokens,
+                ),
+            )
+        elif request.HasField('ended'):
+            shard.post(RunEnded(hold, _report_of(request)))
+
+
+def _ask_of(message: AskMessage, now: float, *, suspect: bool = False) -> Ask:
+    return Ask(
+        request_id=message.request_id,
+        service=message.service,
+        tier=Tier(message.tier),
+        workspace=message.workspace,
+        cost=message.cost,
+        prompt_tokens=message.prompt_tokens,
+        prefixes=tuple(message.prefixes),
+        deadline=now + message.timeout_s,
+        cancellable=message.cancellable,
+        suspect=suspect,
+        excluded=frozenset(message.excluded),
+    )
+
+
+def _report_of(request: HoldRequest) -> RunReport:
+    ended = request.ended
+    return RunReport(
+        outcome=ended.outcome,
+        refused=ended.refused,
+        crashed=ended.runner_crashed,
+        prompt_tokens=ended.prompt_tokens,
+        cached_tokens=ended.cached_tokens,
+        completion_tokens=ended.completion_tokens,
+        seconds=ended.seconds,
+    )
--- /dev/null
+++ b/bramleybend/scheduler/shard_task.py
@@ -0,0 +1,265 @@
+"""One shard's queue: a task that owns its policy and speaks by messages.
+
+All decisions are the policy's (`decisions.owner`); this task only feeds it
+what happened and carries out what it decided.
+"""
+
+import asyncio
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from typing import Final, assert_never
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.owner import (
+    Action,
+    Grant,
+    Preempt,
+    Refuse,
+    RunnerInfo,
+    ShardPolicy,
+)
+from bramleybend.decisions.quarantine import CrashBook
+from bramleybend.events import EventLog
+from bramleybend.metrics import Metric, Metrics
+from bramleybend.models import RunnerState, Vm
+from bramleybend.scheduler.messages import (
+    Adopted,
+    Asked,
+    FirstTokenSeen,
+    FloorAsked,
+    HoldChannel,
+    HoldLost,
+    OwnershipMoved,
+    RunEnded,
+    RunnersListed,
+    ShardMessage,
+)
+from bramleybend.wire.bramleybend_pb2 import (
+    Granted,
+    HoldReply,
+    Preempted,
+    Queued,
+    Refused,
+)
+
+IDLE_TICK_S: Final = 0.5
+
+
+@dataclass(frozen=True)
+class ShardDeps:
+    """What a shard's task works with."""
+
+    clock: Clock
+    events: EventLog
+    metrics: Metrics
+    crashes: CrashBook
+
+
+class ShardTask:
+    """Takes messages one by one, so the policy needs no locks."""
+
+    def __init__(
+        self,
+        service: str,
+        shard: int,
+        policy: ShardPolicy,
+        deps: ShardDeps,
+    ) -> None:
+        """Start with no runners and an empty queue."""
+        self.service = service
+        self.shard = shard
+        self.policy = policy
+        self.holds: dict[str, HoldChannel] = {}
+        self._deps = deps
+        self._inbox: asyncio.Queue[ShardMessage] = asyncio.Queue()
+        self._runners: dict[str, Vm] = {}
+        self._where: dict[str, str] = {}
+
+    def post(self, message: ShardMessage) -> None:
+        """Hand a message over; it is taken in order."""
+        self._inbox.put_nowait(message)
+
+    async def work(self) -> None:
+        """Take messages until cancelled."""
+        while True:
+            message = await self._next_message()
+            now = self._deps.clock.monotonic()
+            if message is not None:
+                self._perform(self._handle(message, now))
+            self._perform(self.policy.tick(now))
+
+    async def _next_message(self) -> ShardMessage | None:
+        now = self._deps.clock.monotonic()
+        wake = self.policy.next_wake(now)
+        wait_s = IDLE_TICK_S if wake is None else max(wake - now, 0)
+        try:
+            async with asyncio.timeout(min(wait_s, IDLE_TICK_S)):
+                return await self._inbox.get()
+        except TimeoutError:
+            return None
+
+    def _handle(self, message: ShardMessage, now: float) -> list[Action]:
+        match message:
+            case Asked():
+                return self._ask(message, now)
+            case Adopted(hold, ask, runner):
+                self._open(hold)
+                self._where[hold.key] = runner
+                return self.policy.adopt(
+                    replace(ask, request_id=hold.key),
+                    runner,
+                    now,
+                )
+            case FirstTokenSeen(hold, prompt_tokens, cached_tokens):
+                return self.policy.first_token(
+                    hold.key,
+                    prompt_tokens,
+                    cached_tokens,
+                    now,
+                )
+            case RunEnded():
+                return self._ended(message, now)
+            case HoldLost(hold):
+                return self._lost(hold, now)
+            case RunnersListed(runners):
+                return self._listed(runners, now)
+            case OwnershipMoved():
+                return self._moved(now)
+            case FloorAsked(tier, hold_s, reply):
+                lower = self.policy.set_floor(tier, hold_s, now)
+                if not reply.done():
+                    reply.set_result(lower)
+                return []
+        assert_never(message)
+
+    # What happened
+
+    def _ask(self, asked: Asked, now: float) -> list[Action]:
+        self._open(asked.hold)
+        ask = replace(asked.ask, request_id=asked.hold.key)
+        if asked.urgent:
+            # The gateway will shed this request unless something lower
+            # makes room, so nothing lower may start before it.
+            self.policy.set_floor(ask.tier, 1, now)
+        return self.policy.ask(ask, now)
+
+    def _open(self, hold: HoldChannel) -> None:
+        self.holds[hold.key] = hold
+        hold.outbox.put_nowait(HoldReply(queued=Queued()))
+
+    def _ended(self, ended: RunEnded, now: float) -> list[Action]:
+        hold = ended.hold
+        if self.holds.pop(hold.key, None) is None:
+            return []
+        runner = self._where.pop(hold.key, '')
+        hold.outbox.put_nowait(None)
+        if ended.report.crashed:
+            self._crashed(hold, runner, now)
+        elif hold.fingerprint:
+            self._deps.crashes.finished(hold.fingerprint, now)
+        return self.policy.ended(hold.key, ended.report, now)
+
+    def _crashed(self, hold: HoldChannel, runner: str, now: float) -> None:
+        """Suspect all that was in flight there, whoever's fault it was."""
+        in_flight = [
+            other.fingerprint
+            for key, other in self.holds.items()
+            if self._where.get(key) == runner and other.fingerprint
+        ]
+        self._deps.crashes.crashed(
+            runner,
+            [hold.fingerprint, *in_flight],
+            now,
+        )
+        self._deps.events.record(
+            'runner_crashed',
+            hold.request_id,
+            runner=runner,
+            in_flight=len(in_flight) + 1,
+        )
+
+    def _lost(self, hold: HoldChannel, now: float) -> list[Action]:
+        if self.holds.pop(hold.key, None) is None:
+            return []
+        self._where.pop(hold.key, None)
+        return self.policy.withdraw(hold.key, now)
+
+    def _listed(self, runners: tuple[Vm, ...], now: float) -> list[Action]:
+        self._runners = {vm.name: vm for vm in runners}
+        return self.policy.runners(
+            [
+                RunnerInfo(vm.name, vm.state is RunnerState.LEAVING)
+                for vm in runners
+            ],
+            now,
+        )
+
+    def _moved(self, now: float) -> list[Action]:
+        """Close every stream; the gateways go to the new owner."""
+        # Runs go on meanwhile. Kept here, they would be unknown to the new
+        # owner, which then might say that nothing lower is being served.
+        actions: list[Action] = []
+        for hold in tuple(self.holds.values()):
+            hold.outbox.put_nowait(None)
+            actions += self._lost(hold, now)
+        return actions
+
+    # What was decided
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            hold = self.holds.get(action.request_id)
+            if hold is not None:
+                self._carry_out(action, hold)
+
+    def _carry_out(self, action: Action, hold: HoldChannel) -> None:
+        match action:
+            case Grant(_, runner):
+                self._grant(hold, runner)
+            case Refuse(_, reason, retry_after, shed):
+                self._refuse(hold, reason, retry_after, shed=shed)
+            case Preempt(_, for_tier):
+                hold.outbox.put_nowait(
+                    HoldReply(preempted=Preempted(for_tier=for_tier)),
+                )
+                self._note('preempt', hold, for_tier=int(for_tier))
+
+    def _grant(self, hold: HoldChannel, runner: str) -> None:
+        self._where[hold.key] = runner
+        endpoint = self._runners[runner].endpoint
+        hold.outbox.put_nowait(
+            HoldReply(granted=Granted(runner=runner, endpoint=endpoint)),
+        )
+        self._note('grant', hold, runner=runner)
+
+    def _refuse(
+        self,
+        hold: HoldChannel,
+        reason: str,
+        retry_after: timedelta,
+        *,
+        shed: bool,
+    ) -> None:
+        hold.outbox.put_nowait(
+            HoldReply(
+                refused=Refused(
+                    reason=reason,
+                    retry_after_s=retry_after.total_seconds(),
+                    shed=shed,
+                ),
+            ),
+        )
+        hold.outbox.put_nowait(None)
+        self.holds.pop(hold.key, None)
+        self._deps.metrics.count(Metric.REFUSED, tier=int(hold.tier))
+        self._note('refuse', hold, reason=reason)
+
+    def _note(self, event: str, hold: HoldChannel, **fields: object) -> None:
+        self._deps.events.record(
+            event,
+            hold.request_id,
+            service=self.service,
+            shard=self.shard,
+            tier=int(hold.tier),
+            **fields,
+        )
--- /dev/null
+++ b/bramleybend/scheduler/shards.py
@@ -0,0 +1,181 @@
+"""The shards a scheduler serves, and which of them it owns now."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from bramleybend.decisions.floor import ADOPTION_GRACE_S
+from bramleybend.decisions.owner import make_shard_policy
+from bramleybend.decisions.ownership import owners_of, shard_of
+from bramleybend.decisions.routing import ShardView
+from bramleybend.models import Service, Terms, Vm
+from bramleybend.scheduler.messages import OwnershipMoved, RunnersListed
+from bramleybend.scheduler.shard_task import ShardDeps, ShardTask
+from bramleybend.state.membership import Member
+
+# A shard whose owner has just moved here is asked about by gateways before
+# the next look at the list; it must not refuse them for want of runners.
+LOOK_INTERVAL_S: Final = 0.5
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What decides about ownership, as it is known now."""
+
+    terms: Callable[[], Terms | None]
+    runners: Callable[[], Sequence[Vm]]
+    members: Callable[[], Sequence[Member]]
+    own_incarnation: str
+
+
+class ShardTable:
+    """Creates a shard's task when it is first owned or asked for."""
+
+    def __init__(
+        self,
+        around: Surroundings,
+        deps: ShardDeps,
+        rng: Random,
+    ) -> None:
+        """Serve nothing yet."""
+        self._around = around
+        self._deps = deps
+        self._rng = rng
+        self._tasks: dict[tuple[str, int], ShardTask] = {}
+        self._working: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._owned_since: dict[tuple[str, int], float] = {}
+
+    def get(self, service: str, shard: int) -> ShardTask | None:
+        """Return a shard's task, or None for one that no terms name.
+
+        A gateway may know of a change of owner before this VM does, so a
+        shard is served for whoever asks, owned or not.
+        """
+        task = self._tasks.get((service, shard))
+        if task is not None:
+            return task
+        terms = self._around.terms()
+        named = terms.services.get(service) if terms else None
+        if named is None or shard >= named.shards:
+            return None
+        return self._create(named, shard)
+
+    def settled(self, task: ShardTask) -> bool:
+        """Whether every run of the shard must be known here by now.
+
+        After a takeover the gateways register their runs anew. Until the
+        grace is over, "nothing lower runs" might only mean "not yet heard
+        of", and a higher tier would be shed beside a lower one.
+        """
+        since = self._owned_since.get((task.service, task.shard))
+        if since is None:
+            return False
+        return self._deps.clock.monotonic() - since >= ADOPTION_GRACE_S
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether this content was in flight when a runner crashed."""
+        return bool(fingerprint) and self._deps.crashes.is_suspect(
+            fingerprint,
+            self._deps.clock.monotonic(),
+        )
+
+    async def watch(self) -> None:
+        """Follow list, terms and members until cancelled."""
+        while True:
+            self.look()
+            await asyncio.sleep(LOOK_INTERVAL_S)
+
+    def look(self) -> None:
+        """Create what is owned now, hand runners out, move what is not."""
+        terms = self._around.terms()
+        if terms is None:
+            return
+        for service in terms.services.values():
+            for shard in range(service.shards):
+                self._look_at(service, shard)
+
+    def loads(self) -> list[ShardView]:
+        """Return the load of the shards owned here."""
+        views: list[ShardView] = []
+        for key in self._owned_since:
+            task = self._tasks[key]
+            load = task.policy.load()
+            views.append(
+                ShardView(
+                    service=task.service,
+                    shard=task.shard,
+                    running=load.running,
+                    waiting=load.waiting,
+                    limit=load.limit,
+                    age_s=0,
+                ),
+            )
+        return views
+
+    @property
+    def tasks(self) -> tuple[ShardTask, ...]:
+        """Every shard served, owned or not."""
+        return tuple(self._tasks.values())
+
+    def release(self) -> None:
+        """Send every hold on to the next owner, before a planned stop."""
+        self._owned_since.clear()
+        for task in self._tasks.values():
+            task.post(OwnershipMoved())
+
+    def _look_at(self, service: Service, shard: int) -> None:
+        key = (service.name, shard)
+        if self._is_owner(service.name, shard):
+            self._own(service, shard)
+        elif key in self._owned_since:
+            self._owned_since.pop(key)
+            self._tasks[key].post(OwnershipMoved())
+            self._deps.events.record(
+                'shard_moved',
+                service=service.name,
+                shard=shard,
+            )
+        if key in self._tasks:
+            self._hand_out(self._tasks[key], service)
+
+    def _is_owner(self, service: str, shard: int) -> bool:
+        ranked = owners_of(service, shard, self._around.members())
+        return bool(ranked) and (
+            ranked[0].incarnation == self._around.own_incarnation
+        )
+
+    def _own(self, service: Service, shard: int) -> None:
+        key = (service.name, shard)
+        if key in self._owned_since:
+            return
+        if key not in self._tasks:
+            self._create(service, shard)
+        self._owned_since[key] = self._deps.clock.monotonic()
+        self._deps.events.record(
+            'shard_owned',
+            service=service.name,
+            shard=shard,
+        )
+
+    def _create(self, service: Service, shard: int) -> ShardTask:
+        key = (service.name, shard)
+        policy = make_shard_policy(service, self._rng)
+        task = ShardTask(service.name, shard, policy, self._deps)
+        self._tasks[key] = task
+        self._hand_out(task, service)
+        self._working[key] = asyncio.create_task(task.work())
+        return task
+
+    def _hand_out(self, task: ShardTask, service: Service) -> None:
+        task.post(
+            RunnersListed(
+                tuple(
+                    vm
+                    for vm in self._around.runners()
+                    if vm.service == service.name
+                    and shard_of(vm.name, service.shards) == task.shard
+                ),
+            ),
+        )
