Decide for one shard: queue, grants, preemption, floors, and shard ranking

Cause: the scheduler and the gateway need the fixed interface to build on. Change: bramleybend/decisions/ with ShardPolicy (owner.py), rank_shards (routing.py) and the parts behind them; the data passed is in actions.py. Conclusion: safe to merge for integration; the policy deepens from here.

--- /dev/null
+++ b/bramleybend/decisions/actions.py
@@ -0,0 +1,81 @@
+"""What the decisions are told and what they order: plain data.
+
+A scheduler task feeds these to a `ShardPolicy` and carries out the actions
+that come back; a gateway feeds `ShardView`s to `rank_shards`.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from bramleybend.models import Tier
+
+
+@dataclass(frozen=True)
+class Grant:
+    """The request may be sent to this runner now."""
+
+    request_id: str
+    runner: str
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """The request gets no slot; nothing was sent for it."""
+
+    request_id: str
+    reason: str
+    retry_after: timedelta
+    shed: bool  # for want of capacity: the tier-floor round comes first
+
+
+@dataclass(frozen=True)
+class Preempt:
+    """Cancel this run; a waiting request of a higher tier needs the slot."""
+
+    request_id: str
+    for_tier: Tier
+
+
+Action = Grant | Refuse | Preempt
+
+
+@dataclass(frozen=True)
+class RunReport:
+    """How a granted run ended, as seen by the gateway that streamed it."""
+
+    outcome: str
+    refused: bool = False  # the runner did not admit it
+    crashed: bool = False  # the runner died under it
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int = 0
+    seconds: float = 0
+
+
+@dataclass(frozen=True)
+class RunnerInfo:
+    """One runner of the shard, as the VM list has it."""
+
+    name: str
+    leaving: bool = False
+
+
+@dataclass(frozen=True)
+class ShardLoad:
+    """What an owner tells gateways about its shard."""
+
+    running: int
+    waiting: int
+    limit: int
+
+
+@dataclass(frozen=True)
+class ShardView:
+    """What a gateway last heard about a shard, and how long ago."""
+
+    service: str
+    shard: int
+    running: int
+    waiting: int
+    limit: int
+    age_s: float
--- /dev/null
+++ b/bramleybend/decisions/admission.py
@@ -0,0 +1,55 @@
+"""What is let into the queue.
+
+Load pattern: a burst of more work than the deadlines leave room for.
+Without it: every request of the burst waits until its deadline and is refused
+then, when its caller has no time left to do anything else; and bad input
+(negative costs, unknown tiers) upsets the order of the queue.
+
+A request is refused at once if the cost ahead of it takes longer than it can
+wait by `SURE_WAIT`: the rate is an estimate, and a wrong refusal costs more
+than a late one. A workspace waits behind its own cost times the workspaces
+it shares the shard with, not behind all that a large one has queued.
+"""
+
+from dataclasses import replace
+from math import isfinite
+
+from bramleybend.decisions.shard import Shard
+from bramleybend.models import Ask, Tier
+
+SURE_WAIT = 1.5  # times the time left
+MOST_WAITING = 10_000
+
+
+def cleaned(ask: Ask) -> Ask:
+    """Give bad values a defined meaning, the one that harms others least."""
+    tokens = max(ask.prompt_tokens, 0)
+    cost = ask.cost
+    if not isfinite(cost) or cost <= 0:
+        cost = float(max(tokens, 1))
+    tier = min(max(ask.tier, Tier.CRITICAL), Tier.BULK)
+    return replace(
+        ask,
+        cost=cost,
+        prompt_tokens=tokens,
+        tier=Tier(tier),
+        deadline=ask.deadline if isfinite(ask.deadline) else 0,
+    )
+
+
+def refusal(shard: Shard, ask: Ask, now: float) -> str | None:
+    """Return why a request can't be queued, `None` if it can."""
+    if not any(not runner.leaving for runner in shard.pool):
+        return 'no_live_runner'
+    if len(shard.queue) >= MOST_WAITING:
+        return 'queue_full'
+    if _waits_too_long(shard, ask, now):
+        return 'wait_exceeds_deadline'
+    return None
+
+
+def _waits_too_long(shard: Shard, ask: Ask, now: float) -> bool:
+    if not shard.switches.admission or shard.lower_runs(ask.tier):
+        return False
+    wait = shard.queue.cost_ahead(ask) / shard.drain.value
+    return wait > (shard.latest_start(ask) - now) * SURE_WAIT
--- /dev/null
+++ b/bramleybend/decisions/cache_view.py
@@ -0,0 +1,64 @@
+"""Which prompt prefixes a runner probably holds.
+
+Load pattern: many requests that share long prefixes, on engines whose cache
+is small and whose cache events come late and with gaps.
+Without it: a long statement is prefilled again on every runner.
+
+The view follows what was sent there, bounded as the runner's own memory is.
+An event that a prefix was evicted counts only if the prefix was not sent
+again within `EVENT_LAG_S`, since the event may be older than that send. A run
+that found much less cached than expected empties the view for its prefixes,
+which makes up for events that never came.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+KEPT_PREFIXES = 512
+EVENT_LAG_S = 5.0
+MISSED = 0.5  # of the tokens expected cached; below it the view was wrong
+
+
+class CacheView:
+    """One runner's cache, as the owner believes it to be."""
+
+    def __init__(self) -> None:
+        """Start cold."""
+        self._sent: OrderedDict[str, float] = OrderedDict()
+
+    def sent(self, prefixes: Sequence[str], now: float) -> None:
+        """Note prefixes that a run computes there."""
+        for prefix in prefixes:
+            self._sent[prefix] = now
+            self._sent.move_to_end(prefix)
+        while len(self._sent) > KEPT_PREFIXES:
+            self._sent.popitem(last=False)
+
+    def cached_tokens(self, prefixes: Sequence[str], tokens: int) -> int:
+        """Estimate the prompt tokens that need no prefill."""
+        held = 0
+        for prefix in prefixes:
+            if prefix not in self._sent:
+                break
+            held += 1
+        return tokens * held // len(prefixes) if prefixes else 0
+
+    def found(
+        self,
+        prefixes: Sequence[str],
+        expected: int,
+        cached: int,
+    ) -> None:
+        """Compare with what a run really found cached."""
+        if cached < expected * MISSED:
+            for prefix in prefixes[1:]:
+                self._sent.pop(prefix, None)
+
+    def evicted(self, prefix: str, now: float) -> None:
+        """Take in an eviction event, unless it may be outdated."""
+        if self._sent.get(prefix, now) + EVENT_LAG_S <= now:
+            self._sent.pop(prefix, None)
+
+    def clear(self) -> None:
+        """Forget everything; the runner lost its memory."""
+        self._sent.clear()
--- /dev/null
+++ b/bramleybend/decisions/dispatch.py
@@ -0,0 +1,114 @@
+"""What starts next, and where.
+
+Load pattern: saturation, where each freed slot meets a whole queue.
+Without it: the entry at the head goes to whichever runner came free, and the
+prefix that another entry has there is thrown away.
+
+A freed slot goes to the tier and workspace whose turn it is; of that
+workspace's next `WINDOW` entries the one is taken that costs the runner
+least, each place down the line counting as `PLACE_S`, so an entry is passed
+over a bounded number of times.
+"""
+
+from dataclasses import dataclass
+from math import inf
+
+from bramleybend.decisions.actions import Action, Grant
+from bramleybend.decisions.queueing import Waiting
+from bramleybend.decisions.runs import Runner
+from bramleybend.decisions.shard import Shard
+
+PLACE_S = 0.05
+
+
+@dataclass(frozen=True)
+class _Choice:
+    entry: Waiting
+    runner: Runner
+    seconds: float
+
+
+def start_waiting(shard: Shard, now: float) -> list[Action]:
+    """Fill the free slots."""
+    actions = _start_suspect(shard, now)
+    while True:
+        choice = _choose(shard, now)
+        if choice is None:
+            return actions
+        shard.start(choice.entry.ask, choice.runner, now)
+        actions.append(
+            Grant(choice.entry.ask.request_id, choice.runner.name),
+        )
+
+
+def _choose(shard: Shard, now: float) -> _Choice | None:
+    free = shard.pool.free(now) if shard.queue else []
+    if not free:
+        return None
+    window = shard.queue.window(shard.lowest_tier(now))
+    choices = [
+        _Choice(entry, runner, _seconds(shard, entry, runner, place))
+        for place, entry in enumerate(window)
+        for runner in free
+        if runner.name not in entry.ask.excluded
+    ]
+    return min(choices, key=_by_seconds, default=None)
+
+
+def _seconds(
+    shard: Shard,
+    entry: Waiting,
+    runner: Runner,
+    place: int,
+) -> float:
+    crowd = 1 + len(runner.in_flight) / runner.limit.value
+    seconds = shard.pool.seconds_on(entry.ask, runner)
+    return seconds * crowd + place * PLACE_S
+
+
+def _by_seconds(choice: _Choice) -> float:
+    return choice.seconds
+
+
+def _start_suspect(shard: Shard, now: float) -> list[Action]:
+    window = shard.suspects.window(shard.lowest_tier(now))
+    running = [run for run in shard.runs.values() if run.ask.suspect]
+    if running or not window:
+        return []
+    ask = window[0].ask
+    runner = _emptiest(shard, ask.excluded)
+    for other in shard.pool:
+        other.alone = None
+    if runner is None:
+        return []
+    # Held empty for the suspect, or it would never find a runner to itself.
+    runner.alone = ask.request_id
+    if runner.in_flight:
+        return []
+    shard.start(ask, runner, now)
+    return [Grant(ask.request_id, runner.name)]
+
+
+def _emptiest(shard: Shard, excluded: frozenset[str]) -> Runner | None:
+    able = [
+        runner
+        for runner in shard.pool
+        if not runner.leaving and runner.name not in excluded
+    ]
+    return min(able, key=_emptiness, default=None)
+
+
+def _emptiness(runner: Runner) -> tuple[int, bool]:
+    # Of equals, the one that is already held for the suspect.
+    return (len(runner.in_flight), runner.alone is None)
+
+
+def next_start(shard: Shard, now: float) -> float:
+    """Return when a slot may open without any event: ramps and floors."""
+    if not shard.queue:
+        return inf
+    times = list(shard.floors.values())
+    times.extend(
+        runner.ramp.next_step(runner.limit.value, now) for runner in shard.pool
+    )
+    return min((time for time in times if time > now), default=inf)
--- /dev/null
+++ b/bramleybend/decisions/expiry.py
@@ -0,0 +1,36 @@
+"""Which waiting requests leave because they can't be done in time.
+
+Load pattern: a queue longer than the deadlines of what stands in it.
+Without it: slots go to requests whose callers have given up, and their whole
+prefill is wasted just when capacity is short.
+"""
+
+from bramleybend.decisions.actions import Action, Refuse
+from bramleybend.decisions.queueing import Waiting, WaitingQueue
+from bramleybend.decisions.shard import Shard
+from bramleybend.decisions.turnaway import retry_after
+from bramleybend.models import Ask, Tier
+
+
+def expire(shard: Shard, now: float) -> list[Action]:
+    """Refuse what can no longer end before its deadline."""
+    late = _late(shard.queue, now) + _late(shard.suspects, now)
+    for entry in late:
+        shard.leave_queue(entry.ask.request_id)
+    return [
+        refuse(shard, left.ask, 'deadline_unmet', shed=True) for left in late
+    ]
+
+
+def refuse(shard: Shard, ask: Ask, reason: str, *, shed: bool) -> Refuse:
+    """Turn a request away, with the time to come back."""
+    ahead = shard.queue.cost_ahead(ask)
+    wait = retry_after(ahead, shard.drain.value, shard.rng)
+    return Refuse(ask.request_id, reason, wait, shed)
+
+
+def _late(line: WaitingQueue, now: float) -> list[Waiting]:
+    late: list[Waiting] = []
+    for tier in Tier:
+        late.extend(line.due(now, tier))
+    return late
--- /dev/null
+++ b/bramleybend/decisions/owner.py
@@ -0,0 +1,182 @@
+"""The policy of one shard's owner: the composition of all decisions.
+
+A scheduler task tells it what happened and carries out the actions that come
+back. It holds no socket and no clock; `now` is monotonic seconds, and a `now`
+that went back counts as the latest one seen.
+"""
+
+from collections.abc import Mapping, Sequence
+from math import inf
+from random import Random
+
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    RunnerInfo,
+    RunReport,
+    ShardLoad,
+)
+from bramleybend.decisions.admission import cleaned, refusal
+from bramleybend.decisions.dispatch import next_start, start_waiting
+from bramleybend.decisions.expiry import expire, refuse
+from bramleybend.decisions.learning import learn
+from bramleybend.decisions.pool import RunnerPool
+from bramleybend.decisions.preemption import next_preemption, preempt
+from bramleybend.decisions.queueing import WaitingQueue
+from bramleybend.decisions.shard import Shard
+from bramleybend.decisions.switches import Switches
+from bramleybend.decisions.turnaway import DrainRate
+from bramleybend.models import Ask, Service, Tier
+
+FIRST_DRAIN = 4000.0  # cost a second, until completions were measured
+
+
+class ShardPolicy:
+    """Decides for one shard; every method returns what to do now."""
+
+    def __init__(self, shard: Shard) -> None:
+        """Take over an empty shard."""
+        self._shard = shard
+        self._now = -inf
+        self._listed = False
+
+    def ask(self, ask: Ask, now: float) -> list[Action]:
+        """Take in a request for a slot; a repeated one changes nothing."""
+        moment = self._advance(now)
+        run = self._shard.runs.get(ask.request_id)
+        if run is not None:
+            return [Grant(ask.request_id, run.runner)]
+        if ask.request_id in self._shard.line(ask):
+            return []
+        ask = cleaned(ask)
+        latest_start = self._shard.latest_start(ask)
+        if latest_start <= moment:
+            return [refuse(self._shard, ask, 'deadline_past', shed=False)]
+        reason = refusal(self._shard, ask, moment) if self._listed else None
+        if reason is not None:
+            return [refuse(self._shard, ask, reason, shed=True)]
+        self._shard.line(ask).add(ask, moment, latest_start)
+        return self._act(moment)
+
+    def adopt(self, ask: Ask, runner: str, now: float) -> list[Action]:
+        """Take over a run whose previous owner was lost."""
+        moment = self._advance(now)
+        if ask.request_id not in self._shard.runs:
+            self._shard.adopt(cleaned(ask), runner, moment)
+        return self._act(moment)
+
+    def withdraw(self, request_id: str, now: float) -> list[Action]:
+        """Forget a request whose caller or gateway is gone."""
+        moment = self._advance(now)
+        self._shard.leave_queue(request_id)
+        self._shard.finish(request_id)
+        return self._act(moment)
+
+    def first_token(
+        self,
+        request_id: str,
+        prompt_tokens: int,
+        cached_tokens: int,
+        now: float,
+    ) -> list[Action]:
+        """Learn from a finished prefill."""
+        moment = self._advance(now)
+        run = self._shard.runs.get(request_id)
+        runner = self._shard.pool.get(run.runner) if run else None
+        if run and runner:
+            expected = run.ask.prompt_tokens - run.prefill_tokens
+            runner.cache.found(run.ask.prefixes, expected, cached_tokens)
+            run.prefill_tokens = max(prompt_tokens - cached_tokens, 0)
+        return self._act(moment)
+
+    def ended(
+        self,
+        request_id: str,
+        report: RunReport,
+        now: float,
+    ) -> list[Action]:
+        """Free the run's slot and learn from its end."""
+        moment = self._advance(now)
+        run = self._shard.runs.get(request_id)
+        if run is not None:
+            learn(self._shard, run, report, moment)
+            self._shard.finish(request_id)
+        return self._act(moment)
+
+    def runners(
+        self,
+        names: Sequence[RunnerInfo],
+        now: float,
+    ) -> list[Action]:
+        """Take in the list of the shard's runners."""
+        moment = self._advance(now)
+        self._listed = True
+        self._shard.pool.update(names, self._shard.runs.values(), moment)
+        return self._act(moment)
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what has become due."""
+        return self._act(self._advance(now))
+
+    def next_wake(self, now: float) -> float | None:
+        """Return when `tick` has something to do, if nothing else happens."""
+        moment = self._advance(now)
+        shard = self._shard
+        times = [next_start(shard, moment), next_preemption(shard, moment)]
+        for line in (shard.queue, shard.suspects):
+            times.extend(line.next_due(tier) for tier in Tier)
+        earliest = min(times)
+        return None if earliest == inf else max(earliest, moment)
+
+    def set_floor(self, tier: Tier, hold_s: float, now: float) -> int:
+        """Start nothing below a tier for a while; count what runs below.
+
+        The next `tick` preempts for whatever waits in the tiers above.
+        """
+        moment = self._advance(now)
+        floors = self._shard.floors
+        until = moment + max(hold_s, 0)
+        floors[tier] = max(floors.get(tier, until), until)
+        return len(self._shard.lower_runs(tier))
+
+    def load(self) -> ShardLoad:
+        """Return what gateways are told about this shard."""
+        return ShardLoad(
+            len(self._shard.runs),
+            len(self._shard.queue) + len(self._shard.suspects),
+            self._shard.pool.limit(),
+        )
+
+    def _advance(self, now: float) -> float:
+        self._now = max(self._now, now)
+        return self._now
+
+    def _act(self, now: float) -> list[Action]:
+        actions = expire(self._shard, now)
+        actions.extend(start_waiting(self._shard, now))
+        actions.extend(preempt(self._shard, now))
+        return actions
+
+
+def make_shard_policy(
+    service: Service,
+    rng: Random,
+    weights: Mapping[str, float] | None = None,
+    switches: Switches | None = None,
+) -> ShardPolicy:
+    """Make the policy of an empty shard; weights are the workspaces'."""
+    switches = switches or Switches()
+    shares = weights or {}
+    shard = Shard(
+        pool=RunnerPool(service.slots, switches),
+        queue=WaitingQueue(
+            shares,
+            fair=switches.fair,
+            short_first=switches.short_first,
+        ),
+        suspects=WaitingQueue(shares),
+        drain=DrainRate(FIRST_DRAIN),
+        rng=rng,
+        switches=switches,
+    )
+    return ShardPolicy(shard)
--- /dev/null
+++ b/bramleybend/decisions/queueing.py
@@ -0,0 +1,210 @@
+"""In which order waiting requests start.
+
+Load pattern: a queue in which a few workspaces hold most of the entries and
+a few long prompts stand among many short ones, while tiers differ.
+Without it: in arrival order a debrief of 20,000 tokens stands before ten
+bookings, and a workspace that sends a thousand drafts takes the shard.
+
+Tiers go strictly first. Within a tier the workspace with the least cost
+served per weight is next (start-time fair queueing). Within a workspace an
+entry is ordered by arrival plus `AGEING` seconds for each unit of cost, so a
+short one overtakes a long one only if it came soon after; the key never
+changes, so a long one is passed over for a bounded time.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import inf
+
+from sortedcontainers import SortedKeyList, SortedList
+
+from bramleybend.models import Ask
+
+AGEING = 0.0005  # seconds of later arrival that one unit of cost counts as
+WINDOW = 16  # entries a free runner may choose its best prefix match from
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """One queued request."""
+
+    ask: Ask
+    arrived: float
+    latest_start: float
+    rank: float
+
+    @property
+    def order(self) -> tuple[float, str]:
+        """Sort by rank; the id makes it total."""
+        return (self.rank, self.ask.request_id)
+
+    @property
+    def due(self) -> tuple[float, str]:
+        """Sort by latest start."""
+        return (self.latest_start, self.ask.request_id)
+
+
+class TierQueue:
+    """The entries of one tier, fair between workspaces."""
+
+    def __init__(self, weights: Mapping[str, float], fair: bool) -> None:
+        """Start empty."""
+        self._weights = weights
+        self._fair = fair
+        self._lanes: dict[str, SortedKeyList] = {}
+        self._served: dict[str, float] = {}
+        self._order = SortedList()
+        self._floor = float(0)
+        self._costs: defaultdict[str, float] = defaultdict(float)
+        self.cost = float(0)
+        self.expiry = SortedList()
+
+    def __len__(self) -> int:
+        """Count the entries."""
+        return sum(len(lane) for lane in self._lanes.values())
+
+    def add(self, entry: Waiting) -> None:
+        """Queue an entry in its workspace's lane."""
+        name = self._lane_name(entry.ask)
+        if name not in self._lanes:
+            self._lanes[name] = SortedKeyList(key=_order_of)
+            # An idle workspace saves up no claim: it rejoins at the floor.
+            served = max(self._served.get(name, self._floor), self._floor)
+            self._served[name] = served
+            self._order.add((served, name))
+        self._lanes[name].add(entry)
+        self.expiry.add(entry.due)
+        self._costs[name] += entry.ask.cost
+        self.cost += entry.ask.cost
+
+    def remove(self, entry: Waiting) -> None:
+        """Take an entry out; its lane goes with the last one."""
+        name = self._lane_name(entry.ask)
+        lane = self._lanes[name]
+        lane.remove(entry)
+        self.expiry.remove(entry.due)
+        self._costs[name] -= entry.ask.cost
+        self.cost -= entry.ask.cost
+        if not lane:
+            self._costs.pop(name)
+            self._lanes.pop(name)
+            self._order.remove((self._served[name], name))
+
+    def charge(self, ask: Ask, cost: float) -> None:
+        """Count cost as served to the request's workspace."""
+        name = self._lane_name(ask)
+        before = self._served.get(name, self._floor)
+        after = max(before + cost / self._weight(name), 0)
+        if name in self._lanes:
+            self._order.remove((before, name))
+            self._order.add((after, name))
+            self._served[name] = after
+        elif after > self._floor:
+            self._served[name] = after
+        else:
+            self._served.pop(name, None)
+        if self._order:
+            self._floor = max(self._floor, self._order[0][0])
+
+    def window(self) -> list[Waiting]:
+        """Return the next entries of the workspace whose turn it is."""
+        if not self._order:
+            return []
+        lane = self._lanes[self._order[0][1]]
+        return list(lane.islice(0, WINDOW))
+
+    def cost_ahead(self, ask: Ask) -> float:
+        """Return the workspace's own cost times those it takes turns with."""
+        name = self._lane_name(ask)
+        turns = max(len(self._lanes), 1)
+        return min(self._costs.get(name, 0) * turns, self.cost)
+
+    def _lane_name(self, ask: Ask) -> str:
+        return ask.workspace if self._fair else ''
+
+    def _weight(self, name: str) -> float:
+        weight = self._weights.get(name, 1)
+        return weight if weight > 0 else 1
+
+
+class WaitingQueue:
+    """All that waits in a shard."""
+
+    def __init__(
+        self,
+        weights: Mapping[str, float],
+        *,
+        fair: bool = True,
+        short_first: bool = True,
+    ) -> None:
+        """Start empty; the switches exist for the ablations."""
+        self._weights = weights
+        self._fair = fair
+        self._ageing = AGEING if short_first else 0
+        self._tiers: dict[int, TierQueue] = {}
+        self._entries: dict[str, Waiting] = {}
+
+    def __len__(self) -> int:
+        """Count the entries."""
+        return len(self._entries)
+
+    def __contains__(self, request_id: str) -> bool:
+        """Tell whether a request waits."""
+        return request_id in self._entries
+
+    def add(self, ask: Ask, now: float, latest_start: float) -> None:
+        """Queue a request that is of no use if started after a time."""
+        rank = now + ask.cost * self._ageing
+        entry = Waiting(ask, now, latest_start, rank)
+        self._entries[ask.request_id] = entry
+        self._tier(ask.tier).add(entry)
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Take a request out, if it waits."""
+        entry = self._entries.pop(request_id, None)
+        if entry is not None:
+            self._tier(entry.ask.tier).remove(entry)
+        return entry
+
+    def charge(self, ask: Ask, cost: float) -> None:
+        """Count cost as served to the request's workspace."""
+        self._tier(ask.tier).charge(ask, cost)
+
+    def window(self, lowest: int) -> list[Waiting]:
+        """Return the next entries of the first tier, down to `lowest`."""
+        for tier in sorted(self._tiers):
+            if tier > lowest:
+                break
+            entries = self._tiers[tier].window()
+            if entries:
+                return entries
+        return []
+
+    def due(self, before: float, tier: int) -> list[Waiting]:
+        """Return the tier's entries whose latest start is before a time."""
+        if tier not in self._tiers:
+            return []
+        ids = self._tiers[tier].expiry.irange(maximum=(before, ''))
+        return [self._entries[request_id] for _, request_id in ids]
+
+    def next_due(self, tier: int) -> float:
+        """Return the earliest latest start in a tier."""
+        expiry = self._tiers[tier].expiry if tier in self._tiers else ()
+        return expiry[0][0] if expiry else inf
+
+    def cost_ahead(self, ask: Ask) -> float:
+        """Estimate the cost that a new entry waits behind."""
+        above = sum(
+            line.cost for tier, line in self._tiers.items() if tier < ask.tier
+        )
+        return above + self._tier(ask.tier).cost_ahead(ask)
+
+    def _tier(self, tier: int) -> TierQueue:
+        if tier not in self._tiers:
+            self._tiers[tier] = TierQueue(self._weights, self._fair)
+        return self._tiers[tier]
+
+
+def _order_of(entry: Waiting) -> tuple[float, str]:
+    return entry.order
--- /dev/null
+++ b/bramleybend/decisions/routing.py
@@ -0,0 +1,58 @@
+"""Which shard of a service a gateway asks.
+
+Load pattern: prefixes shared by many requests, asked for by gateways that
+each hold a stale view of the shards.
+Without it: requests with one prefix are spread over all shards and each
+prefills it again; or all gateways send to the shard that looked idle last.
+
+Shards are ranked by rendezvous hash on the prefix, so that all gateways agree
+without talking. The first choice is left only when it looks overcommitted by
+`MOST_LOAD` times the mean; the next is the less loaded of two by random, as
+stale loads make the least loaded one a target for all.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from xxhash import xxh64_intdigest
+
+from bramleybend.decisions.actions import ShardView
+from bramleybend.models import Ask
+
+MOST_LOAD = 1.25  # of the mean; the bound of bounded-load hashing
+STALE_S = 5.0  # older loads count as unknown
+
+
+def rank_shards(
+    ask: Ask,
+    shards: Sequence[ShardView],
+    rng: Random,
+) -> list[int]:
+    """Order the shards to ask, best first."""
+    views = [view for view in shards if view.service == ask.service]
+    if not views:
+        return []
+    mean = sum(_load(view) for view in views) / len(views)
+    ranked = sorted(views, key=lambda view: _weight(ask, view), reverse=True)
+    first = ranked[0]
+    most = max(mean, 1) * MOST_LOAD
+    if len(ranked) > 1 and _load(first) > most:
+        ranked = _less_loaded_first(ranked[1:], rng) + [first]
+    return [view.shard for view in ranked]
+
+
+def _less_loaded_first(views: list[ShardView], rng: Random) -> list[ShardView]:
+    pair = rng.sample(views, min(2, len(views)))
+    chosen = min(pair, key=_load)
+    return [chosen] + [view for view in views if view is not chosen]
+
+
+def _load(view: ShardView) -> float:
+    if not 0 <= view.age_s <= STALE_S:
+        return 1
+    return (view.running + view.waiting) / max(view.limit, 1)
+
+
+def _weight(ask: Ask, view: ShardView) -> int:
+    key = ask.prefixes[0] if ask.prefixes else ask.request_id
+    return xxh64_intdigest(f'{key}/{view.service}/{view.shard}'.encode())
--- /dev/null
+++ b/bramleybend/decisions/shard.py
@@ -0,0 +1,100 @@
+"""All that one owner knows of its shard, without any policy."""
+
+from dataclasses import dataclass, field
+from math import inf
+from random import Random
+
+from bramleybend.decisions.pool import RunnerPool
+from bramleybend.decisions.queueing import Waiting, WaitingQueue
+from bramleybend.decisions.runs import Run, Runner
+from bramleybend.decisions.switches import Switches
+from bramleybend.decisions.turnaway import DrainRate
+from bramleybend.models import Ask, Tier
+
+
+SURE = 0.5  # of the estimate; only what is surely too late is given up
+
+
+@dataclass
+class Shard:
+    """The queue, the runs and the runners of one shard."""
+
+    pool: RunnerPool
+    queue: WaitingQueue
+    suspects: WaitingQueue
+    drain: DrainRate
+    rng: Random
+    switches: Switches
+    runs: dict[str, Run] = field(default_factory=dict)
+    victims: dict[str, str] = field(default_factory=dict)  # by who waits
+    floors: dict[int, float] = field(default_factory=dict)  # tier to end
+
+    def lowest_tier(self, now: float) -> int:
+        """Return the lowest tier that may be started now."""
+        self.floors = {
+            tier: until for tier, until in self.floors.items() if until > now
+        }
+        return min(self.floors, default=Tier.BULK.value)
+
+    def line(self, ask: Ask) -> WaitingQueue:
+        """Return the queue that a request belongs in."""
+        return self.suspects if ask.suspect else self.queue
+
+    def leave_queue(self, request_id: str) -> Waiting | None:
+        """Take a request out of whichever queue holds it."""
+        entry = self.queue.remove(request_id) or self.suspects.remove(
+            request_id,
+        )
+        self.victims.pop(request_id, None)
+        return entry
+
+    def start(self, ask: Ask, runner: Runner, now: float) -> None:
+        """Note a request as running on a runner."""
+        self.leave_queue(ask.request_id)
+        cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
+        prefill = max(ask.prompt_tokens - cached, 0)
+        run = Run(ask, runner.name, now, prefill)
+        self.runs[ask.request_id] = run
+        runner.in_flight.add(ask.request_id)
+        runner.cache.sent(ask.prefixes, now)
+        if ask.suspect:
+            runner.alone = ask.request_id
+        self.queue.charge(ask, ask.cost)
+
+    def adopt(self, ask: Ask, runner_name: str, now: float) -> None:
+        """Note a run under way, on a runner that may not be listed yet."""
+        runner = self.pool.get(runner_name)
+        if runner is not None:
+            self.start(ask, runner, now)
+            return
+        self.leave_queue(ask.request_id)
+        self.runs[ask.request_id] = Run(
+            ask,
+            runner_name,
+            now,
+            ask.prompt_tokens,
+        )
+        self.queue.charge(ask, ask.cost)
+
+    def finish(self, request_id: str) -> Run | None:
+        """Forget a run; its slot is free."""
+        run = self.runs.pop(request_id, None)
+        for waiting, victim in tuple(self.victims.items()):
+            if victim == request_id:
+                self.victims.pop(waiting)
+        for runner in self.pool:
+            runner.in_flight.discard(request_id)
+            if runner.alone == request_id:
+                runner.alone = None
+        return run
+
+    def lower_runs(self, tier: int) -> list[Run]:
+        """Return the runs of a lower tier."""
+        return [run for run in self.runs.values() if run.ask.tier > tier]
+
+    def latest_start(self, ask: Ask) -> float:
+        """Return when a request must have started to end in time."""
+        if not self.switches.expiry:
+            return inf
+        seconds = ask.cost / self.pool.best_speed()
+        return ask.deadline - seconds * SURE
--- /dev/null
+++ b/bramleybend/decisions/switches.py
@@ -0,0 +1,20 @@
+"""Which decisions are on; all of them outside the ablations."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Switches:
+    """One flag for each decision, so that a benchmark can turn it off."""
+
+    tiers: bool = True
+    fair: bool = True
+    short_first: bool = True
+    expiry: bool = True
+    preemption: bool = True
+    affinity: bool = True
+    speeds: bool = True
+    limits: bool = True
+    pacing: bool = True
+    admission: bool = True
+    stragglers: bool = True
--- /dev/null
+++ b/tests/decisions/test_owner.py
@@ -0,0 +1,238 @@
+"""What one shard's owner decides, played through its whole interface."""
+
+from dataclasses import replace
+from math import inf, nan
+from random import Random
+
+import pytest
+
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Preempt,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+)
+from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+
+SERVICE = Service('briefing-llm', ServiceKind.ENGINE, slots=2)
+DONE = RunReport('done', prompt_tokens=100, completion_tokens=10, seconds=0.1)
+
+
+def make_ask(request_id: str, **changes: object) -> Ask:
+    ask = Ask(
+        request_id=request_id,
+        service='briefing-llm',
+        tier=Tier.NORMAL,
+        workspace='north',
+        cost=200,
+        prompt_tokens=100,
+        prefixes=(),
+        deadline=100,
+        cancellable=True,
+    )
+    return replace(ask, **changes)  # type: ignore[arg-type]
+
+
+def make_policy(*runners: str) -> ShardPolicy:
+    policy = make_shard_policy(SERVICE, Random(1))
+    # Listed long before the first ask, so that slow start is over.
+    policy.runners([RunnerInfo(name) for name in runners], -100)
+    return policy
+
+
+def granted(actions: list[Action]) -> list[str]:
+    return [act.request_id for act in actions if isinstance(act, Grant)]
+
+
+def test_free_runner_starts_request_at_once() -> None:
+    policy = make_policy('engine-1')
+    assert policy.ask(make_ask('a'), 0) == [Grant('a', 'engine-1')]
+
+
+def test_repeated_ask_gets_the_same_runner() -> None:
+    policy = make_policy('engine-1', 'engine-2')
+    first = policy.ask(make_ask('a'), 0)
+    assert policy.ask(make_ask('a'), 1) == first
+    assert policy.load().running == 1
+
+
+def test_full_runner_starts_the_next_when_one_ends() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b'):
+        assert granted(policy.ask(make_ask(name), 0)) == [name]
+    assert not policy.ask(make_ask('c'), 0)
+    assert granted(policy.ended('a', DONE, 1)) == ['c']
+
+
+def test_higher_tier_starts_before_earlier_lower_tier() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b', 'c'):
+        policy.ask(make_ask(name), 0)
+    policy.ask(make_ask('booking', tier=Tier.CRITICAL), 1)
+    assert granted(policy.ended('a', DONE, 2)) == ['booking']
+
+
+def test_withdrawn_request_frees_its_slot() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b', 'c'):
+        policy.ask(make_ask(name), 0)
+    assert granted(policy.withdraw('a', 1)) == ['c']
+
+
+def test_leaving_runner_gets_nothing_new() -> None:
+    policy = make_policy('engine-1', 'engine-2')
+    policy.runners([RunnerInfo('engine-1', True), RunnerInfo('engine-2')], 0)
+    grants = [
+        act
+        for number in range(4)
+        for act in policy.ask(make_ask(f'r{number}'), 1)
+    ]
+    assert grants == [Grant('r0', 'engine-2'), Grant('r1', 'engine-2')]
+
+
+def test_excluded_runner_is_passed_over() -> None:
+    policy = make_policy('engine-1', 'engine-2')
+    ask = make_ask('a', excluded=frozenset({'engine-1'}))
+    assert policy.ask(ask, 0) == [Grant('a', 'engine-2')]
+
+
+def test_no_live_runner_sheds_at_once_with_a_time_to_return() -> None:
+    policy = make_policy()
+    action = policy.ask(make_ask('a'), 0)[0]
+    assert isinstance(action, Refuse)
+    assert action.shed
+    assert action.retry_after.total_seconds() > 0
+
+
+def test_past_deadline_is_refused_but_not_shed() -> None:
+    policy = make_policy('engine-1')
+    action = policy.ask(make_ask('a', deadline=-1), 0)[0]
+    assert isinstance(action, Refuse)
+    assert not action.shed
+
+
+def test_queued_request_leaves_once_it_is_too_late() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b'):
+        policy.ask(make_ask(name), 0)
+    policy.ask(make_ask('late', deadline=5), 0)
+    wake = policy.next_wake(0)
+    assert wake is not None
+    assert wake <= 5
+    refused = policy.tick(5)[0]
+    assert isinstance(refused, Refuse)
+    assert refused.shed
+    assert policy.load().waiting == 0
+
+
+def test_urgent_request_preempts_the_lowest_cancellable_run() -> None:
+    policy = make_policy('engine-1')
+    policy.ask(make_ask('letter', tier=Tier.BULK, cancellable=False), 0)
+    policy.ask(make_ask('draft', tier=Tier.HIGH), 0)
+    policy.ask(make_ask('booking', tier=Tier.CRITICAL, deadline=1), 0)
+    assert policy.tick(0.5) == []
+    assert granted(policy.withdraw('draft', 0.6)) == ['booking']
+
+
+def test_preemption_is_ordered_once_per_urgent_request() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b'):
+        policy.ask(make_ask(name, tier=Tier.BULK), 0)
+    urgent = make_ask('booking', tier=Tier.CRITICAL, deadline=0.9)
+    ordered = policy.ask(urgent, 0) + policy.tick(0.1)
+    assert len(ordered) == 1
+    assert isinstance(ordered[0], Preempt)
+
+
+def test_non_cancellable_run_is_never_preempted() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b'):
+        policy.ask(make_ask(name, tier=Tier.BULK, cancellable=False), 0)
+    urgent = make_ask('booking', tier=Tier.CRITICAL, deadline=0.9)
+    assert not policy.ask(urgent, 0)
+
+
+def test_floor_starts_nothing_lower_and_preempts_for_what_waits() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b', 'c'):
+        policy.ask(make_ask(name), 0)
+    policy.ask(make_ask('booking', tier=Tier.CRITICAL), 0)
+    assert policy.set_floor(Tier.CRITICAL, 2, 1) == 2
+    assert [type(act) for act in policy.tick(1)] == [Preempt]
+    assert granted(policy.ended('a', DONE, 1.2)) == ['booking']
+    assert not granted(policy.ended('b', DONE, 1.4))
+    wake = policy.next_wake(1.5)
+    assert wake is not None
+    assert granted(policy.tick(3.1)) == ['c']
+
+
+def test_suspect_runs_alone_and_one_at_a_time() -> None:
+    policy = make_policy('engine-1')
+    policy.ask(make_ask('a'), 0)
+    policy.ask(make_ask('s1', suspect=True), 0)
+    policy.ask(make_ask('s2', suspect=True), 0)
+    assert not policy.ask(make_ask('b'), 0)
+    assert granted(policy.ended('a', DONE, 1)) == ['s1']
+    assert granted(policy.ended('s1', DONE, 2)) == ['s2']
+    assert granted(policy.ended('s2', DONE, 3)) == ['b']
+
+
+def test_adopted_run_fills_its_slot() -> None:
+    policy = make_policy('engine-1')
+    for name in ('a', 'b'):
+        assert not policy.adopt(make_ask(name), 'engine-1', 0)
+    assert not policy.ask(make_ask('c'), 0)
+
+
+def test_run_adopted_before_the_list_counts_when_the_list_comes() -> None:
+    policy = make_shard_policy(SERVICE, Random(1))
+    for name in ('a', 'b'):
+        policy.adopt(make_ask(name), 'engine-1', 0)
+    policy.runners([RunnerInfo('engine-1')], 1)
+    assert not policy.ask(make_ask('c'), 20)
+
+
+@pytest.mark.parametrize('cost', [-5, 0, nan, inf])
+def test_nonsense_cost_counts_as_the_prompt(cost: float) -> None:
+    policy = make_policy('engine-1')
+    assert granted(policy.ask(make_ask('a', cost=cost), 0)) == ['a']
+
+
+@pytest.mark.parametrize('tier', [-3, 0, 99])
+def test_unknown_tier_is_clamped(tier: int) -> None:
+    policy = make_policy('engine-1')
+    assert granted(policy.ask(make_ask('a', tier=tier), 0)) == ['a']
+
+
+def test_clock_that_jumps_back_counts_as_standing_still() -> None:
+    policy = make_policy('engine-1')
+    policy.ask(make_ask('a'), 50)
+    policy.ask(make_ask('b', deadline=60), -1000)
+    assert policy.load().running == 2
+
+
+def test_report_from_the_future_teaches_nothing() -> None:
+    policy = make_policy('engine-1')
+    policy.ask(make_ask('a'), 0)
+    report = replace(DONE, seconds=10_000)
+    policy.ended('a', report, 1)
+    assert granted(policy.ask(make_ask('b', deadline=20), 2)) == ['b']
+
+
+def test_crashed_runner_is_held_back_and_returns_slowly() -> None:
+    """A runner dies with two runs on it while the VM list still has it.
+
+    Both gateways report the crash. Sent there at once, the next callers would
+    see theirs broken too; so nothing starts for a second, then one, then more.
+    """
+    policy = make_policy('engine-1')
+    for name in ('a', 'b', 'c', 'd'):
+        policy.ask(make_ask(name), 0)
+    crash = RunReport('failed', crashed=True)
+    assert not policy.ended('a', crash, 1)
+    assert not policy.ended('b', crash, 1.1)
+    assert granted(policy.tick(2.0)) == ['c']
+    assert granted(policy.tick(7.0)) == ['d']
