Read declarations, with the line and the remedy of each slip

Cause: operators publish profiles and terms at night; a typo must not be published, and its message must say where it stands and what to write. Ruled out: yaml.safe_load, which keeps the last of two equal keys and expands aliases. Change: read_yaml keeps lines and refuses both; pydantic models check the shape, parse_terms the references.

--- /dev/null
+++ b/tests/test_declarations.py
@@ -0,0 +1,146 @@
+"""A declaration is taken whole, or refused with its line and a remedy."""
+
+from pathlib import Path
+
+import pytest
+
+from bramleybend.declarations import DOCUMENT_LIMIT, parse_terms
+from bramleybend.errors import ErrorKind, Problem
+from bramleybend.models import Repeat, ServiceKind, Tier
+
+EXAMPLES = Path(__file__).parent.parent / 'examples'
+GOOD = """schema: 1
+institution: parwaz
+services:
+  booking-app: {kind: plain, slots: 4}
+profiles:
+  slot-claim:
+    service: booking-app
+    tier: 1
+    repeat: non_idempotent
+    journal: before_dispatch
+    timeout_s: 10
+workspaces:
+  school:
+    weight: 2
+    profiles: [slot-claim]
+"""
+
+
+def refuse(text: str) -> Problem:
+    """Return the problem of a text that must not be taken."""
+    problem = parse_terms(text, 1).unwrap_err()
+    assert problem.kind is ErrorKind.BAD_DECLARATION
+    return problem
+
+
+def changed(old: str, new: str) -> str:
+    """Return the good text with one slip in it."""
+    assert old in GOOD
+    return GOOD.replace(old, new)
+
+
+def test_a_good_declaration_becomes_terms() -> None:
+    """The version is the caller's; all else is from the text."""
+    terms = parse_terms(GOOD, 7).unwrap()
+    claim = terms.profiles['slot-claim']
+    assert terms.version == 7
+    assert terms.services['booking-app'].kind is ServiceKind.PLAIN
+    assert (claim.tier, claim.timeout.total_seconds()) == (Tier.CRITICAL, 10)
+    assert not claim.cancellable
+    assert terms.workspaces['school'].profiles == {'slot-claim'}
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'line', 'named', 'remedy'),
+    [
+        ('tier: 1', 'teir: 1', 8, 'profiles.slot-claim.teir', '`tier`'),
+        ('services:', 'servcies:', 3, 'servcies', '`services`'),
+        ('    weight: 2\n', '', 13, 'weight is missing', 'add `weight:`'),
+        ('tier: 1', 'tier: 5', 8, 'tier: 5', 'less than or equal to 4'),
+        ('tier: 1', 'tier: "1"', 8, "'1'", 'valid integer'),
+        ('tier: 1', 'tier: true', 8, 'True', 'valid integer'),
+        ('timeout_s: 10', 'timeout_s: .nan', 11, 'nan', 'finite'),
+        ('schema: 1', 'schema: 2', 1, 'schema 2', '`schema: 1`'),
+        ('kind: plain', 'kind: plane', 4, "'plane'", "'plain'"),
+        ('service: booking-app', 'service: bookin-app', 7, 'bookin-app', 'boo'),
+        ('[slot-claim]', '[slot-clam]', 15, 'slot-clam', '`slot-claim`'),
+        ('school:', 'School Two:', 13, 'School Two', 'lower-case'),
+        ('school:', 'on:', 13, "'on' is not text", 'quotes'),
+        ('tier: 1', 'tier: 1\n    tier: 2', 9, 'first on line 8', 'keep one'),
+        (
+            'timeout_s: 10',
+            'timeout_s: 10\n    hedge: true',
+            12,
+            'once',
+            'false',
+        ),
+        ('tier: 1', 'tier: [1', 9, '', 'YAML'),
+        ('tier: 1', 'tier: 2026-01-01', 8, 'timestamp', 'text'),
+        ('tier: 1', 'tier: &a 1\n    hedge: *a', 8, 'alias', 'write'),
+        ('weight: 2', f'weight: {"[" * 300}{"]" * 300}', 14, 'deep', 'check'),
+        ('tier: 1', f'tier: {"9" * 5000}', 8, 'digits', 'mend'),
+    ],
+)
+def test_a_slip_is_refused_with_its_line_and_a_remedy(
+    old: str,
+    new: str,
+    line: int,
+    named: str,
+    remedy: str,
+) -> None:
+    """An operator at night finds the place and the cure in the message."""
+    problem = refuse(changed(old, new))
+    assert problem.detail.startswith(f'line {line}: ')
+    assert named in problem.detail
+    assert remedy in problem.remedy
+
+
+@pytest.mark.parametrize('text', ['', '# only a comment', '[]', '7', '\x00'])
+def test_what_is_no_declaration_is_refused(text: str) -> None:
+    """No other document, however short, breaks the parser."""
+    refuse(text)
+
+
+def test_an_oversized_declaration_is_refused_before_it_is_read() -> None:
+    """A huge text must not hold up every process that parses it."""
+    assert 'larger' in refuse('#' * (DOCUMENT_LIMIT + 1)).detail
+
+
+def test_faults_are_told_in_the_order_of_the_file() -> None:
+    """The first is named and the rest are counted."""
+    text = changed('tier: 1', 'tier: 9').replace('weight: 2', 'weight: -1')
+    assert refuse(text).detail.startswith('line 8: ')
+    assert '(and 1 more)' in refuse(text).detail
+
+
+@pytest.mark.parametrize(
+    ('name', 'services'),
+    [
+        ('parwaz', {'briefing-llm', 'booking-app'}),
+        ('zvukopat', {'bend-lm', 'release-api'}),
+    ],
+)
+def test_the_examples_declare_the_two_deployments(
+    name: str,
+    services: set[str],
+) -> None:
+    """Each has its services, five workspaces and all four tiers."""
+    terms = parse_terms((EXAMPLES / f'{name}.yaml').read_text(), 1).unwrap()
+    assert terms.institution == name
+    assert set(terms.services) == services
+    assert len(terms.workspaces) == 5
+    assert {profile.tier for profile in terms.profiles.values()} == set(Tier)
+
+
+@pytest.mark.parametrize(
+    ('name', 'profile'),
+    [('parwaz', 'slot-claim'), ('zvukopat', 'royalty-reply')],
+)
+def test_what_the_brief_calls_non_idempotent_is_declared_so(
+    name: str,
+    profile: str,
+) -> None:
+    """A slot claim and a royalty reply run at most once."""
+    terms = parse_terms((EXAMPLES / f'{name}.yaml').read_text(), 1).unwrap()
+    assert terms.profiles[profile].repeat is Repeat.NON_IDEMPOTENT
