Give every text a verdict, also one that YAML's own reader trips over

Cause: a lone surrogate, reachable through JSON's \ud800, raised in the C reader, as did '!!int ""'; a record like that would have stopped every process that follows the terms stream. Change: both end as a Problem; a hypothesis test feeds arbitrary text.

--- a/bramleybend/yaml_lines.py
+++ b/bramleybend/yaml_lines.py
@@ -80,8 +80,10 @@
     def _scalar(self, node: yaml.Node) -> object:
         try:
             return self._constructor.construct_object(node, deep=True)
-        except ValueError as exc:
-            raise _YamlError(_line(node), str(exc), 'mend the value') from exc
+        except (ValueError, LookupError) as exc:
+            # `!!int ""` and `!!bool x` leave PyYAML with lookup errors.
+            fact = f'the value cannot be read: {exc}'
+            raise _YamlError(_line(node), fact, 'mend the value') from exc
 
     def _sequence(self, node: yaml.SequenceNode, path: Path) -> object:
         items = []
@@ -125,7 +127,7 @@
         mark = exc.problem_mark or exc.context_mark
         line = mark.line + 1 if mark else 1
         return Err(bad_declaration(line, _fact(exc), 'mend the YAML there'))
-    except yaml.YAMLError as exc:
+    except (yaml.YAMLError, UnicodeError, RecursionError) as exc:
         return Err(bad_declaration(1, str(exc), 'write it as UTF-8 text'))
     if node is None:
         return Err(bad_declaration(1, 'the file is empty', 'declare terms'))
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -3,6 +3,8 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from bramleybend.declarations import DOCUMENT_LIMIT, parse_terms
 from bramleybend.errors import ErrorKind, Problem
@@ -96,12 +98,38 @@
     assert remedy in problem.remedy
 
 
-@pytest.mark.parametrize('text', ['', '# only a comment', '[]', '7', '\x00'])
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        '# only a comment',
+        '[]',
+        '7',
+        '\x00',
+        '\ud800',
+        '!!int ""',
+        '!!bool x',
+    ],
+)
 def test_what_is_no_declaration_is_refused(text: str) -> None:
     """No other document, however short, breaks the parser."""
     refuse(text)
 
 
+@given(
+    text=st.text(
+        alphabet='ab1:-[]{}!&*"\'|>#% \n\t\x00\ud800?,.<=~', max_size=60
+    )
+)
+@example(text='? [a]\n: b')
+@example(text='<<: {a: 1}')
+@example(text='--- a\n--- b')
+def test_any_text_gets_a_verdict(text: str) -> None:
+    """One record that raised would stop every process that follows terms."""
+    refuse(text)
+    parse_terms(GOOD + text, 1)
+
+
 def test_an_oversized_declaration_is_refused_before_it_is_read() -> None:
     """A huge text must not hold up every process that parses it."""
     assert 'larger' in refuse('#' * (DOCUMENT_LIMIT + 1)).detail
