Add stand-ins for the log service, VM list, engines and plain services

Cause: the programs need something to talk to before the platform is there, and faults that strike on demand. Change: four asyncio + h11 stand-ins after docs/PLATFORM.md with run-time faults, each usable in-process or as a program; answers follow from the prompt, so a caller can tell a torn or foreign one. Ruled out: one process for all stand-ins, since an engine must be able to die alone.

--- /dev/null
+++ b/tests/utils/engine_batch.py
@@ -0,0 +1,190 @@
+"""Continuous batching: slots, one shared prefill budget, steady decoding."""
+
+import asyncio
+import json
+import time
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Final
+
+from tests.utils.answers import (
+    BLOCK_TOKENS,
+    content_hash,
+    prefix_hashes,
+    prompt_tokens,
+    token_text,
+)
+from tests.utils.engine_cache import PrefixCache
+
+STEP_S: Final = 0.01
+DONE_EVENT: Final = '[DONE]'
+
+
+class RunState(StrEnum):
+    """How far a run has come, and how it ended."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    DONE = 'done'
+    CANCELLED = 'cancelled'
+    CRASHED = 'crashed'
+
+
+LIVE_STATES: Final = frozenset({RunState.WAITING, RunState.RUNNING})
+
+
+@dataclass
+class Run:
+    """One admitted run and the events of its stream so far."""
+
+    run_id: str
+    prompt: str
+    max_tokens: int
+    state: RunState = RunState.WAITING
+    events: list[str] = field(default_factory=list)
+    cached_tokens: int = 0
+    prefill_left: float = 0
+    decoded: float = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        """Hash the prompt once."""
+        self.prompt_hash = content_hash(self.prompt.encode())
+        self.prefixes = prefix_hashes(self.prompt)
+        self.prompt_tokens = prompt_tokens(self.prompt)
+
+    @property
+    def is_live(self) -> bool:
+        """Whether more events may come."""
+        return self.state in LIVE_STATES
+
+    def finish(self, state: RunState) -> None:
+        """End the run and wake its readers."""
+        self.state = state
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake every reader of the stream."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def decode(self, tokens: float) -> None:
+        """Add the tokens of one step to the stream."""
+        self.decoded = min(self.decoded + tokens, self.max_tokens)
+        for index in range(len(self.events), int(self.decoded)):
+            text = token_text(self.prompt_hash, index)
+            self.events.append(json.dumps({'index': index, 'text': text}))
+        if len(self.events) >= self.max_tokens:
+            self.events.append(json.dumps({'usage': self.usage()}))
+            self.events.append(DONE_EVENT)
+            self.state = RunState.DONE
+        self.notify()
+
+    def usage(self) -> dict[str, int]:
+        """Return the token counts of the answer."""
+        return {
+            'prompt_tokens': self.prompt_tokens,
+            'cached_tokens': self.cached_tokens,
+            'completion_tokens': int(self.decoded),
+        }
+
+    async def stream(self, start: int = 0) -> AsyncIterator[str]:
+        """Yield the events from `start` on until the run ends."""
+        index = start
+        while True:
+            changed = self.changed
+            while index < len(self.events):
+                yield self.events[index]
+                index += 1
+            if not self.is_live:
+                return
+            await changed.wait()
+
+    async def wait_until_over(self) -> None:
+        """Return once no more events can come."""
+        while self.is_live:
+            await self.changed.wait()
+
+
+class Batch:
+    """Runs up to `slots` runs at once, the others wait in order."""
+
+    def __init__(
+        self,
+        slots: int,
+        prefill_tps: float,
+        decode_tps: float,
+        cache: PrefixCache,
+    ) -> None:
+        """Start empty; `advance` moves it on."""
+        self.slots = slots
+        self.running: list[Run] = []
+        self.waiting: deque[Run] = deque()
+        self.slowdown: float = 1
+        self._prefill_tps = prefill_tps
+        self._decode_tps = decode_tps
+        self._cache = cache
+        self._wake = asyncio.Event()
+
+    def add(self, run: Run) -> None:
+        """Queue a run."""
+        self.waiting.append(run)
+        self._wake.set()
+
+    def remove(self, run: Run) -> None:
+        """Take a cancelled run out, wherever it is."""
+        if run in self.running:
+            self.running.remove(run)
+        elif run in self.waiting:
+            self.waiting.remove(run)
+
+    def crash(self) -> None:
+        """Lose every run."""
+        lost = (*self.running, *self.waiting)
+        self.running.clear()
+        self.waiting.clear()
+        for run in lost:
+            run.finish(RunState.CRASHED)
+
+    async def run_forever(self, on_start: Callable[[Run], None]) -> None:
+        """Step while there is work; `on_start` sees each run that starts."""
+        before = time.monotonic()
+        while True:
+            if not self.running and not self.waiting:
+                self._wake.clear()
+                await self._wake.wait()
+                before = time.monotonic()
+            await asyncio.sleep(STEP_S)
+            now = time.monotonic()
+            self._admit(on_start)
+            self._step((now - before) / self.slowdown)
+            before = now
+
+    def _admit(self, on_start: Callable[[Run], None]) -> None:
+        while self.waiting and len(self.running) < self.slots:
+            run = self.waiting.popleft()
+            run.state = RunState.RUNNING
+            run.cached_tokens = self._cache.match(run.prefixes) * BLOCK_TOKENS
+            run.prefill_left = max(run.prompt_tokens - run.cached_tokens, 1)
+            self.running.append(run)
+            on_start(run)
+
+    def _step(self, elapsed: float) -> None:
+        budget = elapsed * self._prefill_tps
+        for run in tuple(self.running):
+            if run.prefill_left:
+                budget = self._prefill(run, budget)
+            else:
+                run.decode(elapsed * self._decode_tps)
+        self.running = [run for run in self.running if run.is_live]
+
+    def _prefill(self, run: Run, budget: float) -> float:
+        spent = min(budget, run.prefill_left)
+        run.prefill_left -= spent
+        if not run.prefill_left:
+            matched = run.cached_tokens // BLOCK_TOKENS
+            self._cache.store(run.prefixes, matched)
+            run.decode(1)
+        return budget - spent
--- /dev/null
+++ b/tests/utils/vm_list.py
@@ -0,0 +1,91 @@
+"""Stand-in for the platform's VM list, which lags."""
+
+import time
+from dataclasses import asdict, dataclass
+from http import HTTPStatus
+from typing import Any
+
+from bramleybend.models import RunnerState, Vm
+from tests.utils.faults import Faults, FaultyServer
+from tests.utils.http_server import HttpRequest, HttpResponse, json_response
+from tests.utils.program import parser, run
+
+
+@dataclass
+class ListFaults(Faults):
+    """Faults of the list; a change shows only `lag_s` after it was made."""
+
+    lag_s: float = 0
+
+
+class VmListService:
+    """Shows the VMs as they were put, late if told so."""
+
+    def __init__(self, host: str, port: int, seed: int = 0) -> None:
+        """Take the address; `start` binds it."""
+        self.faults = ListFaults()
+        self.server = FaultyServer(host, port, self.faults, self._handle)
+        self._versions: list[tuple[float, list[dict[str, Any]]]] = [(0, [])]
+
+    @property
+    def url(self) -> str:
+        """Return the base address for clients."""
+        return self.server.http.url
+
+    async def start(self) -> None:
+        """Listen."""
+        await self.server.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self.server.stop()
+
+    def put(self, vms: list[Vm]) -> None:
+        """Set the list; callers see it once the lag is over."""
+        self._put([asdict(vm) for vm in vms])
+
+    def add(self, vm: Vm) -> None:
+        """Add or replace the VM of this name."""
+        self._put([*self._without(vm.name), asdict(vm)])
+
+    def remove(self, name: str) -> None:
+        """Drop the VM of this name."""
+        self._put(self._without(name))
+
+    def mark_leaving(self, name: str) -> None:
+        """Show a VM as leaving."""
+        self._put(
+            [
+                {**vm, 'state': str(RunnerState.LEAVING)}
+                if vm['name'] == name
+                else vm
+                for vm in self._versions[-1][1]
+            ],
+        )
+
+    def _without(self, name: str) -> list[dict[str, Any]]:
+        return [vm for vm in self._versions[-1][1] if vm['name'] != name]
+
+    def _put(self, vms: list[dict[str, Any]]) -> None:
+        self._versions.append((time.monotonic() + self.faults.lag_s, vms))
+
+    def _visible(self) -> list[dict[str, Any]]:
+        now = time.monotonic()
+        return [vms for at, vms in self._versions if at <= now][-1]
+
+    async def _handle(self, req: HttpRequest) -> HttpResponse:
+        if req.path != '/vms':
+            return json_response({}, HTTPStatus.NOT_FOUND)
+        if req.method == 'PUT':
+            self._put(list(req.json()['vms']))
+        return json_response({'vms': self._visible()})
+
+
+def main() -> None:
+    """Run the VM list as a program."""
+    flags = parser('Stand-in VM list').parse_args()
+    run(lambda: VmListService(flags.host, flags.port, flags.seed))
+
+
+if __name__ == '__main__':
+    main()
