--- a/bramleybend/clients/runner.py
+++ b/bramleybend/clients/runner.py
@@ -62,20 +62,18 @@
     body: bytes
 
 
-async def start_run(address: RunnerAddress, run: RunBody) -> Exchange:
-    """Connect and send; an `OSError` from `connect` means nothing ran."""
-    exchange = await connect(address.host, address.port)
-    target = (
-        '/v1/completions' if address.kind is ServiceKind.ENGINE else '/call'
-    )
+async def send_run(
+    exchange: Exchange,
+    kind: ServiceKind,
+    run: RunBody,
+) -> None:
+    """Send a run; from the first byte on it counts as dispatched."""
+    target = '/v1/completions' if kind is ServiceKind.ENGINE else '/call'
     headers = ((RUN_ID, run.run_id), ('Content-Type', 'application/json'))
-    try:
+    with suppress(*BROKEN):
+        # Part of the request may have been read, so a broken send is no
+        # proof that nothing ran; the next read of the exchange fails.
         await exchange.send('POST', target, headers, run.body)
-    except BROKEN:
-        # Part of the request may have been read, so the caller must go on
-        # as if it had been run; the broken exchange fails its next read.
-        exchange.close()
-    return exchange
 
 
 async def resume_run(
--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -21,7 +21,7 @@
     cancel_run,
     events_of,
     resume_run,
-    start_run,
+    send_run,
     usage_in,
     was_refused,
 )
@@ -53,6 +53,7 @@
     usage: Usage = Usage()
     status: int = HTTPStatus.OK
     crashed: bool = False
+    unreachable: bool = False
 
 
 class Attempt:
@@ -77,14 +78,18 @@
     async def proceed(self) -> AttemptEnd:
         """Dispatch and read to the end; never dispatches twice."""
         try:
-            exchange = await start_run(
-                self._address,
-                RunBody(self._run_id, self._run.req.body),
-            )
+            exchange = await connect(self._address.host, self._address.port)
         except OSError:
-            return AttemptEnd(End.NOT_SENT, crashed=True)
+            return AttemptEnd(End.NOT_SENT, unreachable=True)
+        # Set before the first byte: a stop that comes while it is being
+        # written must take the run for one that may have begun.
         self._run.dispatched = True
         try:
+            await send_run(
+                exchange,
+                self._address.kind,
+                RunBody(self._run_id, self._run.req.body),
+            )
             return await self._answer(exchange)
         finally:
             exchange.close()
@@ -99,6 +104,7 @@
         except BROKEN:
             return await self._unheard()
         if was_refused(head, self._address.kind):
+            self._run.dispatched = False
             return AttemptEnd(End.NOT_SENT)
         self._run.content_type = head.headers.get('content-type', '')
         if self._streams and head.status == HTTPStatus.OK:
--- /dev/null
+++ b/bramleybend/gateway/journal.py
@@ -0,0 +1,173 @@
+"""Writes a home's journal: one task that owns its stream.
+
+Records are appended in batches, so that the log sees a few appends a second
+from each home whatever the load. Work whose intent must stand in the log
+waits for its batch and for reading it back; other records follow behind.
+"""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Final
+
+from result import Err, Ok
+
+from bramleybend.clients.log_service import LogService
+from bramleybend.errors import ErrorKind
+from bramleybend.events import EventLog
+from bramleybend.metrics import Metric, Metrics
+from bramleybend.state.journal_records import encode_seal, stream_of
+from bramleybend.state.journal_rules import HomeJournal
+
+# Waiting callers pay for the pause, the log pays without it: at 5 ms a home
+# makes at most 200 appends a second, and in practice as many as its round
+# trips allow.
+EAGER_PAUSE_S: Final = 0.005
+LAZY_PAUSE_S: Final = 0.25
+DOWN_PAUSE_S: Final = 0.5
+MAX_BATCH: Final = 200
+# A log outage must not fill the memory: 20,000 records of 200 bytes are
+# 4 MB, and what is dropped only turns a later answer into `unknown`.
+MAX_BEHIND: Final = 20_000
+READ_WAIT: Final = timedelta(0)
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """An intent and the request that waits for its right."""
+
+    request_id: str
+    record: str
+    right: asyncio.Future[bool]
+
+
+class JournalWriter:
+    """Appends intents and outcomes of one incarnation."""
+
+    def __init__(
+        self,
+        log: LogService,
+        incarnation: str,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Start with an empty stream; `work` does the writing."""
+        self.journal = HomeJournal()
+        self.log_ok = True
+        self._log = log
+        self._stream = stream_of(incarnation)
+        self._incarnation = incarnation
+        self._events = events
+        self._metrics = metrics
+        self._waiting: deque[Waiting] = deque()
+        self._behind: deque[str] = deque(maxlen=MAX_BEHIND)
+        self._wanted = asyncio.Event()
+
+    @property
+    def sealed(self) -> bool:
+        """Whether this incarnation may dispatch by intent no more."""
+        return self.journal.sealed
+
+    def note(self, record: str) -> None:
+        """Write a record behind the work that it tells of."""
+        self._behind.append(record)
+
+    async def right(self, request_id: str, record: str) -> bool:
+        """Write an intent; true once its right to be dispatched stands.
+
+        False is final: the request must not be dispatched, even if the
+        append lands later.
+        """
+        if self.sealed:
+            return False
+        right: asyncio.Future[bool] = asyncio.Future()
+        self._waiting.append(Waiting(request_id, record, right))
+        self._wanted.set()
+        return await right
+
+    async def work(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self._pause()
+            if self._waiting:
+                await self._write_intents()
+            elif self._behind:
+                await self._write_behind()
+
+    async def close(self) -> None:
+        """Write what is left and seal, for a planned stop.
+
+        The seal says that the journal is complete, so that whoever reads it
+        can tell a request that never ran from one that is not written down.
+        """
+        while self._behind and self.log_ok:
+            await self._write_behind()
+        if self._behind or self.sealed:
+            return
+        seal = encode_seal(self._incarnation, complete=True)
+        await self._log.append(self._stream, (seal,))
+
+    async def _pause(self) -> None:
+        wait_s = LAZY_PAUSE_S if self.log_ok else DOWN_PAUSE_S
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._wanted.wait()
+        except TimeoutError:
+            return
+        self._wanted.clear()
+        await asyncio.sleep(EAGER_PAUSE_S)
+
+    async def _write_intents(self) -> None:
+        count = min(len(self._waiting), MAX_BATCH)
+        batch = [self._waiting.popleft() for _ in range(count)]
+        appended = await self._append([each.record for each in batch])
+        rights = await self._read_back() if appended else frozenset[str]()
+        for each in batch:
+            if not each.right.done():
+                each.right.set_result(each.request_id in rights)
+        if self._waiting:
+            self._wanted.set()
+
+    async def _write_behind(self) -> None:
+        count = min(len(self._behind), MAX_BATCH)
+        batch = [self._behind.popleft() for _ in range(count)]
+        if not await self._append(batch):
+            # A second copy of a record changes nothing for its readers, so
+            # an append whose reply was lost is simply made again.
+            self._behind.extendleft(reversed(batch))
+
+    async def _append(self, records: list[str]) -> bool:
+        """Append; true if the records may be in the log."""
+        match await self._log.append(self._stream, records):
+            case Ok():
+                self.log_ok = True
+                return True
+            case Err(problem):
+                self.log_ok = False
+                self._metrics.count(Metric.LOG_ERRORS)
+                self._events.record('journal_append_failed', kind=problem.kind)
+                return problem.kind is ErrorKind.LOG_REPLY_LOST
+        return False
+
+    async def _read_back(self) -> frozenset[str]:
+        """Return the rights that stand; no word means no right."""
+        # Without this read, a home that was paused over its append would
+        # dispatch after another VM had sealed the stream and answered
+        # `not_run`. A right counts only from before the first seal.
+        rights: frozenset[str] = frozenset()
+        while True:
+            batch = await self._log.read(
+                self._stream,
+                self.journal.next_offset,
+                wait=READ_WAIT,
+            )
+            match batch:
+                case Err():
+                    return rights
+                case Ok(read):
+                    rights |= self.journal.read(read.records)
+                    if not read.records or (
+                        self.journal.next_offset >= read.next_offset
+                    ):
+                        return rights
--- a/bramleybend/gateway/run.py
+++ b/bramleybend/gateway/run.py
@@ -6,12 +6,16 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Final
 
 from bramleybend.answers import Answer, Outcome
 
+# A caller whose connection broke sends the same id again, at once if it is
+# well written; work that nobody asks for after this long is wasted.
+ABANDON_S: Final = 3.0
 MAX_KEPT_BYTES: Final = 4 * 1024 * 1024
 
 
@@ -29,6 +33,10 @@
     stream: bool
 
 
+class TornError(Exception):
+    """The rest of the answer can't be had here; the caller must resend."""
+
+
 class Run:
     """The answer to one request, growing until its outcome is known."""
 
@@ -37,8 +45,11 @@
         self.req = req
         self.content_type = ''
         self.answer: Answer | None = None
-        self.followers = 0
         self.dispatched = False
+        self.torn = False
+        self.abandoned = asyncio.Event()
+        self._followers = 0
+        self._leaving: asyncio.TimerHandle | None = None
         self._chunks: list[bytes] = []
         self._size = 0
         self._changed = asyncio.Event()
@@ -68,14 +79,38 @@
             self.answer = answer
             self._wake()
 
+    def tear(self) -> None:
+        """Give up on the rest; what was passed on must not look whole."""
+        self.torn = True
+        self._wake()
+
+    @contextmanager
+    def followed(self) -> Iterator[None]:
+        """Count a caller that waits for this run."""
+        self._followers += 1
+        if self._leaving is not None:
+            self._leaving.cancel()
+        try:
+            yield
+        finally:
+            self._followers -= 1
+            if not self._followers and self.answer is None:
+                loop = asyncio.get_running_loop()
+                self._leaving = loop.call_later(
+                    ABANDON_S,
+                    self.abandoned.set,
+                )
+
     async def begun(self) -> None:
         """Wait for the first event of a stream, or for the outcome."""
-        while self.answer is None and not self._streaming:
+        while not self._streaming and not self._over:
             await self._wait()
 
     async def settled(self) -> Answer:
-        """Wait for the outcome."""
+        """Wait for the outcome; raises `TornError` where there is none."""
         while self.answer is None:
+            if self.torn:
+                raise TornError
             await self._wait()
         return self.answer
 
@@ -88,6 +123,8 @@
                 position += 1
             if self.answer is not None:
                 return
+            if self.torn:
+                raise TornError
             await self._wait()
 
     @property
@@ -95,6 +132,10 @@
         """Whether the answer is whole."""
         return self.answer is not None and self.answer.outcome is Outcome.DONE
 
+    @property
+    def _over(self) -> bool:
+        return self.torn or self.answer is not None
+
     @property
     def _streaming(self) -> bool:
         return self.req.stream and bool(self._chunks)
