--- /dev/null
+++ b/bramleybend/state/terms_records.py
@@ -0,0 +1,83 @@
+"""Records of the `terms` stream, as JSON lines."""
+
+from typing import Annotated, Final, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from bramleybend.errors import ErrorKind, Problem
+
+SCHEMA_VERSION: Final = 1
+
+
+class _Record(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    record_version: Annotated[Literal[1], Field(alias='v')] = SCHEMA_VERSION
+
+    def encode(self) -> str:
+        """Return the record as one JSON line."""
+        return self.model_dump_json(by_alias=True)
+
+
+class PublishRecord(_Record):
+    """An operator's new document, made from version `base`."""
+
+    kind: Literal['publish'] = 'publish'
+    publish_id: Annotated[str, Field(min_length=1)]
+    base: Annotated[int, Field(ge=0)]
+    document: str
+    by: str
+
+
+class RenewRecord(_Record):
+    """The terms in force just before offset `at`, written again.
+
+    It holds only if it lands at `at`: then nothing came between what its
+    writer had read and the record itself.
+    """
+
+    kind: Literal['renew'] = 'renew'
+    version: Annotated[int, Field(ge=1)]
+    document: str
+    at: Annotated[int, Field(ge=0)]
+
+
+TermsRecord = PublishRecord | RenewRecord
+_ADAPTER: TypeAdapter[TermsRecord] = TypeAdapter(
+    Annotated[TermsRecord, Field(discriminator='kind')],
+)
+
+
+def encode_publish(publish_id: str, base: int, document: str, by: str) -> str:
+    """Write a new document; the same text again is accepted only once."""
+    return PublishRecord(
+        publish_id=publish_id,
+        base=base,
+        document=document,
+        by=by,
+    ).encode()
+
+
+def encode_renew(version: int, document: str, at: int) -> str:
+    """Write the terms in force again before the log forgets them."""
+    return RenewRecord(
+        version=version,
+        document=document,
+        at=at,
+    ).encode()
+
+
+def decode(text: str) -> Result[TermsRecord, Problem]:
+    """Read one record; the caller counts and skips what is not one."""
+    try:
+        return Ok(_ADAPTER.validate_json(text))
+    except ValidationError as exc:
+        reason = exc.errors()[0]['msg']
+        return Err(
+            Problem(
+                ErrorKind.BAD_RECORD,
+                f'terms record not understood: {reason}',
+                'publish through bramleybend-ctl of the same version',
+            ),
+        )
