--- /dev/null
+++ b/bramleybend/gateway/home.py
@@ -0,0 +1,190 @@
+"""A home: the one place that may run the ids minted under its tickets.
+
+A gateway is one home at a time. It starts a new one when another VM has
+sealed its journal, taking it for dead: the old home then only answers what
+it knows already.
+"""
+
+import asyncio
+from datetime import timedelta
+from typing import Final
+
+from result import Err, Ok
+
+from bramleybend.answers import Answer, Outcome, expired, not_run, rejected
+from bramleybend.events import EventLog
+from bramleybend.gateway.border import check_terms
+from bramleybend.gateway.dispatcher import Deps, Dispatcher, Job
+from bramleybend.gateway.journal import JournalWriter
+from bramleybend.gateway.run import RequestBody, Run
+from bramleybend.metrics import Metric
+from bramleybend.models import JournalMode, Profile, Terms
+from bramleybend.state.id_table import Expired, Full, IdTable, Known
+from bramleybend.state.journal_records import encode_intent, encode_outcome
+from bramleybend.state.tickets import RequestId, Ticket, dispatch_mode
+
+LOG_RETRY_AFTER: Final = timedelta(seconds=2)
+NEW_TICKET_AFTER: Final = timedelta(seconds=1)
+
+
+class Home:
+    """The ids of one incarnation, their runs and their journal."""
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        ids: IdTable[Run],
+        journal: JournalWriter,
+        deps: Deps,
+    ) -> None:
+        """Know no id yet."""
+        self.incarnation = ticket.incarnation
+        self.journal = journal
+        self.working: set[asyncio.Task[None]] = set()
+        self._ticket = ticket
+        self._ids = ids
+        self._deps = deps
+        self._dispatcher = Dispatcher(deps)
+
+    @property
+    def events(self) -> EventLog:
+        """The gateway's event log."""
+        return self._deps.events
+
+    def ticket(self, *, intent_first: bool) -> Ticket:
+        """Return the ticket under which callers mint ids now."""
+        epoch = self._ids.current_epoch(self._deps.clock.monotonic())
+        return Ticket(
+            self._ticket.address,
+            self._ticket.port,
+            self.incarnation,
+            epoch,
+            intent_first=intent_first,
+        )
+
+    def known(self, request_id: RequestId) -> Run | None:
+        """Return the run of an id that was sent before."""
+        seen = self._ids.lookup(request_id, self._deps.clock.monotonic())
+        return seen.entry if isinstance(seen, Known) else None
+
+    def submit(
+        self,
+        request_id: RequestId,
+        req: RequestBody,
+        terms: Terms,
+    ) -> Run | Answer:
+        """Join the run of a known id, or start a new one."""
+        known = self.known(request_id)
+        if known is not None:
+            return _joined(known, req)
+        checked = check_terms(req, terms)
+        match checked:
+            case Err(answer):
+                return answer
+            case Ok(profile):
+                return self._begin(request_id, req, terms, profile)
+        raise AssertionError(checked)
+
+    def _begin(
+        self,
+        request_id: RequestId,
+        req: RequestBody,
+        terms: Terms,
+        profile: Profile,
+    ) -> Run | Answer:
+        run = Run(req)
+        added = self._ids.add(request_id, run, self._deps.clock.monotonic())
+        if isinstance(added, Expired):
+            return expired(added.reason)
+        if isinstance(added, Full):
+            return not_run('this VM holds too many ids', NEW_TICKET_AFTER)
+        job = Job(run, profile, terms.services[profile.service])
+        task = asyncio.create_task(self._work(request_id, job))
+        self.working.add(task)
+        task.add_done_callback(self.working.discard)
+        return run
+
+    async def _work(self, request_id: RequestId, job: Job) -> None:
+        """Carry a run to its outcome and write it down."""
+        self.events.record(
+            'accepted',
+            job.request_id,
+            tier=int(job.profile.tier),
+            profile=job.profile.name,
+            workspace=job.run.req.workspace,
+        )
+        answer = await self._outcome(request_id, job)
+        job.run.finish(answer)
+        self._tell(job, answer)
+        self.journal.note(
+            encode_outcome(
+                request_id,
+                answer.outcome,
+                int(answer.http_status),
+                job.run.content_type,
+                job.run.body if job.run.is_done else None,
+            ),
+        )
+
+    async def _outcome(self, request_id: RequestId, job: Job) -> Answer:
+        mode = dispatch_mode(request_id, job.profile.journal)
+        intent = encode_intent(request_id)
+        if mode is JournalMode.BEFORE_DISPATCH:
+            if not await self.journal.right(str(request_id), intent):
+                return self._no_right()
+        else:
+            self.journal.note(intent)
+        dispatching = asyncio.create_task(self._dispatcher.dispatch(job))
+        abandoned = asyncio.create_task(job.run.abandoned.wait())
+        try:
+            await asyncio.wait(
+                (dispatching, abandoned),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            # A run that has begun is stopped by its attempt, which alone
+            # knows whether the runner has let go of it.
+            if not dispatching.done() and not job.run.dispatched:
+                dispatching.cancel()
+                return not_run('its caller has gone', NEW_TICKET_AFTER)
+            return await dispatching
+        finally:
+            abandoned.cancel()
+
+    def _no_right(self) -> Answer:
+        if self.journal.sealed:
+            return not_run(
+                'this ticket has ended; ask for a new one',
+                NEW_TICKET_AFTER,
+            )
+        return not_run(
+            'the log is down and this profile writes to it first',
+            LOG_RETRY_AFTER,
+        )
+
+    def _tell(self, job: Job, answer: Answer) -> None:
+        tier = int(job.profile.tier)
+        self._deps.metrics.count(
+            Metric.ANSWERS,
+            outcome=answer.outcome,
+            tier=tier,
+        )
+        if answer.outcome is Outcome.DONE:
+            self._deps.metrics.count(Metric.GOODPUT, tier=tier)
+        self.events.record(
+            'settled',
+            job.request_id,
+            outcome=answer.outcome,
+            tier=tier,
+            reason=answer.reason,
+        )
+
+
+def _joined(run: Run, req: RequestBody) -> Run | Answer:
+    # An id sent with other content would be given the answer to what the
+    # first sender asked, so the second one is told instead.
+    if run.req.fingerprint != req.fingerprint:
+        return rejected(
+            'this id was sent before with another body',
+            'mint a new id for a new request',
+        )
+    return run
--- /dev/null
+++ b/bramleybend/gateway/lost_home.py
@@ -0,0 +1,122 @@
+"""Answers for homes that are gone, from their journals.
+
+No other VM ever takes over a home's right to run an id. What the journal
+proves is told; what it does not prove is told to be unknown.
+"""
+
+import asyncio
+from collections import OrderedDict
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Final
+
+from result import Err, Ok
+
+from bramleybend.answers import Answer, Outcome, not_run, unknown
+from bramleybend.clients.log_service import LogService
+from bramleybend.events import EventLog
+from bramleybend.gateway.run import Run
+from bramleybend.state.journal_records import (
+    OutcomeRecord,
+    encode_seal,
+    stream_of,
+)
+from bramleybend.state.journal_rules import (
+    Ended,
+    JournalView,
+    NotRun,
+    Unknown,
+)
+from bramleybend.state.tickets import RequestId
+
+MAX_VIEWS: Final = 32
+RETRY_AFTER: Final = timedelta(seconds=1)
+LOG_DOWN: Final = 'its home is gone and the log that would tell is down'
+
+
+class LostHomes:
+    """Reads journals of gone homes, a few kept at a time."""
+
+    def __init__(self, log: LogService, vm: str, events: EventLog) -> None:
+        """Have read nothing yet."""
+        self._log = log
+        self._vm = vm
+        self._events = events
+        self._views: OrderedDict[str, JournalView] = OrderedDict()
+        self._lock = asyncio.Lock()
+
+    async def settle(self, request_id: RequestId, run: Run) -> None:
+        """Give a run the answer that the home's journal proves."""
+        async with self._lock:
+            answer = await self._fate(request_id, run)
+        self._events.record(
+            'home_lost',
+            str(request_id),
+            outcome=answer.outcome,
+        )
+        run.finish(answer)
+
+    async def _fate(self, request_id: RequestId, run: Run) -> Answer:
+        view = self._view(request_id.ticket.incarnation)
+        if not await self._read(request_id, view):
+            return unknown(LOG_DOWN)
+        if request_id.ticket.intent_first and not view.sealed:
+            # A home that is not dead after all reads this back before its
+            # next dispatch, and so runs nothing that is told `not_run` here.
+            if not await self._seal(request_id):
+                return unknown(LOG_DOWN)
+            if not await self._read(request_id, view):
+                return unknown(LOG_DOWN)
+        match view.fate(request_id):
+            case Ended(record):
+                return _ended(record, run)
+            case NotRun():
+                return not_run('its home was lost before it ran', RETRY_AFTER)
+            case Unknown(reason):
+                return unknown(reason)
+        raise AssertionError(request_id)
+
+    def _view(self, incarnation: str) -> JournalView:
+        view = self._views.pop(incarnation, None) or JournalView()
+        self._views[incarnation] = view
+        if len(self._views) > MAX_VIEWS:
+            self._views.popitem(last=False)
+        return view
+
+    async def _read(self, request_id: RequestId, view: JournalView) -> bool:
+        """Read the journal to its tail."""
+        stream = stream_of(request_id.ticket.incarnation)
+        while True:
+            match await self._log.read(stream, view.next_offset):
+                case Err():
+                    return False
+                case Ok(batch):
+                    view.add(batch.records)
+                    if view.next_offset >= batch.next_offset:
+                        return True
+                    if not batch.records:
+                        return False
+
+    async def _seal(self, request_id: RequestId) -> bool:
+        stream = stream_of(request_id.ticket.incarnation)
+        # Whether the reply came does not matter: the next read tells if the
+        # seal stands, and a second one changes nothing.
+        appended = await self._log.append(stream, (encode_seal(self._vm),))
+        return appended.is_ok()
+
+
+def _ended(record: OutcomeRecord, run: Run) -> Answer:
+    """Repeat a written outcome, with its body if that was kept."""
+    if record.outcome is not Outcome.DONE:
+        status = HTTPStatus(record.status) if record.status else None
+        return Answer(
+            record.outcome,
+            'as its home wrote down before it was lost',
+            'mint a new id if it is to be run again',
+            status=status,
+        )
+    if record.answer is None:
+        return unknown('it ran to its end, but the answer was lost')
+    run.content_type = record.content_type
+    run.add(record.answer)
+    return Answer(Outcome.DONE, 'whole')
