Add the process harness and the caller's side of the load tool

Cause: tests of failures need real processes that can be killed, frozen, cut off and replaced, and callers that judge what they get. Children get a parent-death signal, since a harness that is killed can't clean up.

--- /dev/null
+++ b/tests/utils/entry_vm.py
@@ -0,0 +1,164 @@
+"""One entry VM: a gateway and a scheduler process at one address."""
+
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+from bramleybend.clients.vm_list import ENTRY_SERVICE
+from bramleybend.models import RunnerState, Vm
+from tests.utils.http_client import BrokenCallError, call
+from tests.utils.processes import Process
+from tests.utils.relay import Relay
+
+HTTP_PORT: Final = 8080
+GATEWAY_PORT: Final = 7001
+SCHEDULER_PORT: Final = 7002
+GATEWAY: Final = 'bramleybend.cli.gateway'
+SCHEDULER: Final = 'bramleybend.cli.scheduler'
+
+
+@dataclass(frozen=True)
+class VmSettings:
+    """What a VM learns from its flags."""
+
+    name: str
+    domain: str
+    address: str
+    log_service: str
+    vm_list: str
+    statsd: str
+    log_level: str = 'INFO'
+
+    def flags(self) -> list[str]:
+        """Return the flags that both programs take."""
+        pairs = {
+            '--vm': self.name,
+            '--domain': self.domain,
+            '--address': self.address,
+            '--gateway-port': str(GATEWAY_PORT),
+            '--scheduler-port': str(SCHEDULER_PORT),
+            '--log-service': self.log_service,
+            '--vm-list': self.vm_list,
+            '--statsd': self.statsd,
+            '--log-level': self.log_level,
+        }
+        return [word for pair in pairs.items() for word in pair]
+
+
+class EntryVm:
+    """Starts, harms and ends the two processes of a VM together."""
+
+    def __init__(
+        self,
+        settings: VmSettings,
+        run_dir: Path,
+        log_relay: Relay,
+        list_relay: Relay,
+    ) -> None:
+        """Describe the VM; its links to the platform go through relays."""
+        self.settings = settings
+        self.log_relay = log_relay
+        self.list_relay = list_relay
+        self.incarnation = 0
+        self.ended: list[Process] = []
+        self._run_dir = run_dir
+        self._describe()
+
+    @property
+    def name(self) -> str:
+        """Return the VM's name."""
+        return self.settings.name
+
+    @property
+    def url(self) -> str:
+        """Return where callers meet the gateway."""
+        return f'http://{self.endpoint}'
+
+    @property
+    def endpoint(self) -> str:
+        """Return `ip:port` as callers are told it."""
+        return f'{self.settings.address}:{HTTP_PORT}'
+
+    @property
+    def processes(self) -> tuple[Process, ...]:
+        """Return both processes of the present incarnation."""
+        return (self.scheduler, self.gateway)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether any of the processes lives."""
+        return any(process.is_running for process in self.processes)
+
+    def listed(self, state: RunnerState = RunnerState.LIVE) -> Vm:
+        """Return the VM's line of the VM list."""
+        return Vm(
+            self.name,
+            self.settings.address,
+            SCHEDULER_PORT,
+            ENTRY_SERVICE,
+            self.settings.domain,
+            state,
+        )
+
+    async def start(self) -> None:
+        """Start both processes."""
+        for process in self.processes:
+            await process.start()
+
+    async def replace(self) -> None:
+        """Start a new incarnation at the same address."""
+        await self.kill()
+        self.ended.extend(self.processes)
+        self.incarnation += 1
+        self._describe()
+        await self.start()
+
+    def freeze(self) -> None:
+        """Pause both processes without their knowing."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let them go on as if no time had passed."""
+        self.signal(signal.SIGCONT)
+
+    async def stop(self) -> tuple[int, ...]:
+        """Ask both to end, the gateway first; return their exit codes."""
+        self.signal(signal.SIGTERM)
+        return await self.exit_codes()
+
+    async def exit_codes(self, limit_s: float = 20) -> tuple[int, ...]:
+        """Wait for both to end."""
+        return tuple([await each.wait(limit_s) for each in self.processes])
+
+    async def kill(self) -> None:
+        """End both at once."""
+        self.signal(signal.SIGKILL)
+        for process in self.processes:
+            if process.is_running:
+                await process.wait()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to both."""
+        for process in self.processes:
+            process.send_signal(number)
+
+    async def is_ready(self) -> bool:
+        """Whether the gateway says that it can serve."""
+        try:
+            reply = await call('GET', f'{self.url}/ready', timeout_s=1)
+        except BrokenCallError:
+            return False
+        return reply.status == 200
+
+    def _describe(self) -> None:
+        flags = self.settings.flags()
+        self.gateway = self._process(
+            'gateway',
+            [GATEWAY, *flags, '--http-port', str(HTTP_PORT)],
+        )
+        self.scheduler = self._process('scheduler', [SCHEDULER, *flags])
+
+    def _process(self, program: str, argv: list[str]) -> Process:
+        name = f'{self.name}-{program}-{self.incarnation}'
+        return Process(name, argv, self._run_dir / f'{name}.log')
--- /dev/null
+++ b/tests/utils/ledger.py
@@ -0,0 +1,162 @@
+"""What callers got, judged against what the runners recorded."""
+
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Final
+
+from bramleybend.answers import Outcome
+from bramleybend.models import Repeat, Tier
+from tests.utils.work import Work
+
+ONCE: Final = frozenset({Repeat.AT_MOST_ONCE, Repeat.NON_IDEMPOTENT})
+
+
+@dataclass(frozen=True)
+class Reading:
+    """One answer as a caller read it."""
+
+    outcome: Outcome
+    is_own: bool  # whole and this request's own; False unless done
+    reason: str = ''
+    retry_after_s: float = 0
+    answered_at: float = 0  # monotonic time of the first token or the body
+
+
+@dataclass
+class Attempt:
+    """One id that a request was sent under."""
+
+    request_id: str
+    sends: int = 0
+    broken: list[str] = field(default_factory=list)
+    reading: Reading | None = None
+
+
+@dataclass
+class Record:
+    """One request from its first send to its final answer."""
+
+    work: Work
+    started: float = field(default_factory=time.monotonic)
+    attempts: list[Attempt] = field(default_factory=list)
+    final: Reading | None = None
+    ended: float = 0
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """Return the final outcome, if one came."""
+        return None if self.final is None else self.final.outcome
+
+    @property
+    def first_token_s(self) -> float:
+        """Return the wait for the first token, over all sends."""
+        return (
+            0 if self.final is None else self.final.answered_at - self.started
+        )
+
+    @property
+    def readings(self) -> list[Reading]:
+        """Return every answer that came, under any id."""
+        return [
+            attempt.reading
+            for attempt in self.attempts
+            if attempt.reading is not None
+        ]
+
+    def finish(self, reading: Reading) -> None:
+        """Take the last answer for good."""
+        self.final = reading
+        self.ended = time.monotonic()
+
+    def describe(self) -> str:
+        """Tell the whole story in one line."""
+        return (
+            f'{self.work.profile} {self.work.content} '
+            f'{self.outcome} attempts={self.attempts}'
+        )
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """The sums of a load, and what was wrong by request."""
+
+    sent: int
+    done: int
+    not_run: int
+    other: int
+    lost: int
+    wrong: tuple[str, ...]
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether every request got one whole answer of its own."""
+        return not self.wrong and not self.lost and self.done == self.sent
+
+    def __str__(self) -> str:
+        """Read as the demo's last line does."""
+        return (
+            f'sent={self.sent} done={self.done} not_run={self.not_run} '
+            f'wrong={len(self.wrong)} lost={self.lost}'
+        )
+
+
+class Ledger:
+    """Every request that the callers sent."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.records: list[Record] = []
+
+    def open(self, work: Work) -> Record:
+        """Start the record of one request."""
+        record = Record(work)
+        self.records.append(record)
+        return record
+
+    def of_tier(self, tier: Tier) -> list[Record]:
+        """Return the records of one tier."""
+        return [each for each in self.records if each.work.tier is tier]
+
+    def outcomes(self) -> Counter[Outcome | None]:
+        """Count the final outcomes."""
+        return Counter(record.outcome for record in self.records)
+
+    def judge(self, runs_of: Counter[str]) -> Verdict:
+        """Hold the answers against the runners' own records."""
+        outcomes = self.outcomes()
+        lost = outcomes.pop(None, 0)
+        done = outcomes.pop(Outcome.DONE, 0)
+        not_run = outcomes.pop(Outcome.NOT_RUN, 0)
+        wrong = [
+            f'{fault}: {record.describe()}'
+            for record in self.records
+            for fault in _faults(record, runs_of[record.work.content])
+        ]
+        return Verdict(
+            sent=len(self.records),
+            done=done,
+            not_run=not_run,
+            other=outcomes.total(),
+            lost=lost,
+            wrong=tuple(wrong),
+        )
+
+
+def _faults(record: Record, runs: int) -> list[str]:
+    outcomes = {reading.outcome for reading in record.readings}
+    done = [
+        reading
+        for reading in record.readings
+        if reading.outcome is Outcome.DONE
+    ]
+    found = []
+    if not all(reading.is_own for reading in done):
+        found.append('an answer passed as done is torn or not its own')
+    if done and not runs:
+        found.append('done, but no runner ran it')
+    if runs and outcomes and outcomes <= {Outcome.NOT_RUN, Outcome.REJECTED}:
+        found.append('told not run, but a runner ran it')
+    if runs > 1 and record.work.repeat in ONCE:
+        found.append(f'ran {runs} times, at most once allowed')
+    return found
--- /dev/null
+++ b/tests/utils/processes.py
@@ -0,0 +1,86 @@
+"""Processes that a test starts, and ends by pid whatever happens."""
+
+import asyncio
+import ctypes
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+ROOT: Final = Path(__file__).resolve().parents[2]
+EXIT_LIMIT_S: Final = 10
+PR_SET_PDEATHSIG: Final = 1
+
+_LIBC: Final = ctypes.CDLL(None)
+
+
+def _die_with_parent() -> None:
+    # A harness that is killed can't clean up: its children would stay and
+    # hold their addresses. The kernel ends them instead, frozen ones too.
+    _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Process:
+    """One program, its output in a file of the run directory."""
+
+    def __init__(self, name: str, argv: Sequence[str], log: Path) -> None:
+        """Describe the process; `start` starts it."""
+        self.name = name
+        self.log = log
+        self._argv = argv
+        self._child: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the pid of the process that was started."""
+        assert self._child is not None
+        return self._child.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code once the process has ended."""
+        return None if self._child is None else self._child.returncode
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._child is not None and self._child.returncode is None
+
+    async def start(self) -> None:
+        """Start, in a session of its own so that Ctrl-C reaches only us."""
+        with self.log.open('ab') as output:
+            self._child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                *self._argv,
+                cwd=ROOT,
+                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                start_new_session=True,
+                preexec_fn=_die_with_parent,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Signal the process unless it has ended."""
+        if self._child is not None and self._child.returncode is None:
+            self._child.send_signal(number)
+
+    async def wait(self, limit_s: float = EXIT_LIMIT_S) -> int:
+        """Wait for the end and return the exit code."""
+        assert self._child is not None
+        async with asyncio.timeout(limit_s):
+            return await self._child.wait()
+
+    async def kill(self) -> None:
+        """End the process at once; a frozen one ends too."""
+        if self.is_running:
+            self.send_signal(signal.SIGKILL)
+            await self.wait()
+
+    def log_text(self) -> str:
+        """Return what the process wrote so far."""
+        return self.log.read_text(errors='replace')
