--- /dev/null
+++ b/bramleybend/cli/scheduler.py
@@ -0,0 +1,24 @@
+"""`bramleybend-scheduler`: see `--help`."""
+
+import os
+import sys
+from collections.abc import Sequence
+
+from bramleybend.cli.serving import Environment, serve, system_environment
+from bramleybend.scheduler.core import make_scheduler
+from bramleybend.settings import ProcessKind
+from bramleybend.status import ExitStatus
+
+
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Serve until told to stop; return what the shell gets."""
+    return serve(ProcessKind.SCHEDULER, make_scheduler, args, env)
+
+
+def run() -> None:
+    """Start as a console script."""
+    sys.exit(main(sys.argv[1:], system_environment(os.environ)))
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/bramleybend/cli/serving.py
@@ -0,0 +1,82 @@
+"""What both serving programs do around their core."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol, TextIO
+
+from result import Err, Ok
+
+from bramleybend.clock import Clock, SystemClock
+from bramleybend.events import setup_logging
+from bramleybend.settings import ProcessKind, Settings, parse_settings
+from bramleybend.status import ExitStatus
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Server(Protocol):
+    """A serving core."""
+
+    stopping: asyncio.Event
+
+    async def start(self) -> None:
+        """Listen."""
+
+    async def stop(self) -> None:
+        """Let what is in flight end, then close."""
+
+
+@dataclass(frozen=True)
+class Environment:
+    """What a program takes from around it, so that tests can swap it."""
+
+    variables: Mapping[str, str]
+    stderr: TextIO
+    clock: Clock
+
+
+Make = Callable[[Settings, Clock], Server]
+
+
+def serve(
+    kind: ProcessKind,
+    make: Make,
+    args: Sequence[str],
+    env: Environment,
+) -> ExitStatus:
+    """Read the settings and serve until told to stop."""
+    match parse_settings(kind, args, env.variables):
+        case Err(problem):
+            print(f'bramleybend-{kind}: error: {problem}', file=env.stderr)
+            return ExitStatus.USAGE
+        case Ok(cfg):
+            setup_logging(cfg.log_level, env.stderr)
+            return asyncio.run(_serve(make(cfg, env.clock), env))
+    raise AssertionError(kind)
+
+
+def system_environment(variables: Mapping[str, str]) -> Environment:
+    """Return the real streams and clock."""
+    return Environment(variables, sys.stderr, SystemClock())
+
+
+async def _serve(server: Server, env: Environment) -> ExitStatus:
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, server.stopping.set)
+    try:
+        await server.start()
+    except OSError as exc:
+        print(
+            f'error: cannot listen: {exc}; give a free --address and port',
+            file=env.stderr,
+        )
+        return ExitStatus.UNAVAILABLE
+    await server.stopping.wait()
+    await server.stop()
+    return ExitStatus.OK
+
+
--- a/bramleybend/gateway/ask.py
+++ b/bramleybend/gateway/ask.py
@@ -20,7 +20,7 @@
 MAX_PREFIXES: Final = 16
 
 
-def ask_of(req: RequestBody, profile: Profile, _now: float) -> Ask:
+def ask_of(req: RequestBody, profile: Profile) -> Ask:
     """Estimate from the body what an owner needs to decide."""
     prompt, max_tokens = _prompt_of(req.body)
     prompt_tokens = max(len(prompt) // CHARS_A_TOKEN, 1)
@@ -34,6 +34,7 @@
         prefixes=prefixes_of(prompt),
         deadline=req.deadline,
         cancellable=profile.cancellable,
+        fingerprint=req.fingerprint,
     )
 
 
@@ -67,6 +68,7 @@
         timeout_s=timeout_s,
         cancellable=ask.cancellable,
         excluded=excluded,
+        fingerprint=ask.fingerprint,
     )
 
 
--- /dev/null
+++ b/bramleybend/gateway/core.py
@@ -0,0 +1,249 @@
+"""Builds a gateway from its parts, runs it and stops it."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any, Final
+
+import grpc
+
+from bramleybend.clients.http_log import make_http_log
+from bramleybend.clock import Clock
+from bramleybend.control import ControlService
+from bramleybend.decisions.floor import ShedPermits
+from bramleybend.events import EventLog
+from bramleybend.gateway.dispatcher import Deps
+from bramleybend.gateway.floor_round import FloorPort, FloorRounds
+from bramleybend.gateway.forwarding import (
+    Forwarder,
+    ForwardPort,
+    HomeService,
+)
+from bramleybend.gateway.home import Home
+from bramleybend.gateway.http_server import HttpServer
+from bramleybend.gateway.intake import Intake, IntakeDeps
+from bramleybend.gateway.journal import JournalWriter
+from bramleybend.gateway.lost_home import LostHomes
+from bramleybend.gateway.routes import Routes
+from bramleybend.gateway.slots import OwnerPort, SlotAsker
+from bramleybend.gateway.view import ViewFollower
+from bramleybend.identity import Identity, make_identity
+from bramleybend.metrics import Metric, make_metrics
+from bramleybend.settings import Settings
+from bramleybend.state.id_table import IdTable
+from bramleybend.state.tickets import Ticket
+from bramleybend.wire.bramleybend_pb2 import Header
+from bramleybend.wire.bramleybend_pb2_grpc import (
+    add_ControlServicer_to_server,
+    add_HomeServicer_to_server,
+)
+from bramleybend.wire.channels import PROTOCOL, SERVER_OPTIONS, Channels
+
+DRAIN_POLL_S: Final = 0.05
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, cfg: Settings, identity: Identity, clock: Clock) -> None:
+        """Wire the parts; nothing runs yet."""
+        self.stopping = asyncio.Event()
+        self.events = EventLog('gateway', identity.incarnation, clock)
+        self._cfg = cfg
+        self._identity = identity
+        self._clock = clock
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._channels = Channels()
+        self._log = make_http_log(cfg.log_service)
+        self._metrics = make_metrics(cfg.statsd, cfg.vm)
+        self.views = ViewFollower(
+            identity,
+            cfg.scheduler_port,
+            self._channels,
+            clock,
+            self.events,
+        )
+        self._deps = self._dispatch_deps()
+        self.intake: Intake
+        self._http: HttpServer
+        self._grpc: grpc.aio.Server
+
+    async def start(self) -> None:
+        """Listen and follow the scheduler."""
+        self.intake = self._make_intake()
+        routes = Routes(self.intake, self._addresses)
+        self._http = HttpServer(
+            routes.handle,
+            lambda: self._metrics.count(Metric.REJECTED, reason='http'),
+        )
+        self._grpc = grpc.aio.server(options=SERVER_OPTIONS)
+        add_HomeServicer_to_server(
+            HomeService(self.intake.take_forwarded, self._clock),
+            self._grpc,
+        )
+        add_ControlServicer_to_server(
+            ControlService(GatewayProcess(self), self.events),
+            self._grpc,
+        )
+        self._grpc.add_insecure_port(
+            f'{self._cfg.address}:{self._cfg.gateway_port}',
+        )
+        await self._grpc.start()
+        self._spawn(self.views.follow())
+        await self._http.start(self._cfg.address, self._cfg.http_port)
+        self.events.record('started', vm=self._cfg.vm)
+
+    async def stop(self) -> None:
+        """Take nothing new, let everything in flight end, then leave."""
+        self.intake.draining = True
+        self.events.record('draining', in_flight=self.intake.in_flight)
+        deadline = self._clock.monotonic() + self._cfg.drain_timeout_s
+        while self._busy and self._clock.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self._http.stop()
+        for home in self.intake.homes:
+            await home.journal.close()
+        for task in self._tasks:
+            task.cancel()
+        await self._grpc.stop(grace=1)
+        await self._channels.close()
+        self.events.record('stopped', in_flight=self.intake.in_flight)
+
+    @property
+    def _busy(self) -> bool:
+        return bool(self.intake.in_flight or self._http.answering)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def _header(self) -> Header:
+        terms = self.views.view.terms
+        return Header(
+            protocol=PROTOCOL,
+            vm=self._identity.vm,
+            incarnation=self._identity.incarnation,
+            terms_version=terms.version if terms else 0,
+        )
+
+    def _addresses(self) -> list[str]:
+        others = [
+            member.address
+            for member in self.views.view.members
+            if member.address != self._cfg.address
+        ]
+        Random().shuffle(others)
+        return [
+            f'{address}:{self._cfg.http_port}'
+            for address in (self._cfg.address, *others)
+        ]
+
+    def _is_member(self, address: str) -> bool:
+        return any(
+            member.address == address for member in self.views.view.members
+        )
+
+    def _dispatch_deps(self) -> Deps:
+        asker = SlotAsker(
+            OwnerPort(
+                self._channels,
+                self._cfg.scheduler_port,
+                lambda: self.views.view.members,
+                self._header,
+            ),
+            self._clock,
+            self.events,
+        )
+        floors = FloorRounds(
+            ShedPermits(),
+            FloorPort(
+                self._channels,
+                self._cfg.scheduler_port,
+                asker.ranked,
+                self._header,
+            ),
+            self._clock,
+        )
+        return Deps(
+            asker,
+            floors,
+            self.views,
+            self._clock,
+            self.events,
+            self._metrics,
+            Random(),
+        )
+
+    def _make_intake(self) -> Intake:
+        forwarder = Forwarder(
+            ForwardPort(self._channels, self._header, self._is_member),
+            LostHomes(self._log, self._cfg.vm, self.events),
+            self._clock,
+            self.events,
+        )
+        return Intake(
+            IntakeDeps(
+                self.views,
+                forwarder,
+                self._new_home,
+                self._clock,
+                self.events,
+                self._metrics,
+                self._cfg.terms_stale_after_s,
+            ),
+        )
+
+    def _new_home(self) -> Home:
+        fresh = make_identity(
+            self._cfg.vm,
+            self._cfg.domain,
+            str(self._cfg.address),
+        )
+        journal = JournalWriter(
+            self._log,
+            fresh.incarnation,
+            self.events,
+            self._metrics,
+        )
+        self._spawn(journal.work())
+        return Home(
+            Ticket(
+                str(self._cfg.address),
+                self._cfg.gateway_port,
+                fresh.incarnation,
+                epoch=0,
+            ),
+            IdTable(fresh.incarnation, self._clock.monotonic()),
+            journal,
+            self._deps,
+        )
+
+
+class GatewayProcess:
+    """What operators may ask of a gateway."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        """Report on this gateway."""
+        self._gateway = gateway
+
+    def status(self) -> dict[str, object]:
+        """Return the fields of docs/operators/CTL.md."""
+        gateway = self._gateway
+        terms = gateway.views.view.terms
+        return {
+            'process': 'gateway',
+            'terms_version': terms.version if terms else 0,
+            'terms_age_s': gateway.views.age_s,
+            'draining': gateway.intake.draining,
+            'in_flight': gateway.intake.in_flight,
+            'log_ok': all(h.journal.log_ok for h in gateway.intake.homes),
+        }
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        self._gateway.stopping.set()
+
+
+def make_gateway(cfg: Settings, clock: Clock) -> Gateway:
+    """Build a gateway; it gets a new incarnation with every start."""
+    identity = make_identity(cfg.vm, cfg.domain, str(cfg.address))
+    return Gateway(cfg, identity, clock)
--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 from datetime import timedelta
+from random import Random
 from typing import Final
 
 from result import Err, Ok
@@ -10,6 +11,7 @@
 from bramleybend.answers import Answer, Outcome, not_run, unknown
 from bramleybend.clock import Clock
 from bramleybend.decisions.routing import rank_shards
+from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 from bramleybend.gateway.ask import ask_message, ask_of
 from bramleybend.gateway.attempt import Attempt, AttemptEnd, End
@@ -18,8 +20,8 @@
 from bramleybend.gateway.slots import Slot, SlotAsker
 from bramleybend.gateway.view import ViewFollower
 from bramleybend.metrics import Metric, Metrics
-from bramleybend.models import Profile, Repeat, Service
-from bramleybend.wire.bramleybend_pb2 import AskMessage, Ended, Refused
+from bramleybend.models import Ask, Profile, Repeat, Service
+from bramleybend.wire.bramleybend_pb2 import Ended, Refused
 
 RETRY_AFTER: Final = timedelta(seconds=1)
 MAX_ATTEMPTS: Final = 4
@@ -39,6 +41,7 @@
     clock: Clock
     events: EventLog
     metrics: Metrics
+    rng: Random
 
 
 @dataclass(frozen=True)
@@ -81,56 +84,55 @@
     # Slots
 
     async def _slot(self, job: Job, excluded: list[str]) -> Slot | Answer:
-        ask = ask_of(job.run.req, job.profile, self._deps.clock.monotonic())
+        """Wait for a slot; refuse only what may be refused."""
+        ask = ask_of(job.run.req, job.profile)
         urgent = False
         while True:
-            message = ask_message(ask, excluded)
-            message.urgent = urgent
-            refusal = await self._acquire(job, message)
-            if isinstance(refusal, Slot | Answer):
+            refusal = await self._acquire(ask, excluded, urgent=urgent)
+            if isinstance(refusal, Slot):
+                self._granted(job, refusal)
+                return refusal
+            if isinstance(refusal, Answer):
                 return refusal
             if await self._deps.floors.may_shed(
                 job.service.name,
                 job.profile.tier,
                 job.service.shards,
             ):
-                return self._shed(job, refusal)
-            if self._deps.clock.monotonic() >= job.run.req.deadline:
+                return self._shed(job, refusal, proved=True)
+            if self._deps.clock.monotonic() >= ask.deadline:
                 # No owner would say that nothing lower runs, and the time
-                # is up: counted apart, since the promise is not proved.
-                self._deps.metrics.count(Metric.SHED_UNPROVED)
-                return self._shed(job, refusal)
+                # is up: told apart, since the promise is not proved.
+                return self._shed(job, refusal, proved=False)
             urgent = True
             await asyncio.sleep(SHED_PAUSE_S)
 
     async def _acquire(
         self,
-        job: Job,
-        message: AskMessage,
+        ask: Ask,
+        excluded: list[str],
+        *,
+        urgent: bool,
     ) -> Slot | Answer | Refused:
         view = self._deps.views.view
-        shards = [
-            shard for shard in view.shards if shard.service == job.service.name
-        ]
-        ask = ask_of(job.run.req, job.profile, self._deps.clock.monotonic())
-        ranked = rank_shards(ask, shards) or [0]
+        ranked = rank_shards(ask, view.shards, self._deps.rng) or [0]
         refused: Refused | None = None
         for shard in ranked:
+            message = ask_message(ask, excluded, self._left_s(ask))
             message.shard = shard
-            match await self._deps.asker.acquire(
-                message,
-                job.run.req.deadline,
-            ):
+            message.urgent = urgent
+            match await self._deps.asker.acquire(message, ask.deadline):
                 case Ok(slot):
-                    self._granted(job, slot)
                     return slot
-                case Err(Refused() as refused):
-                    if not refused.shed:
-                        return self._refused(refused)
-                case Err(problem):
+                case Err(Refused() as refused) if not refused.shed:
+                    return _refused(refused)
+                case Err(Problem() as problem):
                     return not_run(str(problem), RETRY_AFTER)
         return refused or not_run('no shard can be reached', RETRY_AFTER)
 
+    def _left_s(self, ask: Ask) -> float:
+        return max(ask.deadline - self._deps.clock.monotonic(), 0)
+
     def _granted(self, job: Job, slot: Slot) -> None:
         self._deps.events.record(
             'granted',
@@ -139,20 +141,17 @@
             tier=int(job.profile.tier),
         )
 
-    def _refused(self, refused: Refused) -> Answer:
-        return not_run(
-            refused.reason,
-            timedelta(seconds=refused.retry_after_s),
-        )
-
-    def _shed(self, job: Job, refused: Refused) -> Answer:
+    def _shed(self, job: Job, refused: Refused, *, proved: bool) -> Answer:
+        self._deps.metrics.count(Metric.SHED, tier=int(job.profile.tier))
         self._deps.events.record(
             'shed',
             job.request_id,
+            service=job.service.name,
             tier=int(job.profile.tier),
             reason=refused.reason,
+            proved=proved,
         )
-        return self._refused(refused)
+        return _refused(refused)
 
     # Attempts
 
@@ -190,13 +189,14 @@
     ) -> AttemptEnd:
         proceeding = asyncio.create_task(attempt.proceed())
         preempted = asyncio.create_task(slot.preempted.wait())
+        abandoned = asyncio.create_task(job.run.abandoned.wait())
         left_s = max(
             job.run.req.deadline - self._deps.clock.monotonic(),
             0,
         )
         try:
             await asyncio.wait(
-                (proceeding, preempted),
+                (proceeding, preempted, abandoned),
                 timeout=left_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
@@ -206,6 +206,7 @@
         finally:
             proceeding.cancel()
             preempted.cancel()
+            abandoned.cancel()
 
     async def _stop(
         self,
@@ -255,6 +256,13 @@
         )
 
 
+def _refused(refused: Refused) -> Answer:
+    return not_run(
+        refused.reason,
+        timedelta(seconds=refused.retry_after_s),
+    )
+
+
 def _final(end: AttemptEnd, *, out_of_time: bool) -> Answer:
     match end.end:
         case End.STOPPED:
--- a/bramleybend/gateway/floor_round.py
+++ b/bramleybend/gateway/floor_round.py
@@ -14,14 +14,13 @@
 import grpc
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.floor import ShedPermits
+from bramleybend.decisions.floor import HOLD_S, ShedPermits
 from bramleybend.models import Tier
-from bramleybend.state.membership import Member
+from bramleybend.state.member import Member
 from bramleybend.wire.bramleybend_pb2 import FloorReply, FloorRequest, Header
 from bramleybend.wire.bramleybend_pb2_grpc import OwnerStub
 from bramleybend.wire.channels import Channels
 
-FLOOR_HOLD_S: Final = 2.0
 FLOOR_TIMEOUT_S: Final = 1.0
 
 Ranked = Callable[[str, int], Sequence[Member]]
@@ -67,7 +66,7 @@
         started = self._permits.begin(
             service,
             tier,
-            range(shards),
+            frozenset(range(shards)),
             self._clock.monotonic(),
         )
         replies = await asyncio.gather(
@@ -78,9 +77,9 @@
                 self._permits.reply(
                     started,
                     shard,
-                    reply.settled,
-                    reply.lower_running,
                     self._clock.monotonic(),
+                    settled=reply.settled,
+                    lower_running=reply.lower_running,
                 )
 
     async def _ask(
@@ -98,7 +97,7 @@
             service=service,
             tier=tier,
             shard=shard,
-            hold_s=FLOOR_HOLD_S,
+            hold_s=HOLD_S,
         )
         stub = OwnerStub(self._port.channels.get(endpoint))
         try:
--- a/bramleybend/gateway/forwarding.py
+++ b/bramleybend/gateway/forwarding.py
@@ -4,6 +4,7 @@
 grows. Only when the home is gone is its journal asked.
 """
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -87,6 +88,8 @@
         call: 'grpc.aio.UnaryStreamCall[ForwardRequest, ForwardReply]',
         run: Run,
     ) -> None:
+        async with asyncio.timeout(FIRST_WORD_S):
+            await call.read()
         async for reply in call:
             kind = reply.WhichOneof('body')
             if kind == 'head':
--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -106,6 +106,10 @@
 
     async def _work(self, request_id: RequestId, job: Job) -> None:
         """Carry a run to its outcome and write it down."""
+        self._deps.metrics.count(
+            Metric.ACCEPTED,
+            tier=int(job.profile.tier),
+        )
         self.events.record(
             'accepted',
             job.request_id,
@@ -164,8 +168,8 @@
     def _tell(self, job: Job, answer: Answer) -> None:
         tier = int(job.profile.tier)
         self._deps.metrics.count(
-            Metric.ANSWERS,
-            outcome=answer.outcome,
+            Metric.OUTCOMES,
+            outcome=str(answer.outcome),
             tier=tier,
         )
         if answer.outcome is Outcome.DONE:
--- a/bramleybend/gateway/http_server.py
+++ b/bramleybend/gateway/http_server.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
+from contextlib import AbstractContextManager, contextmanager, suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
@@ -17,6 +17,7 @@
 
 from bramleybend.answers import Answer, rejected
 from bramleybend.clients.http import BROKEN, READ_SIZE, close_writer
+from bramleybend.gateway.run import TornError
 
 MAX_HEADER_BYTES: Final = 16_384
 MAX_REQUEST_BYTES: Final = 4 * 1024 * 1024
@@ -90,6 +91,7 @@
         self._count_rejected = count_rejected
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.Task[None]] = set()
+        self.answering = 0  # requests that have come in and not gone out
 
     async def start(self, address: str, port: int) -> None:
         """Listen."""
@@ -108,6 +110,14 @@
             task.cancel()
         await asyncio.gather(*self._open, return_exceptions=True)
 
+    @contextmanager
+    def _answer_begun(self) -> Iterator[None]:
+        self.answering += 1
+        try:
+            yield
+        finally:
+            self.answering -= 1
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -116,10 +126,10 @@
         task = asyncio.current_task()
         assert task is not None
         self._open.add(task)
-        conn = Connection(reader, writer, self._handler)
+        conn = Connection(reader, writer, self._handler, self._answer_begun)
         try:
             await conn.serve(self._count_rejected)
-        except BROKEN:
+        except (*BROKEN, TornError):
             # The caller has gone; it will send the same id again.
             return
         finally:
@@ -136,11 +146,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         handler: Handler,
+        answering: Callable[[], AbstractContextManager[None]],
     ) -> None:
         """Take over an accepted connection."""
         self._reader = reader
         self._writer = writer
         self._handler = handler
+        self._answering = answering
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=MAX_HEADER_BYTES,
@@ -165,7 +177,8 @@
                 count_rejected()
                 await self._refuse(req)
                 return
-            await self._answer(await self._handled(req))
+            with self._answering():
+                await self._answer(await self._handled(req))
             if not self._next_cycle():
                 return
 
--- /dev/null
+++ b/bramleybend/gateway/intake.py
@@ -0,0 +1,165 @@
+"""Takes requests in, from callers and from other VMs' gateways."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Final
+
+from result import Err, Ok
+
+from bramleybend.answers import Answer, not_run, rejected
+from bramleybend.clock import Clock
+from bramleybend.events import EventLog
+from bramleybend.gateway.border import Received, check_headers
+from bramleybend.gateway.forwarding import Forwarder
+from bramleybend.gateway.home import Home
+from bramleybend.gateway.run import RequestBody, Run
+from bramleybend.gateway.view import ViewFollower
+from bramleybend.metrics import Metric, Metrics
+from bramleybend.models import JournalMode
+from bramleybend.state.tickets import RequestId, Ticket, parse_request_id
+
+STALE_RETRY_AFTER: Final = timedelta(seconds=2)
+DRAIN_RETRY_AFTER: Final = timedelta(seconds=1)
+MAX_OLD_HOMES: Final = 4
+
+
+@dataclass(frozen=True)
+class IntakeDeps:
+    """What intake works with."""
+
+    views: ViewFollower
+    forwarder: Forwarder
+    new_home: Callable[[], Home]
+    clock: Clock
+    events: EventLog
+    metrics: Metrics
+    terms_stale_after_s: float
+
+
+class Intake:
+    """Knows this VM's homes and decides where a request goes."""
+
+    def __init__(self, deps: IntakeDeps) -> None:
+        """Start with a fresh home."""
+        self.draining = False
+        self._deps = deps
+        self._homes: dict[str, Home] = {}
+        self._forwarding: set[asyncio.Task[None]] = set()
+        self._current = self._open_home()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new requests can be served."""
+        return not self.draining and self._not_fresh() is None
+
+    @property
+    def homes(self) -> tuple[Home, ...]:
+        """Every home of this process, the current one last."""
+        return tuple(self._homes.values())
+
+    @property
+    def in_flight(self) -> int:
+        """How many runs and forwards are under way."""
+        return len(self._forwarding) + sum(
+            len(home.working) for home in self._homes.values()
+        )
+
+    def ticket_for(self, profile: str) -> Ticket:
+        """Return a ticket for requests under a profile.
+
+        Its mark says whether the log is written to first, so a VM that later
+        reads the journal knows what a missing intent proves.
+        """
+        if self._current.journal.sealed:
+            self._current = self._open_home()
+        terms = self._deps.views.view.terms
+        named = terms.profiles.get(profile) if terms else None
+        return self._current.ticket(
+            intent_first=(
+                named is not None
+                and named.journal is JournalMode.BEFORE_DISPATCH
+            ),
+        )
+
+    def take(self, received: Received) -> Run | Answer:
+        """Take in a caller's request."""
+        match check_headers(received, self._deps.clock):
+            case Err(answer):
+                return answer
+            case Ok(req):
+                return self._route(req)
+        raise AssertionError(received)
+
+    def take_forwarded(self, req: RequestBody) -> Run | Answer | None:
+        """Take in what another VM passed on; None if its home is not here."""
+        match parse_request_id(req.request_id):
+            case Ok(request_id) if request_id.ticket.incarnation in self._homes:
+                return self._submit(request_id, req)
+        return None
+
+    def _route(self, req: RequestBody) -> Run | Answer:
+        match parse_request_id(req.request_id):
+            case Err(problem):
+                return rejected(problem.detail, problem.remedy)
+            case Ok(request_id):
+                if request_id.ticket.incarnation in self._homes:
+                    return self._submit(request_id, req)
+                return self._forward(request_id, req)
+        raise AssertionError(req)
+
+    def _submit(self, request_id: RequestId, req: RequestBody) -> Run | Answer:
+        home = self._homes[request_id.ticket.incarnation]
+        # Whether a known request may be answered does not depend on terms
+        # or on a planned stop: its answer is owed already.
+        if home.known(request_id) is None:
+            refusal = self._refusal(req)
+            if refusal is not None:
+                return refusal
+        terms = self._deps.views.view.terms
+        assert terms is not None
+        return home.submit(request_id, req, terms)
+
+    def _refusal(self, req: RequestBody) -> Answer | None:
+        if self.draining:
+            return not_run(
+                'this VM is stopping; ask another one for a ticket',
+                DRAIN_RETRY_AFTER,
+            )
+        if req.fingerprint in self._deps.views.view.refused:
+            self._deps.metrics.count(Metric.QUARANTINED)
+            return rejected(
+                'runners crashed while they ran this content',
+                'change the content; the same one will not be run again',
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+            )
+        return self._not_fresh()
+
+    def _not_fresh(self) -> Answer | None:
+        # A VM that was paused or cut off would admit work on terms that
+        # were replaced meanwhile, so it first waits for fresh word.
+        views = self._deps.views
+        stale = views.age_s > self._deps.terms_stale_after_s
+        if views.view.terms is None or stale:
+            return not_run(
+                'this VM has no fresh terms; try another address',
+                STALE_RETRY_AFTER,
+            )
+        return None
+
+    def _forward(self, request_id: RequestId, req: RequestBody) -> Run:
+        run = Run(req)
+        task = asyncio.create_task(self._deps.forwarder.follow(request_id, run))
+        self._forwarding.add(task)
+        task.add_done_callback(self._forwarding.discard)
+        return run
+
+    def _open_home(self) -> Home:
+        home = self._deps.new_home()
+        self._homes[home.incarnation] = home
+        if len(self._homes) > MAX_OLD_HOMES:
+            self._homes.pop(next(iter(self._homes)))
+        self._deps.events.record('home_opened', home=home.incarnation)
+        return home
--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -19,7 +19,7 @@
 from bramleybend.decisions.ownership import owners_of
 from bramleybend.errors import ErrorKind, Problem
 from bramleybend.events import EventLog
-from bramleybend.state.membership import Member
+from bramleybend.state.member import Member
 from bramleybend.wire.bramleybend_pb2 import (
     Adopt,
     AskMessage,
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -14,11 +14,11 @@
 
 from bramleybend.clock import Clock
 from bramleybend.declarations import parse_terms
-from bramleybend.decisions.routing import ShardView
+from bramleybend.decisions.actions import ShardView
 from bramleybend.events import EventLog
 from bramleybend.identity import Identity
 from bramleybend.models import Terms
-from bramleybend.state.membership import Member, MemberState
+from bramleybend.state.member import Member, MemberState
 from bramleybend.wire.bramleybend_pb2 import (
     Header,
     MemberRecord,
@@ -42,7 +42,7 @@
     members: tuple[Member, ...] = ()
     shards: tuple[ShardView, ...] = ()
     endpoints: dict[str, str] = field(default_factory=dict)
-    suspects: dict[str, int] = field(default_factory=dict)
+    refused: frozenset[str] = frozenset()  # fingerprints
     heard_at: float = float('-inf')
 
 
@@ -134,11 +134,11 @@
             endpoints={
                 record.name: record.endpoint for record in reply.runners
             },
-            suspects={
-                record.fingerprint: record.crashes
+            refused=frozenset(
+                record.fingerprint
                 for record in reply.suspects
-                if not record.cleared
-            },
+                if record.refused
+            ),
             heard_at=asked_at - reply.age_s,
         )
 
--- a/bramleybend/models.py
+++ b/bramleybend/models.py
@@ -122,5 +122,6 @@
     prefixes: tuple[str, ...]  # hashes of growing prompt prefixes
     deadline: float  # on the deciding process's monotonic clock, seconds
     cancellable: bool
+    fingerprint: str = ''  # equal for equal content
     suspect: bool = False  # its content was in flight when a runner crashed
     excluded: frozenset[str] = field(default_factory=frozenset)
--- /dev/null
+++ b/bramleybend/scheduler/core.py
@@ -0,0 +1,256 @@
+"""Builds a scheduler from its parts, runs it and stops it."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any, Final
+
+import grpc
+
+from bramleybend.clients.http_log import make_http_log
+from bramleybend.clients.http_vm_list import make_http_vm_list
+from bramleybend.clock import Clock
+from bramleybend.control import ControlService
+from bramleybend.decisions.actions import ShardView
+from bramleybend.decisions.ownership import owners_of
+from bramleybend.decisions.quarantine import CrashBook
+from bramleybend.events import EventLog
+from bramleybend.identity import Identity, make_identity
+from bramleybend.metrics import Metric, make_metrics
+from bramleybend.models import Tier
+from bramleybend.scheduler.list_watch import ListWatch
+from bramleybend.scheduler.owner_service import OwnerService
+from bramleybend.scheduler.peers import Peers, make_peers
+from bramleybend.scheduler.shard_task import ShardDeps
+from bramleybend.scheduler.shards import ShardTable, Surroundings
+from bramleybend.scheduler.view_service import ViewService, ViewSources
+from bramleybend.settings import Settings
+from bramleybend.state.terms_follower import FollowerPort, TermsFollower
+from bramleybend.wire.bramleybend_pb2_grpc import (
+    add_ControlServicer_to_server,
+    add_LocalServicer_to_server,
+    add_OwnerServicer_to_server,
+)
+from bramleybend.wire.channels import SERVER_OPTIONS, Channels
+
+# Gateways hear of the leaving owner within one view, 0.5 s; asks that come
+# later are still served, and their runs registered with the next owner.
+LEAVE_S: Final = 2.0
+LEAVE_POLL_S: Final = 0.05
+GAUGE_INTERVAL_S: Final = 1.0
+GRPC_GRACE_S: Final = 0.5
+
+
+class Scheduler:
+    """One scheduler process."""
+
+    def __init__(self, cfg: Settings, identity: Identity, clock: Clock) -> None:
+        """Wire the parts; nothing runs yet."""
+        self.stopping = asyncio.Event()
+        self.identity = identity
+        self.events = EventLog('scheduler', identity.incarnation, clock)
+        self._cfg = cfg
+        self._clock = clock
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._channels = Channels()
+        self._metrics = make_metrics(cfg.statsd, cfg.vm)
+        self.crashes = CrashBook()
+        self.listed = ListWatch(
+            make_http_vm_list(cfg.vm_list),
+            cfg.list_poll_s,
+            clock,
+            self.events,
+            self._metrics,
+        )
+        self.terms = self._make_terms()
+        self.shards = self._make_shards()
+        self.peers: Peers
+        self._grpc: grpc.aio.Server
+
+    async def start(self) -> None:
+        """Listen, and follow list, terms and peers."""
+        self.peers = make_peers(self, self._channels, self._clock)
+        self._grpc = grpc.aio.server(options=SERVER_OPTIONS)
+        add_OwnerServicer_to_server(
+            OwnerService(self.shards, self._clock),
+            self._grpc,
+        )
+        add_LocalServicer_to_server(
+            ViewService(self._view_sources()),
+            self._grpc,
+        )
+        add_ControlServicer_to_server(
+            ControlService(SchedulerProcess(self), self.events),
+            self._grpc,
+        )
+        self.peers.serve(self._grpc)
+        self._grpc.add_insecure_port(
+            f'{self._cfg.address}:{self._cfg.scheduler_port}',
+        )
+        await self._grpc.start()
+        for work in (
+            self.listed.watch(),
+            self.terms.follow(),
+            self.peers.follow(),
+            self.shards.watch(),
+            self._send_gauges(),
+        ):
+            self._spawn(work)
+        self.events.record('started', vm=self._cfg.vm)
+
+    async def stop(self) -> None:
+        """Hand every shard on, then leave."""
+        self.events.record('draining')
+        self.peers.leave()
+        deadline = self._clock.monotonic() + LEAVE_S
+        while self._clock.monotonic() < deadline:
+            await asyncio.sleep(LEAVE_POLL_S)
+        self.shards.release()
+        await asyncio.sleep(LEAVE_POLL_S)
+        for task in self._tasks:
+            task.cancel()
+        await self._grpc.stop(GRPC_GRACE_S)
+        await self._channels.close()
+        self.events.record('stopped')
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def _make_terms(self) -> TermsFollower:
+        return TermsFollower(
+            FollowerPort(
+                make_http_log(self._cfg.log_service),
+                lambda: self.peers.fetch_terms(),
+                self._is_renewer,
+            ),
+            self._clock,
+            self.events,
+            self._metrics,
+        )
+
+    def _make_shards(self) -> ShardTable:
+        return ShardTable(
+            Surroundings(
+                lambda: self.terms.terms,
+                lambda: self.listed.runners,
+                lambda: self.peers.alive(),
+                self.identity.incarnation,
+            ),
+            ShardDeps(
+                self._clock,
+                self.events,
+                self._metrics,
+                self.crashes,
+            ),
+            Random(),
+        )
+
+    def _view_sources(self) -> ViewSources:
+        return ViewSources(
+            self.terms,
+            lambda: self.peers.alive(),
+            lambda: self.listed.runners,
+            self.known_loads,
+            self.peers.suspects,
+            lambda: self.terms.age_s,
+        )
+
+    def known_loads(self) -> list[ShardView]:
+        """Return the load of every shard: own, heard of, or unknown."""
+        own = {(each.service, each.shard): each for each in self.shards.loads()}
+        heard = self.peers.loads()
+        terms = self.terms.terms
+        if terms is None:
+            return []
+        return [
+            own.get((service.name, shard))
+            or heard.get((service.name, shard))
+            or ShardView(service.name, shard, 0, 0, 0, 0)
+            for service in terms.services.values()
+            for shard in range(service.shards)
+        ]
+
+    def _is_renewer(self) -> bool:
+        ranked = owners_of('terms', 0, self.peers.alive())
+        return bool(ranked) and (
+            ranked[0].incarnation == self.identity.incarnation
+        )
+
+    async def _send_gauges(self) -> None:
+        while True:
+            await asyncio.sleep(GAUGE_INTERVAL_S)
+            self._metrics.gauge(Metric.TERMS_VERSION, self.terms.version)
+            self._metrics.gauge(Metric.MEMBERS, len(self.peers.alive()))
+
+
+class SchedulerProcess:
+    """What operators may ask of a scheduler."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        """Report on this scheduler."""
+        self._scheduler = scheduler
+
+    def status(self) -> dict[str, object]:
+        """Return the fields of docs/operators/CTL.md."""
+        scheduler = self._scheduler
+        return {
+            'process': 'scheduler',
+            'vm': scheduler.identity.vm,
+            'incarnation': scheduler.identity.incarnation,
+            'domain': scheduler.identity.domain,
+            'terms_version': scheduler.terms.version,
+            'terms_age_s': scheduler.terms.age_s,
+            'log_ok': scheduler.terms.log_ok,
+            'list_ok': scheduler.listed.ok,
+            'draining': scheduler.stopping.is_set(),
+            'members': [
+                {
+                    'vm': member.vm,
+                    'address': member.address,
+                    'domain': member.domain,
+                    'state': member.state,
+                }
+                for member in scheduler.peers.known()
+            ],
+            'shards': [
+                {
+                    'service': view.service,
+                    'shard': view.shard,
+                    'owner': scheduler.identity.vm,
+                    'running': view.running,
+                    'waiting': view.waiting,
+                    'limit': view.limit,
+                }
+                for view in scheduler.shards.loads()
+            ],
+            'runners': [
+                {
+                    'name': vm.name,
+                    'endpoint': vm.endpoint,
+                    'service': vm.service,
+                    'state': vm.state,
+                }
+                for vm in scheduler.listed.runners
+            ],
+            'queues': self._queues(),
+            'in_flight': sum(
+                len(task.holds) for task in scheduler.shards.tasks
+            ),
+        }
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        self._scheduler.stopping.set()
+
+    def _queues(self) -> dict[str, int]:
+        waiting = dict.fromkeys((str(int(tier)) for tier in Tier), 0)
+        for task in self._scheduler.shards.tasks:
+            for hold in task.waiting():
+                waiting[str(int(hold.tier))] += 1
+        return waiting
+
+
+def make_scheduler(cfg: Settings, clock: Clock) -> Scheduler:
+    """Build a scheduler; it gets a new incarnation with every start."""
+    identity = make_identity(cfg.vm, cfg.domain, str(cfg.address))
+    return Scheduler(cfg, identity, clock)
--- a/bramleybend/scheduler/messages.py
+++ b/bramleybend/scheduler/messages.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from bramleybend.decisions.owner import RunReport
+from bramleybend.decisions.actions import RunReport
 from bramleybend.models import Ask, Tier, Vm
 from bramleybend.wire.bramleybend_pb2 import HoldReply
 
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -7,7 +7,7 @@
 import grpc
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.owner import RunReport
+from bramleybend.decisions.actions import RunReport
 from bramleybend.models import Ask, Tier
 from bramleybend.scheduler.messages import (
     Adopted,
--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -10,12 +10,14 @@
 from typing import Final, assert_never
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.owner import (
+from bramleybend.decisions.actions import (
     Action,
     Grant,
     Preempt,
     Refuse,
     RunnerInfo,
+)
+from bramleybend.decisions.owner import (
     ShardPolicy,
 )
 from bramleybend.decisions.quarantine import CrashBook
@@ -79,6 +81,12 @@
         """Hand a message over; it is taken in order."""
         self._inbox.put_nowait(message)
 
+    def waiting(self) -> list[HoldChannel]:
+        """Return the holds that have no runner yet."""
+        return [
+            hold for key, hold in self.holds.items() if key not in self._where
+        ]
+
     async def work(self) -> None:
         """Take messages until cancelled."""
         while True:
@@ -251,7 +259,11 @@
         )
         hold.outbox.put_nowait(None)
         self.holds.pop(hold.key, None)
-        self._deps.metrics.count(Metric.REFUSED, tier=int(hold.tier))
+        self._deps.metrics.count(
+            Metric.REFUSED,
+            reason=reason,
+            tier=int(hold.tier),
+        )
         self._note('refuse', hold, reason=reason)
 
     def _note(self, event: str, hold: HoldChannel, **fields: object) -> None:
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -9,11 +9,16 @@
 from bramleybend.decisions.floor import ADOPTION_GRACE_S
 from bramleybend.decisions.owner import make_shard_policy
 from bramleybend.decisions.ownership import owners_of, shard_of
-from bramleybend.decisions.routing import ShardView
-from bramleybend.models import Service, Terms, Vm
-from bramleybend.scheduler.messages import OwnershipMoved, RunnersListed
+from bramleybend.decisions.actions import ShardView
+from bramleybend.decisions.quarantine import Verdict
+from bramleybend.models import Service, Terms, Tier, Vm
+from bramleybend.scheduler.messages import (
+    FloorAsked,
+    OwnershipMoved,
+    RunnersListed,
+)
 from bramleybend.scheduler.shard_task import ShardDeps, ShardTask
-from bramleybend.state.membership import Member
+from bramleybend.state.member import Member
 
 # A shard whose owner has just moved here is asked about by gateways before
 # the next look at the list; it must not refuse them for want of runners.
@@ -76,10 +81,9 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Whether this content was in flight when a runner crashed."""
-        return bool(fingerprint) and self._deps.crashes.is_suspect(
-            fingerprint,
-            self._deps.clock.monotonic(),
-        )
+        now = self._deps.clock.monotonic()
+        verdict = self._deps.crashes.verdict(fingerprint, now)
+        return verdict is not Verdict.CLEAR
 
     async def watch(self) -> None:
         """Follow list, terms and members until cancelled."""
@@ -153,6 +157,12 @@
         if key not in self._tasks:
             self._create(service, shard)
         self._owned_since[key] = self._deps.clock.monotonic()
+        # The last owner's floors are not known here, so for as long as they
+        # may stand nothing but the highest tier is started.
+        unread: asyncio.Future[int] = asyncio.Future()
+        self._tasks[key].post(
+            FloorAsked(min(Tier), ADOPTION_GRACE_S, unread),
+        )
         self._deps.events.record(
             'shard_owned',
             service=service.name,
--- a/bramleybend/scheduler/view_service.py
+++ b/bramleybend/scheduler/view_service.py
@@ -6,9 +6,9 @@
 
 import grpc
 
-from bramleybend.decisions.routing import ShardView
+from bramleybend.decisions.actions import ShardView
 from bramleybend.models import Vm
-from bramleybend.state.membership import Member
+from bramleybend.state.member import Member
 from bramleybend.state.terms_follower import TermsFollower
 from bramleybend.wire.bramleybend_pb2 import (
     MemberRecord,
