--- a/bramleybend/cli/serving.py
+++ b/bramleybend/cli/serving.py
@@ -78,5 +78,3 @@
     await server.stopping.wait()
     await server.stop()
     return ExitStatus.OK
-
-
--- a/bramleybend/control.py
+++ b/bramleybend/control.py
@@ -3,8 +3,6 @@
 import json
 from typing import Protocol
 
-import grpc
-
 from bramleybend.events import EventLog
 from bramleybend.wire.bramleybend_pb2 import (
     DrainReply,
@@ -15,6 +13,7 @@
     StatusRequest,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import ControlServicer
+from bramleybend.wire.check import Context
 
 
 class Process(Protocol):
@@ -38,7 +37,7 @@
     async def Status(  # noqa: N802
         self,
         request: StatusRequest,
-        context: grpc.aio.ServicerContext,
+        context: Context,
     ) -> StatusReply:
         """Say how the process stands."""
         status = self._process.status()
@@ -47,7 +46,7 @@
     async def Explain(  # noqa: N802
         self,
         request: ExplainRequest,
-        context: grpc.aio.ServicerContext,
+        context: Context,
     ) -> ExplainReply:
         """Return the kept events of one request."""
         return ExplainReply(events=self._events.of_request(request.request_id))
@@ -55,7 +54,7 @@
     async def Drain(  # noqa: N802
         self,
         request: DrainRequest,
-        context: grpc.aio.ServicerContext,
+        context: Context,
     ) -> DrainReply:
         """Begin a planned stop."""
         self._process.drain()
--- a/bramleybend/gateway/ask.py
+++ b/bramleybend/gateway/ask.py
@@ -46,7 +46,7 @@
     for start in range(
         0, min(whole, MAX_PREFIXES * PREFIX_CHARS), PREFIX_CHARS
     ):
-        hasher.update(prompt[start : start + PREFIX_CHARS])
+        hasher.update(prompt[start : start + PREFIX_CHARS].encode())
         prefixes.append(hasher.hexdigest())
     return tuple(prefixes)
 
--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -235,7 +235,7 @@
             'terms_age_s': gateway.views.age_s,
             'draining': gateway.intake.draining,
             'in_flight': gateway.intake.in_flight,
-            'log_ok': all(h.journal.log_ok for h in gateway.intake.homes),
+            'log_ok': all(home.journal.log_ok for home in gateway.intake.homes),
         }
 
     def drain(self) -> None:
--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -204,9 +204,8 @@
                 return proceeding.result()
             return await self._stop(job, attempt, proceeding)
         finally:
-            proceeding.cancel()
-            preempted.cancel()
-            abandoned.cancel()
+            for task in (proceeding, preempted, abandoned):
+                task.cancel()
 
     async def _stop(
         self,
--- a/bramleybend/gateway/forwarding.py
+++ b/bramleybend/gateway/forwarding.py
@@ -28,7 +28,7 @@
 )
 from bramleybend.wire.bramleybend_pb2_grpc import HomeServicer, HomeStub
 from bramleybend.wire.channels import Channels
-from bramleybend.wire.check import refuse_other_protocol
+from bramleybend.wire.check import Context, refuse_other_protocol
 
 FIRST_WORD_S: Final = 2.0
 STRANGER: Final = grpc.StatusCode.NOT_FOUND
@@ -132,7 +132,7 @@
     async def Forward(  # noqa: N802
         self,
         request: ForwardRequest,
-        context: grpc.aio.ServicerContext,
+        context: Context,
     ) -> AsyncIterator[ForwardReply]:
         """Run or join a request and pass its answer on as it grows."""
         await refuse_other_protocol(request.header, context)
--- a/bramleybend/gateway/http_server.py
+++ b/bramleybend/gateway/http_server.py
@@ -7,7 +7,13 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    Mapping,
+)
 from contextlib import AbstractContextManager, contextmanager, suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -24,6 +30,7 @@
 # Long enough for a slow link, short enough that half-sent requests can't
 # collect: at 200 connections a second they stay under 6,000 open sockets.
 READ_TIMEOUT_S: Final = 30.0
+LOST: Final = (*BROKEN, TornError)
 JSON_TYPE: Final = 'application/json'
 EVENT_TYPE: Final = 'text/event-stream'
 OUTCOME_HEADER: Final = 'Bramleybend-Outcome'
@@ -129,7 +136,7 @@
         conn = Connection(reader, writer, self._handler, self._answer_begun)
         try:
             await conn.serve(self._count_rejected)
-        except (*BROKEN, TornError):
+        except LOST:
             # The caller has gone; it will send the same id again.
             return
         finally:
@@ -160,19 +167,7 @@
 
     async def serve(self, count_rejected: Callable[[], None]) -> None:
         """Answer requests until either side closes."""
-        while True:
-            try:
-                req = await self._read_request()
-            except h11.RemoteProtocolError as exc:
-                count_rejected()
-                await self._refuse(_malformed(exc))
-                return
-            except TimeoutError:
-                count_rejected()
-                await self._refuse(_half_sent())
-                return
-            if req is None:
-                return
+        while (req := await self._checked_request()) is not None:
             if isinstance(req, Answer):
                 count_rejected()
                 await self._refuse(req)
@@ -184,57 +179,76 @@
 
     async def _handled(self, req: HttpRequest) -> HttpAnswer:
         """Answer while watching whether the caller is still there."""
+        # Without the watch, a caller that hung up would be noticed only when
+        # its answer is written, after a runner has done the work for nobody.
         handling = asyncio.ensure_future(self._handler(req))
-        leaving = asyncio.create_task(self._reader.read(1))
+        watching = asyncio.create_task(self._reader.read(READ_SIZE))
         try:
             await asyncio.wait(
-                (handling, leaving),
+                (handling, watching),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if handling.done():
-                return handling.result()
-            if leaving.done() and not leaving.result():
-                handling.cancel()
-                raise ConnectionResetError('the caller has gone')
-            self._http.receive_data(leaving.result())
+            if watching.done():
+                self._take_early(watching.result())
             return await handling
         finally:
-            if not leaving.done():
-                leaving.cancel()
-                with suppress(asyncio.CancelledError):
-                    await leaving
-            elif handling.done() and leaving.result():
-                self._http.receive_data(leaving.result())
+            handling.cancel()
+            await self._stop_watching(watching)
+
+    async def _stop_watching(self, watching: asyncio.Task[bytes]) -> None:
+        # Two reads on one stream are an error, so the watch must be over
+        # before the next request is read.
+        watching.cancel()
+        with suppress(asyncio.CancelledError, OSError):
+            await watching
+
+    def _take_early(self, early: bytes) -> None:
+        if not early:
+            raise ConnectionResetError('the caller has gone')
+        self._http.receive_data(early)
+
+    async def _checked_request(self) -> HttpRequest | Answer | None:
+        try:
+            return await self._read_request()
+        except h11.RemoteProtocolError as exc:
+            return _malformed(exc)
+        except TimeoutError:
+            return _half_sent()
 
     async def _read_request(self) -> HttpRequest | Answer | None:
         async with asyncio.timeout(READ_TIMEOUT_S):
             head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
-            parts: list[bytes] = []
-            size = 0
-            event = await self._next_event()
-            while isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > MAX_REQUEST_BYTES:
-                    return _oversized()
-                event = await self._next_event()
-            return HttpRequest(
-                head.method.decode(),
-                head.target.decode('latin-1'),
-                {
-                    name.decode(): text.decode('latin-1').strip()
-                    for name, text in head.headers
-                },
-                b''.join(parts),
-            )
+            body = await self._read_body()
+        if isinstance(body, Answer):
+            return body
+        headers = {
+            name.decode(): text.decode('latin-1').strip()
+            for name, text in head.headers
+        }
+        return HttpRequest(
+            head.method.decode(),
+            head.target.decode('latin-1'),
+            headers,
+            body,
+        )
+
+    async def _read_body(self) -> bytes | Answer:
+        parts: list[bytes] = []
+        size = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > MAX_REQUEST_BYTES:
+                return _oversized()
+        return b''.join(parts)
 
     async def _next_event(self) -> object:
         event = self._http.next_event()
         while event is h11.NEED_DATA:
             if self._http.they_are_waiting_for_100_continue:
-                go_on = h11.InformationalResponse(status_code=100, headers=())
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
                 self._writer.write(self._http.send(go_on) or b'')
             self._http.receive_data(await self._reader.read(READ_SIZE))
             event = self._http.next_event()
--- a/bramleybend/gateway/intake.py
+++ b/bramleybend/gateway/intake.py
@@ -95,9 +95,9 @@
 
     def take_forwarded(self, req: RequestBody) -> Run | Answer | None:
         """Take in what another VM passed on; None if its home is not here."""
-        match parse_request_id(req.request_id):
-            case Ok(request_id) if request_id.ticket.incarnation in self._homes:
-                return self._submit(request_id, req)
+        request_id = parse_request_id(req.request_id).ok()
+        if request_id and request_id.ticket.incarnation in self._homes:
+            return self._submit(request_id, req)
         return None
 
     def _route(self, req: RequestBody) -> Run | Answer:
--- a/bramleybend/gateway/journal.py
+++ b/bramleybend/gateway/journal.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import Final
 
 from result import Err, Ok
@@ -30,7 +29,6 @@
 # A log outage must not fill the memory: 20,000 records of 200 bytes are
 # 4 MB, and what is dropped only turns a later answer into `unknown`.
 MAX_BEHIND: Final = 20_000
-READ_WAIT: Final = timedelta(0)
 
 
 @dataclass(frozen=True)
@@ -156,18 +154,15 @@
         # dispatch after another VM had sealed the stream and answered
         # `not_run`. A right counts only from before the first seal.
         rights: frozenset[str] = frozenset()
-        while True:
-            batch = await self._log.read(
-                self._stream,
-                self.journal.next_offset,
-                wait=READ_WAIT,
+        at_tail = False
+        while not at_tail:
+            read = (
+                await self._log.read(self._stream, self.journal.next_offset)
+            ).ok()
+            if read is None:
+                return rights
+            rights |= self.journal.read(read.records)
+            at_tail = (
+                not read.records or self.journal.next_offset >= read.next_offset
             )
-            match batch:
-                case Err():
-                    return rights
-                case Ok(read):
-                    rights |= self.journal.read(read.records)
-                    if not read.records or (
-                        self.journal.next_offset >= read.next_offset
-                    ):
-                        return rights
+        return rights
--- a/bramleybend/gateway/lost_home.py
+++ b/bramleybend/gateway/lost_home.py
@@ -10,8 +10,6 @@
 from http import HTTPStatus
 from typing import Final
 
-from result import Err, Ok
-
 from bramleybend.answers import Answer, Outcome, not_run, unknown
 from bramleybend.clients.log_service import LogService
 from bramleybend.events import EventLog
@@ -87,15 +85,12 @@
         """Read the journal to its tail."""
         stream = stream_of(request_id.ticket.incarnation)
         while True:
-            match await self._log.read(stream, view.next_offset):
-                case Err():
-                    return False
-                case Ok(batch):
-                    view.add(batch.records)
-                    if view.next_offset >= batch.next_offset:
-                        return True
-                    if not batch.records:
-                        return False
+            batch = (await self._log.read(stream, view.next_offset)).ok()
+            if batch is None:
+                return False
+            view.add(batch.records)
+            if not batch.records:
+                return view.next_offset >= batch.next_offset
 
     async def _seal(self, request_id: RequestId) -> bool:
         stream = stream_of(request_id.ticket.incarnation)
--- a/bramleybend/gateway/routes.py
+++ b/bramleybend/gateway/routes.py
@@ -21,7 +21,8 @@
 from bramleybend.gateway.intake import Intake
 from bramleybend.gateway.run import Run
 
-KEEP_FOR: Final = timedelta(seconds=30)
+KEEP_FOR: Final = timedelta(minutes=0.5)
+SHOWN: Final = 64  # characters of a wrong path that an answer repeats
 MAX_ADDRESSES: Final = 6
 RETRY_AFTER: Final = timedelta(seconds=1)
 
@@ -50,7 +51,7 @@
                 return await self._request(req)
         return answer_of(
             rejected(
-                f'there is no {req.method} {parts.path[:64]}',
+                f'there is no {req.method} {parts.path[:SHOWN]}',
                 'use GET /v1/address or POST /v1/requests',
                 HTTPStatus.NOT_FOUND,
             ),
@@ -61,11 +62,13 @@
         if not self._intake.ready:
             return self._go_elsewhere(addresses)
         profile = parse_qs(query).get('profile', [''])[0]
-        return _json({
-            'addresses': addresses,
-            'ticket': str(self._intake.ticket_for(profile)),
-            'keep_for_s': KEEP_FOR.total_seconds(),
-        })
+        return _json(
+            {
+                'addresses': addresses,
+                'ticket': str(self._intake.ticket_for(profile)),
+                'keep_for_s': KEEP_FOR.total_seconds(),
+            }
+        )
 
     def _go_elsewhere(self, addresses: list[str]) -> HttpAnswer:
         answer = not_run('this VM takes no new requests', RETRY_AFTER)
--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeAlias
 
 import grpc
 from result import Err, Ok, Result
@@ -41,8 +41,8 @@
 ADOPT_RETRY_S: Final = 0.3
 LAST_CALL_TIMEOUT_S: Final = 1.0
 
-Hold = grpc.aio.StreamStreamCall
-Members = Callable[[], Sequence[Member]]
+Hold: TypeAlias = grpc.aio.StreamStreamCall[HoldRequest, HoldReply]
+Members: TypeAlias = Callable[[], Sequence[Member]]
 
 
 @dataclass(frozen=True)
@@ -189,7 +189,8 @@
 
     async def _opened(self, owner: Member, first: HoldRequest) -> Hold | None:
         endpoint = f'{owner.address}:{self._port.port}'
-        call = OwnerStub(self._port.channels.get(endpoint)).Hold()
+        stub = OwnerStub(self._port.channels.get(endpoint))
+        call: Hold = stub.Hold()
         first.header.CopyFrom(self._port.header())
         try:
             async with asyncio.timeout(ACK_TIMEOUT_S):
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -28,7 +28,7 @@
     HoldRequest,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import OwnerServicer
-from bramleybend.wire.check import refuse_other_protocol
+from bramleybend.wire.check import Context, refuse_other_protocol
 
 
 class OwnerService(OwnerServicer):
@@ -43,7 +43,7 @@
     async def Hold(  # noqa: N802
         self,
         request_iterator: AsyncIterator[HoldRequest],
-        context: grpc.aio.ServicerContext,
+        context: Context,
     ) -> AsyncIterator[HoldReply]:
         """Serve one request's stream, from its ask to its end."""
         first = await anext(aiter(request_iterator))
@@ -69,7 +69,7 @@
     async def SetFloor(  # noqa: N802
         self,
         request: FloorRequest,
-        context: grpc.aio.ServicerContext,
+        context: Context,
     ) -> FloorReply:
         """Start nothing lower for a while and say what runs below."""
         await refuse_other_protocol(request.header, context)
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -141,8 +141,9 @@
                 service=service.name,
                 shard=shard,
             )
-        if key in self._tasks:
-            self._hand_out(self._tasks[key], service)
+        task = self._tasks.get(key)
+        if task is not None:
+            self._hand_out(task, service)
 
     def _is_owner(self, service: str, shard: int) -> bool:
         ranked = owners_of(service, shard, self._around.members())
--- a/bramleybend/scheduler/view_service.py
+++ b/bramleybend/scheduler/view_service.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-import grpc
-
 from bramleybend.decisions.actions import ShardView
 from bramleybend.models import Vm
 from bramleybend.state.member import Member
@@ -19,7 +17,7 @@
     ViewRequest,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import LocalServicer
-from bramleybend.wire.check import refuse_other_protocol
+from bramleybend.wire.check import Context, refuse_other_protocol
 
 
 @dataclass(frozen=True)
@@ -44,7 +42,7 @@
     async def View(  # noqa: N802
         self,
         request: ViewRequest,
-        context: grpc.aio.ServicerContext,
+        context: Context,
     ) -> ViewReply:
         """Return the view, with the document only if it is news."""
         await refuse_other_protocol(request.header, context)
--- a/bramleybend/wire/channels.py
+++ b/bramleybend/wire/channels.py
@@ -7,7 +7,7 @@
 
 PROTOCOL: Final = 1
 MAX_CHANNELS: Final = 64
-MAX_MESSAGE: Final = 2**25  # bytes; a whole document of terms fits
+MAX_MESSAGE: Final = 33_554_432  # bytes; any document of terms fits
 
 # A cut link gives no error by itself: a stream would stay open for minutes
 # and a gateway would wait on an owner it can't reach. Pings close it after
--- a/bramleybend/wire/check.py
+++ b/bramleybend/wire/check.py
@@ -1,14 +1,18 @@
 """Refuses peers that speak another version of the wire messages."""
 
+from typing import Any, TypeAlias
+
 import grpc
 
 from bramleybend.wire.bramleybend_pb2 import Header
 from bramleybend.wire.channels import PROTOCOL
 
+Context: TypeAlias = grpc.aio.ServicerContext[Any, Any]
+
 
 async def refuse_other_protocol(
     header: Header,
-    context: grpc.aio.ServicerContext,
+    context: Context,
 ) -> None:
     """End the call with a remedy if the sender's protocol is not ours."""
     # A message of another version may lack fields whose default means
