--- a/bramleybend/decisions/cache_view.py
+++ b/bramleybend/decisions/cache_view.py
@@ -14,6 +14,8 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
+from bramleybend.decisions.prefixes import prefix_tokens
+
 KEPT_PREFIXES = 512
 EVENT_LAG_S = 5.0
 MISSED = 0.5  # of the tokens expected cached; below it the view was wrong
@@ -41,7 +43,7 @@
             if prefix not in self._sent:
                 break
             held += 1
-        return tokens * held // len(prefixes) if prefixes else 0
+        return min(prefix_tokens(held - 1), tokens) if held else 0
 
     def found(
         self,
--- a/bramleybend/decisions/learning.py
+++ b/bramleybend/decisions/learning.py
@@ -3,7 +3,7 @@
 from math import isfinite
 
 from bramleybend.decisions.actions import RunReport
-from bramleybend.decisions.runs import Run, work_of
+from bramleybend.decisions.runs import Run, Runner, work_of
 from bramleybend.decisions.shard import Shard
 
 DONE = 'done'
@@ -23,6 +23,24 @@
         runner.cache.clear()
 
 
+def learn_first_token(
+    shard: Shard,
+    run: Run,
+    prefill_tokens: int,
+    now: float,
+) -> None:
+    """Take in a finished prefill; a second report of it changes nothing."""
+    if run.first_token_at is not None:
+        return
+    run.first_token_at = now
+    run.prefill_tokens = prefill_tokens
+    runner = shard.pool.get(run.runner)
+    if runner is not None:
+        runner.streams.add(run.ask.request_id)
+        runner.speed.prefilled(prefill_tokens, now - run.started)
+        runner.limit.streaming(len(runner.streams), len(runner.in_flight))
+
+
 def _learn_work(shard: Shard, run: Run, report: RunReport, now: float) -> None:
     work = work_of(
         report.prompt_tokens,
@@ -33,11 +51,24 @@
     shard.queue.charge(run.ask, served)
     shard.drain.finished(run.ask.cost, now)
     runner = shard.pool.get(run.runner)
-    # A report from the future would make the runner look fast for ever.
+    # A report from the future would make the runner look slow for long.
     if runner is not None and _plausible(report.seconds, now - run.started):
-        in_flight = len(runner.in_flight)
-        runner.speed.completed(work, report.seconds)
-        runner.limit.completed(work, report.seconds, in_flight)
+        _learn_pace(runner, run, report, work)
+        runner.limit.completed(len(runner.in_flight))
+
+
+def _learn_pace(
+    runner: Runner,
+    run: Run,
+    report: RunReport,
+    work: float,
+) -> None:
+    if run.first_token_at is None:
+        runner.speed.ended(work, report.seconds)
+        return
+    filling = run.first_token_at - run.started
+    decode = work_of(0, 0, report.completion_tokens)
+    runner.speed.decoded(decode, report.seconds - filling)
 
 
 def _plausible(seconds: float, passed: float) -> bool:
--- a/bramleybend/decisions/limits.py
+++ b/bramleybend/decisions/limits.py
@@ -5,31 +5,23 @@
 Without it: the whole queue is poured into the engines, which admit in order
 of arrival; tiers, fairness and deadlines then have nothing left to order.
 
-The limit is learned from own completions only. Over a round of completions
-the pace (seconds per unit of work) is compared with the best pace seen. The
-part of the limit that only waits inside the runner is
-`limit * (1 - best / pace)`, as in TCP Vegas.
+The limit is learned from own runs only: how many were past their first token
+at once. An engine with a full batch starts no further stream until one ends,
+so the peak never passes its true batch; and while one prompt is being filled
+the engine is busy, so one run more than the peak is enough. A round in which
+the peak reached the limit raises it by one; a lower peak lowers it. A runner
+that sends no first tokens keeps the declared limit, lowered by refusals.
 """
 
-from dataclasses import dataclass
+from math import ceil
 
-ROUND = 8  # completions that one comparison needs at least
-FEW_WAITING = 0.15  # of the limit: below it, room is left
-MANY_WAITING = 0.35  # of the limit: above it, the runner is overcommitted
+ROUND = 6  # completions between two changes
+SPARE = 1  # runs beyond the peak of streams: the prompt being filled
+STEP_DOWN = 0.8  # of the limit, at most, in one round
 BACK_OFF = 0.85
-BUSY = 0.8  # a limit that was not nearly reached says nothing about more
-BEST_DRIFT = 1.02  # lets the best pace be forgotten when a runner changes
 LARGEST_GROWTH = 8
 
 
-@dataclass
-class _Round:
-    completions: int = 0
-    seconds: float = 0
-    work: float = 0
-    in_flight: int = 0
-
-
 class ConcurrencyLimit:
     """One runner's limit."""
 
@@ -37,41 +29,48 @@
         """Trust the runner with `start` requests at first."""
         self._start = max(start, 1)
         self._learn = learn
-        self._limit = float(self._start)
-        self._best: float | None = None
-        self._round = _Round()
+        self._limit = self._start
+        self._completions = 0
+        self._peak = 0
+        self._was_full = False
 
     @property
     def value(self) -> int:
-        """The limit as a whole number, at least one."""
-        return max(int(self._limit), 1)
+        """The limit, at least one."""
+        return self._limit
+
+    def streaming(self, streams: int, in_flight: int) -> None:
+        """Note how many runs are past their first token."""
+        self._peak = max(self._peak, streams)
+        self._note_full(in_flight)
 
-    def completed(self, work: float, seconds: float, in_flight: int) -> None:
+    def completed(self, in_flight: int) -> None:
         """Learn from a run that ended well."""
-        if not self._learn or work <= 0 or seconds <= 0:
-            return
-        current = self._round
-        current.completions += 1
-        current.work += work
-        current.seconds += seconds
-        current.in_flight = max(current.in_flight, in_flight)
-        if current.completions >= max(ROUND, self._limit):
+        self._note_full(in_flight)
+        self._completions += 1
+        if self._completions >= ROUND:
             self._close_round()
 
     def refused(self) -> None:
         """Learn from a request that the runner did not admit."""
         if self._learn:
-            self._limit = max(self._limit * BACK_OFF, 1)
+            self._limit = max(int(self._limit * BACK_OFF), 1)
+
+    def _note_full(self, in_flight: int) -> None:
+        # A limit that was not reached says nothing about the runner.
+        self._was_full = self._was_full or in_flight >= self._limit
 
     def _close_round(self) -> None:
-        done = self._round
-        self._round = _Round()
-        pace = done.seconds / done.work
-        best = pace if self._best is None else self._best * BEST_DRIFT
-        self._best = min(best, pace)
-        waiting = 1 - self._best / pace
-        if waiting > MANY_WAITING:
-            self._limit = max(self._limit * BACK_OFF, 1)
-        elif waiting < FEW_WAITING and done.in_flight >= self._limit * BUSY:
-            most = self._start * LARGEST_GROWTH
-            self._limit = min(self._limit + 1, most)
+        if self._learn and self._was_full:
+            self._limit = self._next_limit()
+        self._completions = 0
+        self._peak = 0
+        self._was_full = False
+
+    def _next_limit(self) -> int:
+        if not self._peak:
+            return min(self._limit + 1, max(self._limit, self._start))
+        if self._peak >= self._limit:
+            return min(self._limit + 1, self._start * LARGEST_GROWTH)
+        lowest = ceil(self._limit * STEP_DOWN)
+        return max(min(self._peak + SPARE, self._limit), lowest)
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -19,7 +19,7 @@
 from bramleybend.decisions.admission import cleaned, refusal
 from bramleybend.decisions.dispatch import next_start, start_waiting
 from bramleybend.decisions.expiry import expire, refuse
-from bramleybend.decisions.learning import learn
+from bramleybend.decisions.learning import learn, learn_first_token
 from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.preemption import next_preemption, preempt
 from bramleybend.decisions.queueing import WaitingQueue
@@ -86,7 +86,8 @@
         if run and runner:
             expected = run.ask.prompt_tokens - run.prefill_tokens
             runner.cache.found(run.ask.prefixes, expected, cached_tokens)
-            run.prefill_tokens = max(prompt_tokens - cached_tokens, 0)
+            prefill = max(prompt_tokens - cached_tokens, 0)
+            learn_first_token(self._shard, run, prefill, moment)
         return self._act(moment)
 
     def ended(
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -12,12 +12,10 @@
 from bramleybend.decisions.limits import ConcurrencyLimit
 from bramleybend.decisions.pacing import Ramp
 from bramleybend.decisions.runs import Run, Runner
-from bramleybend.decisions.speeds import Speed
+from bramleybend.decisions.speeds import FIRST_PACE, Pace, Speed
 from bramleybend.decisions.switches import Switches
 from bramleybend.models import Ask
 
-FIRST_SPEED = 2000.0  # work units a second, before any run has ended
-
 
 class RunnerPool:
     """The runners as now known."""
@@ -66,32 +64,45 @@
             if not runner.leaving
         )
 
-    def speed_of(self, runner: Runner) -> float:
-        """Return the learned speed, else the mean of the peers."""
-        if runner.speed.value is not None:
-            return runner.speed.value
-        speeds = [
-            peer.speed.value
-            for peer in self._runners.values()
-            if peer.speed.value is not None
-        ]
-        return sum(speeds) / len(speeds) if speeds else FIRST_SPEED
-
-    def best_speed(self) -> float:
-        """Return the speed of the fastest runner."""
-        speeds = [self.speed_of(runner) for runner in self._runners.values()]
-        return max(speeds, default=FIRST_SPEED)
+    def pace_of(self, runner: Runner) -> Pace:
+        """Return the learned pace, else the mean of the peers."""
+        pace = runner.speed.pace if self._switches.speeds else None
+        return pace or self._mean_pace()
+
+    def least_seconds(self, ask: Ask) -> float:
+        """Estimate how long a request takes on the best runner."""
+        if not self._switches.expiry:
+            return 0
+        seconds = (
+            self.seconds_on(ask, runner) for runner in self._runners.values()
+        )
+        return min(seconds, default=0)
 
     def seconds_on(self, ask: Ask, runner: Runner) -> float:
         """Estimate how long a request runs there, cached prefixes left out."""
         cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
-        return max(ask.cost - cached, 1) / self.speed_of(runner)
+        decode = max(ask.cost - ask.prompt_tokens, 1)
+        prefill = max(ask.prompt_tokens - cached, 0)
+        return self.pace_of(runner).seconds(prefill, decode)
 
     def _count(self, run: Run) -> None:
         runner = self._runners.get(run.runner)
         if runner is not None:
             runner.in_flight.add(run.ask.request_id)
 
+    def _mean_pace(self) -> Pace:
+        paces = [
+            runner.speed.pace
+            for runner in self._runners.values()
+            if runner.speed.pace is not None
+        ]
+        if not paces:
+            return FIRST_PACE
+        return Pace(
+            sum(pace.prefill for pace in paces) / len(paces),
+            sum(pace.decode for pace in paces) / len(paces),
+        )
+
     def _add(self, name: str, now: float) -> Runner:
         runner = Runner(
             name,
--- a/bramleybend/decisions/routing.py
+++ b/bramleybend/decisions/routing.py
@@ -17,6 +17,7 @@
 from xxhash import xxh64_intdigest
 
 from bramleybend.decisions.actions import ShardView
+from bramleybend.decisions.prefixes import routing_key
 from bramleybend.models import Ask
 
 MOST_LOAD = 1.25  # of the mean; the bound of bounded-load hashing
@@ -54,5 +55,5 @@
 
 
 def _weight(ask: Ask, view: ShardView) -> int:
-    key = ask.prefixes[0] if ask.prefixes else ask.request_id
+    key = routing_key(ask.prefixes, ask.request_id)
     return xxh64_intdigest(f'{key}/{view.service}/{view.shard}'.encode())
--- a/bramleybend/decisions/runs.py
+++ b/bramleybend/decisions/runs.py
@@ -19,6 +19,7 @@
     runner: str
     started: float
     prefill_tokens: int  # computed or being computed for this run alone
+    first_token_at: float | None = None
     yields_to: Tier | None = None  # a preemption was ordered
 
 
@@ -33,6 +34,7 @@
     cache: CacheView
     leaving: bool = False
     in_flight: set[str] = field(default_factory=set)
+    streams: set[str] = field(default_factory=set)  # past the first token
     alone: str | None = None  # the suspect that runs here by itself
 
     def room(self, now: float) -> int:
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -84,6 +84,7 @@
                 self.victims.pop(waiting)
         for runner in self.pool:
             runner.in_flight.discard(request_id)
+            runner.streams.discard(request_id)
             if runner.alone == request_id:
                 runner.alone = None
         return run
@@ -96,5 +97,4 @@
         """Return when a request must have started to end in time."""
         if not self.switches.expiry:
             return inf
-        seconds = ask.cost / self.pool.best_speed()
-        return ask.deadline - seconds * SURE
+        return ask.deadline - self.pool.least_seconds(ask) * SURE
--- a/bramleybend/decisions/speeds.py
+++ b/bramleybend/decisions/speeds.py
@@ -1,33 +1,67 @@
-"""How fast each runner works, learned from own completions.
+"""How fast each runner works, learned from own runs.
 
 Load pattern: unlike engines behind one service.
-Without it: the slow engines get as much as the fast, their queue grows and
-the deadlines of a third of the requests pass there.
+Without it: the slow engines get the long prompts as often as the fast, and
+those deadlines pass there.
 
-The speed is work per second of one run, smoothed over about ten completions;
-until the first one it is the mean of the peers, given by the caller.
+Prefill and decode are learned apart, as a long prompt and a long answer load
+an engine differently; each is smoothed over about ten runs. A runner without
+a measure counts as its peers' mean, which the pool gives.
 """
 
-SMOOTHING = 0.1
+from dataclasses import dataclass
+
+SMOOTHING = 0.15
+FEWEST_TOKENS = 64  # a shorter prefill measures the waiting, not the speed
+
+
+@dataclass(frozen=True)
+class Pace:
+    """Work units a second of one run, in its two phases."""
+
+    prefill: float
+    decode: float
+
+    def seconds(self, prefill: float, decode: float) -> float:
+        """Estimate how long a run takes."""
+        return prefill / self.prefill + decode / self.decode
+
+
+FIRST_PACE = Pace(2000, 400)  # before any run has ended anywhere
 
 
 class Speed:
-    """One runner's speed for a single run, in work units per second."""
+    """One runner's pace, as measured."""
 
     def __init__(self) -> None:
         """Start without a measure."""
-        self._value: float | None = None
+        self._prefill: float | None = None
+        self._decode: float | None = None
 
     @property
-    def value(self) -> float | None:
-        """The smoothed speed, `None` until a run has ended."""
-        return self._value
-
-    def completed(self, work: float, seconds: float) -> None:
-        """Learn from a run that ended well; nonsense is left out."""
-        if work <= 0 or seconds <= 0:
-            return
-        if self._value is None:
-            self._value = work / seconds
-        else:
-            self._value += (work / seconds - self._value) * SMOOTHING
+    def pace(self) -> Pace | None:
+        """The smoothed pace, `None` until both phases were seen."""
+        if self._prefill is None or self._decode is None:
+            return None
+        return Pace(self._prefill, self._decode)
+
+    def prefilled(self, tokens: float, seconds: float) -> None:
+        """Learn from a prompt that was filled."""
+        if tokens >= FEWEST_TOKENS and seconds > 0:
+            self._prefill = _smoothed(self._prefill, tokens / seconds)
+
+    def decoded(self, work: float, seconds: float) -> None:
+        """Learn from an answer that ended whole."""
+        if work > 0 and seconds > 0:
+            self._decode = _smoothed(self._decode, work / seconds)
+
+    def ended(self, work: float, seconds: float) -> None:
+        """Learn from a run without a first token, as of one phase."""
+        self.prefilled(work, seconds)
+        self.decoded(work, seconds)
+
+
+def _smoothed(before: float | None, measured: float) -> float:
+    if before is None:
+        return measured
+    return before + (measured - before) * SMOOTHING
--- /dev/null
+++ b/tests/benchmarks/players.py
@@ -0,0 +1,555 @@
+"""The schedulers that play a pattern: our own baselines and bramleybend."""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from xxhash import xxh64_intdigest
+
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Preempt,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+    ShardView,
+)
+from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
+from bramleybend.decisions.routing import rank_shards
+from bramleybend.decisions.switches import Switches
+from bramleybend.models import Ask, Repeat, Service, ServiceKind
+from tests.benchmarks.measures import Scores
+from tests.benchmarks.patterns import (
+    ENTRY_VMS,
+    FLEET,
+    PATTERNS,
+    SECONDS,
+    Fault,
+    Kind,
+    Pattern,
+    expected_cost,
+    make_jobs,
+)
+from tests.utils.queueing_fake import (
+    EngineRun,
+    FakeEngine,
+    Job,
+    PrefixCache,
+    VirtualTime,
+)
+
+HOP_S = 0.0005
+VIEW_S = 1.0
+REPORT_S = 2.0
+LIST_LAG_S = 2.0
+FLOOR_S = 1.0
+SHARDS = 4
+TRIES = 3
+END_S = 45.0
+
+
+class Fleet:
+    """The engines of one run."""
+
+    def __init__(self, time: VirtualTime, pattern: Pattern) -> None:
+        copies: Counter[str] = Counter()
+        self.time = time
+        self.engines: list[FakeEngine] = []
+        for speed in FLEET:
+            for _ in range(speed.count):
+                engine = FakeEngine(
+                    f'engine-{len(self.engines)}',
+                    time,
+                    speed.capacity,
+                    speed.slots,
+                    PrefixCache(speed.cache, copies),
+                )
+                self.engines.append(engine)
+        self.by_name = {engine.name: engine for engine in self.engines}
+        for fault in pattern.faults:
+            self._plan(fault)
+
+    def _plan(self, fault: Fault) -> None:
+        for index in fault.engines:
+            engine = self.engines[index]
+            if fault.slowdown:
+                slow = fault.slowdown
+                self.time.at(
+                    fault.at, lambda one=engine: one.set_slowdown(slow)
+                )
+                self.time.at(
+                    fault.until, lambda one=engine: one.set_slowdown(1)
+                )
+            else:
+                self.time.at(fault.at, engine.crash)
+                self.time.at(fault.until, engine.restart)
+
+
+@dataclass
+class Try:
+    """One job under way."""
+
+    job: Job
+    ask: Ask | None = None
+    tried: set[str] = field(default_factory=set)
+    shards: set[int] = field(default_factory=set)
+    run: EngineRun | None = None
+    engine: str = ''
+    over: bool = False
+    retried: bool = False
+    sent_at: float = 0
+
+
+class Player(Protocol):
+    """A scheduler under test."""
+
+    def submit(self, attempt: Try) -> None:
+        """Take a job in."""
+
+    def give_up(self, attempt: Try) -> None:
+        """Learn that the caller is gone."""
+
+
+class Rule(Protocol):
+    """How a baseline's entry VM picks an engine."""
+
+    def pick(self, entry: int, able: Sequence[FakeEngine]) -> FakeEngine:
+        """Choose one of the engines."""
+
+
+class RoundRobin:
+    """Each entry VM goes round."""
+
+    def __init__(self) -> None:
+        self._next: Counter[int] = Counter()
+
+    def pick(self, entry: int, able: Sequence[FakeEngine]) -> FakeEngine:
+        self._next[entry] += 1
+        return able[(self._next[entry] + entry * 8) % len(able)]
+
+
+class LeastOutstanding:
+    """Each entry VM picks the engine with the least of its own requests."""
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self.counts: list[Counter[str]] = [Counter() for _ in range(ENTRY_VMS)]
+
+    def pick(self, entry: int, able: Sequence[FakeEngine]) -> FakeEngine:
+        counts = self.counts[entry]
+        return min(
+            able,
+            key=lambda engine: (counts[engine.name], self._rng.random()),
+        )
+
+
+class RandomOfTwo:
+    """The less loaded of two by reports that are up to two seconds old."""
+
+    def __init__(self, rng: Random, fleet: Fleet) -> None:
+        self._rng = rng
+        self._fleet = fleet
+        self._reports: dict[str, int] = {}
+        self._report()
+
+    def pick(self, entry: int, able: Sequence[FakeEngine]) -> FakeEngine:
+        pair = self._rng.sample(list(able), min(2, len(able)))
+        return min(pair, key=lambda engine: self._reports[engine.name])
+
+    def _report(self) -> None:
+        for engine in self._fleet.engines:
+            self._reports[engine.name] = engine.outstanding()
+        self._fleet.time.after(REPORT_S, self._report)
+
+
+class Baseline:
+    """Sends each request straight to an engine, which queues it."""
+
+    def __init__(self, rule: Rule, fleet: Fleet, scores: Scores) -> None:
+        self._rule = rule
+        self._fleet = fleet
+        self._scores = scores
+        self._counts = getattr(rule, 'counts', None)
+
+    def submit(self, attempt: Try) -> None:
+        for _ in range(TRIES):
+            able = [
+                engine
+                for engine in self._fleet.engines
+                if engine.name not in attempt.tried
+            ]
+            engine = self._rule.pick(attempt.job.entry, able)
+            attempt.tried.add(engine.name)
+            if self._send(attempt, engine):
+                return
+        self._scores.refuse(attempt.job, self._fleet.time.now)
+        attempt.over = True
+
+    def give_up(self, attempt: Try) -> None:
+        if attempt.run and attempt.job.repeat is not Repeat.NON_IDEMPOTENT:
+            self._fleet.by_name[attempt.engine].cancel(attempt.run)
+            self._over(attempt, useful=False)
+
+    def _send(self, attempt: Try, engine: FakeEngine) -> bool:
+        run = EngineRun(
+            attempt.job,
+            lambda _: None,
+            lambda whole: self._end(attempt, whole),
+        )
+        if not engine.send(run):
+            return False
+        attempt.run, attempt.engine = run, engine.name
+        self._count(attempt, 1)
+        return True
+
+    def _end(self, attempt: Try, whole: bool) -> None:
+        useful = whole and not attempt.over
+        self._over(attempt, useful)
+        if useful:
+            self._scores.answer(attempt.job)
+        elif attempt.job.repeat is Repeat.IDEMPOTENT and not attempt.over:
+            if not attempt.retried:
+                attempt.retried = True
+                self.submit(attempt)
+                return
+        attempt.over = True
+
+    def _over(self, attempt: Try, useful: bool) -> None:
+        if attempt.run is not None:
+            self._scores.run_over(attempt.run, useful)
+            self._count(attempt, -1)
+            attempt.run = None
+
+    def _count(self, attempt: Try, change: int) -> None:
+        if self._counts is not None:
+            self._counts[attempt.job.entry][attempt.engine] += change
+
+
+class Bramleybend:
+    """Six gateways with stale views before one owner for each shard."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        scores: Scores,
+        kinds: tuple[Kind, ...],
+        seed: int,
+        switches: Switches,
+    ) -> None:
+        self._time = fleet.time
+        self._fleet = fleet
+        self._scores = scores
+        self._kinds = kinds
+        self._rng = Random(seed)
+        self._tries: dict[str, Try] = {}
+        service = Service('lm', ServiceKind.ENGINE, slots=8, shards=SHARDS)
+        self._policies = [
+            make_shard_policy(service, Random(seed + shard), {}, switches)
+            for shard in range(SHARDS)
+        ]
+        self._wakes = [float('inf')] * SHARDS
+        self._views: list[list[ShardView]] = [[] for _ in range(ENTRY_VMS)]
+        self._heard = [0.0] * ENTRY_VMS
+        self._live = {engine.name for engine in fleet.engines}
+        for shard in range(SHARDS):
+            self._list(shard)
+        for entry in range(ENTRY_VMS):
+            self._look(entry)
+
+    def submit(self, attempt: Try) -> None:
+        job = attempt.job
+        attempt.ask = Ask(
+            request_id=job.job_id,
+            service='lm',
+            tier=job.tier,
+            workspace=job.workspace,
+            cost=expected_cost(job, self._kinds),
+            prompt_tokens=job.prompt,
+            prefixes=job.prefixes(),
+            deadline=job.deadline,
+            cancellable=job.repeat is not Repeat.NON_IDEMPOTENT,
+            excluded=frozenset(attempt.tried),
+        )
+        self._tries[job.job_id] = attempt
+        self._ask(attempt, self._rank(attempt)[0])
+
+    def give_up(self, attempt: Try) -> None:
+        if attempt.run is None:
+            self._withdraw(attempt)
+        elif attempt.job.repeat is not Repeat.NON_IDEMPOTENT:
+            self._fleet.by_name[attempt.engine].cancel(attempt.run)
+            self._run_over(attempt, RunReport('cancelled'), useful=False)
+
+    def _ask(self, attempt: Try, shard: int) -> None:
+        attempt.shards.add(shard)
+        ask = attempt.ask
+        assert ask is not None
+        self._time.after(
+            HOP_S,
+            lambda: self._act(
+                shard,
+                self._policies[shard].ask(ask, self._time.now),
+            ),
+        )
+
+    def _rank(self, attempt: Try) -> list[int]:
+        assert attempt.ask is not None
+        entry = attempt.job.entry
+        age = self._time.now - self._heard[entry]
+        views = [
+            ShardView(
+                view.service,
+                view.shard,
+                view.running,
+                view.waiting,
+                view.limit,
+                age,
+            )
+            for view in self._views[entry]
+        ]
+        return rank_shards(attempt.ask, views, self._rng)
+
+    def _act(self, shard: int, actions: list[Action]) -> None:
+        for action in actions:
+            attempt = self._tries[action.request_id]
+            if isinstance(action, Grant):
+                self._later(self._granted, attempt, shard, action.runner)
+            elif isinstance(action, Preempt):
+                self._later(self._preempted, attempt)
+            elif isinstance(action, Refuse):
+                self._later(self._refused, attempt, action)
+        self._plan_wake(shard)
+
+    def _later(self, call: object, *args: object) -> None:
+        assert callable(call)
+        self._time.after(HOP_S, lambda: call(*args))
+
+    def _granted(self, attempt: Try, shard: int, runner: str) -> None:
+        if attempt.over:
+            self._withdraw(attempt)
+            return
+        attempt.shards = {shard}
+        run = EngineRun(
+            attempt.job,
+            lambda cached: self._first(attempt, cached),
+            lambda whole: self._ended(attempt, whole),
+        )
+        attempt.engine = runner
+        attempt.sent_at = self._time.now
+        if self._fleet.by_name[runner].send(run):
+            attempt.run = run
+            return
+        self._report(attempt, RunReport('failed', refused=True, crashed=True))
+        self._again(attempt)
+
+    def _preempted(self, attempt: Try) -> None:
+        if attempt.run is None:
+            return
+        self._fleet.by_name[attempt.engine].cancel(attempt.run)
+        self._run_over(attempt, RunReport('cancelled'), useful=False)
+        if attempt.job.repeat is Repeat.IDEMPOTENT:
+            self._again(attempt)
+        else:
+            attempt.over = True
+
+    def _refused(self, attempt: Try, refuse: Refuse) -> None:
+        if attempt.over:
+            return
+        if refuse.shed:
+            for shard in self._rank(attempt):
+                if self._lower(attempt, shard) and shard not in attempt.shards:
+                    self._ask(attempt, shard)
+                    return
+        self._final_refusal(attempt)
+
+    def _lower(self, attempt: Try, shard: int) -> int:
+        policy = self._policies[shard]
+        now = self._time.now
+        lower = policy.set_floor(attempt.job.tier, FLOOR_S, now)
+        self._act(shard, policy.tick(now))
+        return lower
+
+    def _final_refusal(self, attempt: Try) -> None:
+        job = attempt.job
+        attempt.over = True
+        self._scores.refuse(job, self._time.now)
+        lower = [
+            other
+            for other in self._tries.values()
+            if other.run is not None
+            and other.job.tier > job.tier
+            and other.job.repeat is not Repeat.NON_IDEMPOTENT
+        ]
+        self._scores.inversions += bool(lower)
+
+    def _first(self, attempt: Try, cached: int) -> None:
+        shard = next(iter(attempt.shards))
+        policy = self._policies[shard]
+        job = attempt.job
+        actions = policy.first_token(
+            job.job_id,
+            job.prompt,
+            cached,
+            self._time.now,
+        )
+        self._act(shard, actions)
+
+    def _ended(self, attempt: Try, whole: bool) -> None:
+        useful = whole and not attempt.over
+        run = attempt.run
+        assert run is not None
+        report = RunReport(
+            'done' if whole else 'failed',
+            crashed=not whole,
+            prompt_tokens=attempt.job.prompt,
+            cached_tokens=run.cached,
+            completion_tokens=attempt.job.completion if whole else 0,
+            seconds=self._time.now - attempt.sent_at,
+        )
+        self._run_over(attempt, report, useful)
+        if useful:
+            self._scores.answer(attempt.job)
+            attempt.over = True
+        elif attempt.job.repeat is Repeat.IDEMPOTENT and not attempt.retried:
+            attempt.retried = True
+            self._again(attempt)
+        else:
+            attempt.over = True
+
+    def _again(self, attempt: Try) -> None:
+        attempt.tried.add(attempt.engine)
+        attempt.shards = set()
+        if attempt.over or len(attempt.tried) > TRIES:
+            attempt.over = True
+            return
+        self._time.after(HOP_S * 4, lambda: self.submit(attempt))
+
+    def _run_over(
+        self,
+        attempt: Try,
+        report: RunReport,
+        useful: bool,
+    ) -> None:
+        assert attempt.run is not None
+        self._scores.run_over(attempt.run, useful)
+        attempt.run = None
+        self._report(attempt, report)
+
+    def _report(self, attempt: Try, report: RunReport) -> None:
+        shard = next(iter(attempt.shards))
+        name = attempt.job.job_id
+        self._time.after(
+            HOP_S,
+            lambda: self._act(
+                shard,
+                self._policies[shard].ended(name, report, self._time.now),
+            ),
+        )
+
+    def _withdraw(self, attempt: Try) -> None:
+        name = attempt.job.job_id
+        for shard in attempt.shards:
+            actions = self._policies[shard].withdraw(name, self._time.now)
+            self._act(shard, actions)
+
+    def _plan_wake(self, shard: int) -> None:
+        wake = self._policies[shard].next_wake(self._time.now)
+        if wake is None or wake >= self._wakes[shard]:
+            return
+        self._wakes[shard] = wake
+        self._time.at(wake + HOP_S, lambda: self._wake(shard, wake))
+
+    def _wake(self, shard: int, planned: float) -> None:
+        if self._wakes[shard] == planned:
+            self._wakes[shard] = float('inf')
+            actions = self._policies[shard].tick(self._time.now)
+            self._act(shard, actions)
+
+    def _list(self, shard: int) -> None:
+        """The VM list as it was some seconds ago."""
+        live = [
+            engine.name
+            for engine in self._fleet.engines
+            if xxh64_intdigest(engine.name.encode()) % SHARDS == shard
+            and engine.alive
+        ]
+        self._time.after(LIST_LAG_S, lambda: self._listed(shard, live))
+        self._time.after(1, lambda: self._list(shard))
+        if self._time.now < 1:
+            self._listed(shard, live)
+
+    def _listed(self, shard: int, live: list[str]) -> None:
+        infos = [RunnerInfo(name) for name in live]
+        self._act(shard, self._policies[shard].runners(infos, self._time.now))
+
+    def _look(self, entry: int) -> None:
+        self._heard[entry] = self._time.now
+        self._views[entry] = [
+            _view(shard, policy) for shard, policy in enumerate(self._policies)
+        ]
+        self._time.after(
+            VIEW_S + entry / ENTRY_VMS / 10, lambda: self._look(entry)
+        )
+
+
+def _view(shard: int, policy: ShardPolicy) -> ShardView:
+    load = policy.load()
+    return ShardView('lm', shard, load.running, load.waiting, load.limit, 0)
+
+
+def play(
+    scheduler: str,
+    kinds: tuple[Kind, ...],
+    pattern: Pattern,
+    seed: int,
+    switches: Switches | None = None,
+) -> Scores:
+    """Play one pattern under one scheduler and count."""
+    time = VirtualTime()
+    fleet = Fleet(time, pattern)
+    scores = Scores()
+    player = _make_player(scheduler, fleet, scores, kinds, seed, switches)
+    for job in make_jobs(kinds, pattern, seed):
+        scores.offer(job)
+        attempt = Try(job)
+        time.at(job.at, lambda one=attempt: player.submit(one))
+        time.at(job.deadline, lambda one=attempt: _deadline(player, one))
+    time.run(SECONDS + END_S)
+    return scores
+
+
+def _deadline(player: Player, attempt: Try) -> None:
+    if not attempt.over:
+        attempt.over = True
+        player.give_up(attempt)
+
+
+def _make_player(
+    scheduler: str,
+    fleet: Fleet,
+    scores: Scores,
+    kinds: tuple[Kind, ...],
+    seed: int,
+    switches: Switches | None,
+) -> Player:
+    rng = Random(seed)
+    if scheduler == 'bramleybend':
+        return Bramleybend(fleet, scores, kinds, seed, switches or Switches())
+    rules: dict[str, Rule] = {
+        'FIFO + round robin': RoundRobin(),
+        'least outstanding': LeastOutstanding(rng),
+        'random of two': RandomOfTwo(rng, fleet),
+    }
+    return Baseline(rules[scheduler], fleet, scores)
+
+
+SCHEDULERS = (
+    'bramleybend',
+    'FIFO + round robin',
+    'least outstanding',
+    'random of two',
+)
+PATTERN_BY_NAME = {pattern.name: pattern for pattern in PATTERNS}
