--- a/bramleybend/gateway/forwarding.py
+++ b/bramleybend/gateway/forwarding.py
@@ -89,8 +89,8 @@
         run: Run,
     ) -> None:
         async with asyncio.timeout(FIRST_WORD_S):
-            await call.read()
-        async for reply in call:
+            reply = await call.read()
+        while isinstance(reply, ForwardReply):
             kind = reply.WhichOneof('body')
             if kind == 'head':
                 run.content_type = reply.head.content_type
@@ -98,6 +98,7 @@
                 run.add(reply.data)
             elif reply.end.outcome:
                 run.finish(_answer_of(reply.end))
+            reply = await call.read()
         if run.answer is None:
             raise TimeoutError('the home ended without an outcome')
 
--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 from typing import Final
 
 from result import Err, Ok
@@ -16,7 +17,7 @@
 from bramleybend.gateway.border import check_terms
 from bramleybend.gateway.dispatcher import Deps, Dispatcher, Job
 from bramleybend.gateway.journal import JournalWriter
-from bramleybend.gateway.run import RequestBody, Run
+from bramleybend.gateway.run import RequestBody, Run, settle_on_fault
 from bramleybend.metrics import Metric
 from bramleybend.models import JournalMode, Profile, Terms
 from bramleybend.state.id_table import Expired, Full, IdTable, Known
@@ -102,6 +103,7 @@
         task = asyncio.create_task(self._work(request_id, job))
         self.working.add(task)
         task.add_done_callback(self.working.discard)
+        task.add_done_callback(partial(settle_on_fault, run, self.events))
         return run
 
     async def _work(self, request_id: RequestId, job: Job) -> None:
--- a/bramleybend/gateway/intake.py
+++ b/bramleybend/gateway/intake.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -154,6 +155,7 @@
         task = asyncio.create_task(self._deps.forwarder.follow(request_id, run))
         self._forwarding.add(task)
         task.add_done_callback(self._forwarding.discard)
+        task.add_done_callback(partial(_tear_on_fault, run))
         return run
 
     def _open_home(self) -> Home:
@@ -163,3 +165,10 @@
             self._homes.pop(next(iter(self._homes)))
         self._deps.events.record('home_opened', home=home.incarnation)
         return home
+
+
+def _tear_on_fault(run: Run, _task: asyncio.Task[None]) -> None:
+    # Only the home knows the outcome, so a broken forward says nothing and
+    # the caller asks again.
+    if run.answer is None:
+        run.tear()
--- a/bramleybend/gateway/run.py
+++ b/bramleybend/gateway/run.py
@@ -9,13 +9,16 @@
 from collections.abc import AsyncIterator, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Final
 
-from bramleybend.answers import Answer, Outcome
+from bramleybend.answers import Answer, Outcome, not_run, unknown
+from bramleybend.events import EventLog
 
 # A caller whose connection broke sends the same id again, at once if it is
 # well written; work that nobody asks for after this long is wasted.
 ABANDON_S: Final = 3.0
+FAULT_RETRY_AFTER: Final = timedelta(seconds=1)
 MAX_KEPT_BYTES: Final = 4 * 1024 * 1024
 
 
@@ -37,6 +40,26 @@
     """The rest of the answer can't be had here; the caller must resend."""
 
 
+def settle_on_fault(
+    run: 'Run',
+    events: EventLog,
+    task: asyncio.Task[None],
+) -> None:
+    """Settle a run whose task broke; a done callback of that task.
+
+    A fault of ours would otherwise leave the caller waiting for an answer
+    that nobody is going to give.
+    """
+    if run.answer is not None:
+        return
+    if run.dispatched:
+        run.finish(unknown('a fault of this VM while it ran'))
+    else:
+        run.finish(not_run('a fault of this VM', FAULT_RETRY_AFTER))
+    fault = None if task.cancelled() else task.exception()
+    events.record('fault', run.req.request_id, fault=repr(fault))
+
+
 class Run:
     """The answer to one request, growing until its outcome is known."""
 
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -134,7 +134,7 @@
                 lambda: self.terms.terms,
                 lambda: self.listed.runners,
                 lambda: self.peers.alive(),
-                self.identity.incarnation,
+                self.identity.vm,
             ),
             ShardDeps(
                 self._clock,
@@ -172,9 +172,7 @@
 
     def _is_renewer(self) -> bool:
         ranked = owners_of('terms', 0, self.peers.alive())
-        return bool(ranked) and (
-            ranked[0].incarnation == self.identity.incarnation
-        )
+        return bool(ranked) and (ranked[0].vm == self.identity.vm)
 
     async def _send_gauges(self) -> None:
         while True:
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -32,7 +32,7 @@
     terms: Callable[[], Terms | None]
     runners: Callable[[], Sequence[Vm]]
     members: Callable[[], Sequence[Member]]
-    own_incarnation: str
+    own_vm: str
 
 
 class ShardTable:
@@ -147,9 +147,7 @@
 
     def _is_owner(self, service: str, shard: int) -> bool:
         ranked = owners_of(service, shard, self._around.members())
-        return bool(ranked) and (
-            ranked[0].incarnation == self._around.own_incarnation
-        )
+        return bool(ranked) and (ranked[0].vm == self._around.own_vm)
 
     def _own(self, service: Service, shard: int) -> None:
         key = (service.name, shard)
