Add bramleybend-ctl and bramleybend-timeline, first cut, tests to follow

Cause: an operator at night must publish, see, undo, drain and explain. Ruled out: a publish under a new id after a lost reply, which could put one change in force twice; the same record is appended again only once the stream was read and does not hold it. Change: commands and queries apart, one environment that tests can swap; event lines get a sequence number, so that the time line can count those that are missing. No test has run yet.

--- /dev/null
+++ b/bramleybend/cli/ctl.py
@@ -0,0 +1,72 @@
+"""`bramleybend-ctl`: the operators' program."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from types import MappingProxyType
+from typing import Final, TypeAlias
+
+from bramleybend.cli.commands import drain, publish, restore
+from bramleybend.cli.fleet_queries import explain, status, wait
+from bramleybend.cli.queries import diff, history, show, validate
+from bramleybend.cli.constants import CTL
+from bramleybend.cli.context import Context
+from bramleybend.cli.definition import parse_flags
+from bramleybend.cli.environment import Environment
+from bramleybend.cli.exceptions import status_of
+from bramleybend.cli.output import Report, write_problem, write_report
+from bramleybend.errors import ProblemError
+from bramleybend.status import ExitStatus
+
+Handler: TypeAlias = Callable[[Context], Awaitable[Report]]
+
+QUERIES: Final = MappingProxyType[str, Handler](
+    {
+        'validate': validate,
+        'diff': diff,
+        'history': history,
+        'show': show,
+        'wait': wait,
+        'status': status,
+        'explain': explain,
+    },
+)
+COMMANDS: Final = MappingProxyType[str, Handler](
+    {
+        'publish': publish,
+        'restore': restore,
+        'drain': drain,
+    },
+)
+JSON_FLAG: Final = '--json'
+
+
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Run one command; return the exit code."""
+    try:
+        return asyncio.run(execute(args, env))
+    except KeyboardInterrupt:
+        env.stderr.write(f'{CTL}: interrupted\n')
+        return ExitStatus.INTERRUPTED
+    except BrokenPipeError:
+        # The reader, such as `head`, has seen enough.
+        return ExitStatus.OK
+
+
+async def execute(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Run one command within a running event loop."""
+    try:
+        flags = parse_flags(args)
+        handler = QUERIES.get(flags.command) or COMMANDS[flags.command]
+        report = await handler(Context(env, flags))
+    except ProblemError as exc:
+        as_json = JSON_FLAG in args
+        write_problem(CTL, exc.problem, env.stderr, as_json=as_json)
+        return status_of(exc.problem)
+    write_report(report, env.stdout, as_json=flags.as_json)
+    return report.status
+
+
+def run() -> None:
+    """Enter from the console."""
+    sys.exit(main(sys.argv[1:], Environment()))
--- /dev/null
+++ b/bramleybend/cli/history.py
@@ -0,0 +1,152 @@
+"""The terms stream, read to its tail: what was published and what became."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Ok, Result
+
+from bramleybend.clients.log_service import (
+    TERMS_STREAM,
+    LogBatch,
+    LogRecord,
+    LogService,
+)
+from bramleybend.declarations import parse_terms
+from bramleybend.errors import ErrorKind, Problem
+from bramleybend.models import Terms
+from bramleybend.state.terms_records import PublishRecord, RenewRecord, decode
+from bramleybend.state.terms_rules import (
+    Applied,
+    Ignored,
+    PublishOutcome,
+    Renewed,
+    TermsLog,
+)
+
+RENEWED_BY: Final = '(renewal)'
+
+
+@dataclass(frozen=True)
+class Publish:
+    """One publish on the log, in the log's order."""
+
+    offset: int
+    version: int | None  # none if it was not accepted
+    base: int
+    by: str
+    publish_id: str
+    refused: str = ''
+
+
+@dataclass(frozen=True)
+class Version:
+    """One accepted version."""
+
+    number: int
+    document: str
+    by: str
+
+
+class History:
+    """Follows the stream by the same rules as every VM."""
+
+    def __init__(self, log: LogService) -> None:
+        """Start before the first record."""
+        self.publishes: list[Publish] = []
+        self.versions: dict[int, Version] = {}
+        self._log = log
+        self._terms = TermsLog(_validate)
+        self._next = 0
+
+    @property
+    def current(self) -> int:
+        """The version in force at the tail that was read."""
+        return self._terms.version
+
+    @property
+    def document(self) -> str:
+        """The text of the current version."""
+        return self._terms.document
+
+    def outcome_of(self, publish_id: str) -> PublishOutcome:
+        """Return what became of a publish, as far as was read."""
+        return self._terms.outcome_of(publish_id)
+
+    async def read_on(self) -> Result[None, Problem]:
+        """Read from where the last read ended to the tail."""
+        while True:
+            before = self._next
+            batch = await self._log.read(TERMS_STREAM, self._next)
+            if batch.is_err():
+                return Err(batch.unwrap_err())
+            self._take(batch.unwrap())
+            if self._next >= batch.unwrap().next_offset:
+                return self._anchored()
+            if self._next == before:
+                return Err(_stuck(before))
+
+    def _take(self, batch: LogBatch) -> None:
+        self._terms.see_first_offset(batch.first_offset)
+        self._next = max(self._next, batch.first_offset)
+        for record in batch.records:
+            self._next = record.offset + 1
+            self._apply(record)
+
+    def _apply(self, record: LogRecord) -> None:
+        verdict = self._terms.apply(record.offset, record.data)
+        decoded = decode(record.data).ok()
+        match decoded:
+            case PublishRecord():
+                self._note_publish(record.offset, decoded, verdict)
+            case RenewRecord() if isinstance(verdict, Renewed):
+                version = Version(
+                    decoded.version,
+                    decoded.document,
+                    RENEWED_BY,
+                )
+                self.versions.setdefault(version.number, version)
+
+    def _note_publish(
+        self,
+        offset: int,
+        record: PublishRecord,
+        verdict: Applied | Renewed | Ignored,
+    ) -> None:
+        number = verdict.version if isinstance(verdict, Applied) else None
+        refused = str(verdict.problem) if isinstance(verdict, Ignored) else ''
+        self.publishes.append(
+            Publish(
+                offset,
+                number,
+                record.base,
+                record.by,
+                record.publish_id,
+                refused,
+            ),
+        )
+        if number is not None:
+            version = Version(number, record.document, record.by)
+            self.versions[number] = version
+
+    def _anchored(self) -> Result[None, Problem]:
+        if self._terms.anchored:
+            return Ok(None)
+        return Err(
+            Problem(
+                ErrorKind.LOG_UNAVAILABLE,
+                'the log has forgotten the terms and holds no renewal of them',
+                'wait a minute for a VM to renew them, then try again',
+            ),
+        )
+
+
+def _validate(document: str) -> Result[Terms, Problem]:
+    return parse_terms(document, 0)
+
+
+def _stuck(offset: int) -> Problem:
+    return Problem(
+        ErrorKind.LOG_UNAVAILABLE,
+        f'the log shows records after offset {offset} but returns none',
+        'see to the log service; nothing was appended',
+    )
--- /dev/null
+++ b/bramleybend/cli/timeline.py
@@ -0,0 +1,134 @@
+"""`bramleybend-timeline`: merge event logs and show them in causal order."""
+
+import sys
+from argparse import RawDescriptionHelpFormatter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from bramleybend.cli.argtypes import tier
+from bramleybend.cli.constants import TIMELINE
+from bramleybend.cli.environment import Environment
+from bramleybend.cli.exceptions import fail, status_of, unwrap
+from bramleybend.cli.output import write_problem
+from bramleybend.cli.parsing import Parser
+from bramleybend.errors import ErrorKind, ProblemError
+from bramleybend.status import ExitStatus
+from bramleybend.timeline.merge import Filter, merge, select
+from bramleybend.timeline.page import page
+from bramleybend.timeline.read import Source, read_file
+from bramleybend.timeline.text import render, summary
+
+EXAMPLES = """examples:
+  bramleybend-timeline run/*.log
+  bramleybend-timeline --request t-81/slot-7 run/
+  bramleybend-timeline --vm entry-walton-1 --html killed.html run/
+  bramleybend-timeline --tier 1 --runner runner-walton-1 run/
+
+exit codes:
+  0 shown, 2 wrong flag, 6 a file cannot be read or nothing matches
+"""
+
+
+@dataclass
+class Flags:
+    """What the operator asked for."""
+
+    paths: list[str] = field(default_factory=list)
+    req: str = ''
+    vm: str = ''
+    runner: str = ''
+    tier: int | None = None
+    html: str = ''
+
+
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Show the time line; return the exit code."""
+    flags = Flags()
+    try:
+        _parser().parse_args(args, namespace=flags)
+        _show(flags, env)
+    except ProblemError as exc:
+        write_problem(TIMELINE, exc.problem, env.stderr, as_json=False)
+        return status_of(exc.problem)
+    return ExitStatus.OK
+
+
+def run() -> None:
+    """Enter from the console."""
+    sys.exit(main(sys.argv[1:], Environment()))
+
+
+def _show(flags: Flags, env: Environment) -> None:
+    merged = merge(list(_sources(flags.paths)))
+    wanted = Filter(flags.req, flags.vm, flags.runner, flags.tier)
+    events = select(merged.events, wanted)
+    notes = summary(merged, len(events))
+    env.stderr.write(f'{notes}\n')
+    if merged.events and not events:
+        fail(
+            ErrorKind.UNKNOWN_NAME,
+            'no event matches',
+            'leave out a filter, or give the logs of more processes',
+        )
+    if flags.html:
+        _write_page(flags.html, page(events, notes))
+    else:
+        env.stdout.write(render(events))
+
+
+def _sources(paths: Sequence[str]) -> Iterator[Source]:
+    for name in paths:
+        path = Path(name)
+        if path.is_dir():
+            for log in sorted(path.glob('*.log')):
+                yield unwrap(read_file(log))
+        else:
+            yield unwrap(read_file(path))
+
+
+def _write_page(name: str, text: str) -> None:
+    try:
+        Path(name).write_text(text, encoding='utf-8')
+    except OSError as exc:
+        fail(
+            ErrorKind.UNKNOWN_NAME,
+            f'{name} cannot be written: {exc.strerror}',
+            'give --html a path that you may write',
+        )
+
+
+def _parser() -> Parser:
+    parser = Parser(
+        prog=TIMELINE,
+        description='Merge the event logs of all processes in causal order.',
+        epilog=EXAMPLES,
+        formatter_class=RawDescriptionHelpFormatter,
+        allow_abbrev=False,
+    )
+    parser.add_argument(
+        'paths',
+        nargs='+',
+        metavar='FILE',
+        help='an event log, or a directory of *.log files',
+    )
+    parser.add_argument(
+        '--request',
+        dest='req',
+        metavar='ID',
+        help='only this request, by its whole id or its own part',
+    )
+    parser.add_argument('--vm', metavar='NAME', help='only this VM')
+    parser.add_argument('--runner', metavar='NAME', help='only this runner')
+    parser.add_argument(
+        '--tier',
+        type=tier,
+        metavar='N',
+        help='only requests of this tier, 1 to 4',
+    )
+    parser.add_argument(
+        '--html',
+        metavar='FILE',
+        help='write one HTML page instead of text',
+    )
+    return parser
--- a/bramleybend/events.py
+++ b/bramleybend/events.py
@@ -9,6 +9,7 @@
 import logging
 from collections import deque
 from dataclasses import dataclass
+from itertools import count
 from typing import Final, TextIO
 
 from logfmter import Logfmter
@@ -65,6 +66,7 @@
         self.hybrid = HybridClock(clock)
         self._kept: deque[tuple[str, str]] = deque(maxlen=KEPT_EVENTS)
         self._logger = logging.getLogger(EVENT_LOGGER)
+        self._numbers = count()
 
     def record(self, event: str, req: str = '', **fields: object) -> None:
         """Write one event; `fields` never hold request content."""
@@ -72,6 +74,8 @@
             'hlc': str(self.hybrid.tick()),
             'process': self._process,
             'incarnation': self._incarnation,
+            # A gap in these shows a reader of the log that lines are missing.
+            'seq': next(self._numbers),
             'event': event,
             **({'req': req} if req else {}),
             **fields,
--- a/bramleybend/metrics.py
+++ b/bramleybend/metrics.py
@@ -74,6 +74,11 @@
         'requests given up for want of capacity',
         'tier',
     )
+    SHED_UNPROVED = counter(
+        'shed_unproved',
+        'requests',
+        'requests out of time before it was sure that nothing lower ran',
+    )
     PREEMPTED = counter(
         'preempted',
         'runs',
@@ -165,11 +170,7 @@
         's',
         'time since the last word of the terms from the log or a peer',
     )
-    MEMBERS = gauge(
-        'members',
-        'VMs',
-        'entry VMs that this VM holds to be alive',
-    )
+    MEMBERS = gauge('members', 'VMs', 'entry VMs held to be alive')
     FIRST_TOKEN = timer(
         'first_token',
         'from the arrival of a request to its first token',
@@ -180,15 +181,8 @@
         'from the arrival of a request to its final answer',
         'tier',
     )
-    QUEUED = timer(
-        'queued',
-        'from the ask for a slot to its grant',
-        'tier',
-    )
-    LOG_APPEND = timer(
-        'log_append',
-        'from an append to the log to its reply',
-    )
+    QUEUED = timer('queued', 'from the ask for a slot to its grant', 'tier')
+    LOG_APPEND = timer('log_append', 'from an append to its reply')
 
 
 class Metrics(Protocol):
