--- a/bramleybend/gateway/http_server.py
+++ b/bramleybend/gateway/http_server.py
@@ -7,8 +7,14 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
-from contextlib import suppress
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    Mapping,
+)
+from contextlib import AbstractContextManager, contextmanager, suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
@@ -17,12 +23,14 @@
 
 from bramleybend.answers import Answer, rejected
 from bramleybend.clients.http import BROKEN, READ_SIZE, close_writer
+from bramleybend.gateway.run import TornError
 
 MAX_HEADER_BYTES: Final = 16_384
 MAX_REQUEST_BYTES: Final = 4 * 1024 * 1024
 # Long enough for a slow link, short enough that half-sent requests can't
 # collect: at 200 connections a second they stay under 6,000 open sockets.
 READ_TIMEOUT_S: Final = 30.0
+LOST: Final = (*BROKEN, TornError)
 JSON_TYPE: Final = 'application/json'
 EVENT_TYPE: Final = 'text/event-stream'
 OUTCOME_HEADER: Final = 'Bramleybend-Outcome'
@@ -90,6 +98,7 @@
         self._count_rejected = count_rejected
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.Task[None]] = set()
+        self.answering = 0  # requests that have come in and not gone out
 
     async def start(self, address: str, port: int) -> None:
         """Listen."""
@@ -108,6 +117,14 @@
             task.cancel()
         await asyncio.gather(*self._open, return_exceptions=True)
 
+    @contextmanager
+    def _answer_begun(self) -> Iterator[None]:
+        self.answering += 1
+        try:
+            yield
+        finally:
+            self.answering -= 1
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -116,10 +133,10 @@
         task = asyncio.current_task()
         assert task is not None
         self._open.add(task)
-        conn = Connection(reader, writer, self._handler)
+        conn = Connection(reader, writer, self._handler, self._answer_begun)
         try:
             await conn.serve(self._count_rejected)
-        except BROKEN:
+        except LOST:
             # The caller has gone; it will send the same id again.
             return
         finally:
@@ -136,11 +153,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         handler: Handler,
+        answering: Callable[[], AbstractContextManager[None]],
     ) -> None:
         """Take over an accepted connection."""
         self._reader = reader
         self._writer = writer
         self._handler = handler
+        self._answering = answering
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=MAX_HEADER_BYTES,
@@ -148,80 +167,88 @@
 
     async def serve(self, count_rejected: Callable[[], None]) -> None:
         """Answer requests until either side closes."""
-        while True:
-            try:
-                req = await self._read_request()
-            except h11.RemoteProtocolError as exc:
-                count_rejected()
-                await self._refuse(_malformed(exc))
-                return
-            except TimeoutError:
-                count_rejected()
-                await self._refuse(_half_sent())
-                return
-            if req is None:
-                return
+        while (req := await self._checked_request()) is not None:
             if isinstance(req, Answer):
                 count_rejected()
                 await self._refuse(req)
                 return
-            await self._answer(await self._handled(req))
+            with self._answering():
+                await self._answer(await self._handled(req))
             if not self._next_cycle():
                 return
 
     async def _handled(self, req: HttpRequest) -> HttpAnswer:
         """Answer while watching whether the caller is still there."""
+        # Without the watch, a caller that hung up would be noticed only when
+        # its answer is written, after a runner has done the work for nobody.
         handling = asyncio.ensure_future(self._handler(req))
-        leaving = asyncio.create_task(self._reader.read(1))
+        watching = asyncio.create_task(self._reader.read(READ_SIZE))
         try:
             await asyncio.wait(
-                (handling, leaving),
+                (handling, watching),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if handling.done():
-                return handling.result()
-            if leaving.done() and not leaving.result():
-                handling.cancel()
-                raise ConnectionResetError('the caller has gone')
-            self._http.receive_data(leaving.result())
+            if watching.done():
+                self._take_early(watching.result())
             return await handling
         finally:
-            if not leaving.done():
-                leaving.cancel()
-                with suppress(asyncio.CancelledError):
-                    await leaving
-            elif handling.done() and leaving.result():
-                self._http.receive_data(leaving.result())
+            handling.cancel()
+            await self._stop_watching(watching)
+
+    async def _stop_watching(self, watching: asyncio.Task[bytes]) -> None:
+        # Two reads on one stream are an error, so the watch must be over
+        # before the next request is read.
+        watching.cancel()
+        with suppress(asyncio.CancelledError, OSError):
+            await watching
+
+    def _take_early(self, early: bytes) -> None:
+        if not early:
+            raise ConnectionResetError('the caller has gone')
+        self._http.receive_data(early)
+
+    async def _checked_request(self) -> HttpRequest | Answer | None:
+        try:
+            return await self._read_request()
+        except h11.RemoteProtocolError as exc:
+            return _malformed(exc)
+        except TimeoutError:
+            return _half_sent()
 
     async def _read_request(self) -> HttpRequest | Answer | None:
         async with asyncio.timeout(READ_TIMEOUT_S):
             head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
-            parts: list[bytes] = []
-            size = 0
-            event = await self._next_event()
-            while isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > MAX_REQUEST_BYTES:
-                    return _oversized()
-                event = await self._next_event()
-            return HttpRequest(
-                head.method.decode(),
-                head.target.decode('latin-1'),
-                {
-                    name.decode(): text.decode('latin-1').strip()
-                    for name, text in head.headers
-                },
-                b''.join(parts),
-            )
+            body = await self._read_body()
+        if isinstance(body, Answer):
+            return body
+        headers = {
+            name.decode(): text.decode('latin-1').strip()
+            for name, text in head.headers
+        }
+        return HttpRequest(
+            head.method.decode(),
+            head.target.decode('latin-1'),
+            headers,
+            body,
+        )
+
+    async def _read_body(self) -> bytes | Answer:
+        parts: list[bytes] = []
+        size = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > MAX_REQUEST_BYTES:
+                return _oversized()
+        return b''.join(parts)
 
     async def _next_event(self) -> object:
         event = self._http.next_event()
         while event is h11.NEED_DATA:
             if self._http.they_are_waiting_for_100_continue:
-                go_on = h11.InformationalResponse(status_code=100, headers=())
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
                 self._writer.write(self._http.send(go_on) or b'')
             self._http.receive_data(await self._reader.read(READ_SIZE))
             event = self._http.next_event()
