Test the operators' programs against a faulty log, VMs and torn files

Cause: the first cut of ctl and the time line had run under no test. What the tests found: an optional VERSION failed as a usage error, since argparse runs its suppressed default through the type; control characters in quoted values were not read back.

--- a/bramleybend/cli/arguments.py
+++ b/bramleybend/cli/arguments.py
@@ -33,6 +33,7 @@
         'version',
         type=version,
         nargs='?',
+        default=None,
         metavar='VERSION',
         help='a version number; the newest if left out',
     )
--- a/bramleybend/timeline/read.py
+++ b/bramleybend/timeline/read.py
@@ -5,6 +5,7 @@
 that never was, so each source says what it lacks.
 """
 
+import json
 import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -17,7 +18,6 @@
 from bramleybend.events import EVENT_LOGGER, Stamp
 
 PAIR: Final = re.compile(r'([\w.-]+)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?:\s+|$)')
-ESCAPED: Final = re.compile(r'\\(.)')
 STAMP: Final = re.compile(r'(\d{1,18})\.(\d{1,18})')
 # A decoder puts this in place of bytes that are no text.
 REPLACED: Final = '\N{REPLACEMENT CHARACTER}'
@@ -107,22 +107,22 @@
     end = 0
     while end < len(line):
         match = PAIR.match(line, end)
-        if match is None:
+        text = _unquoted(match.group(2)) if match else None
+        if match is None or text is None:
             return None
-        pairs[match.group(1)] = _unquoted(match.group(2))
+        pairs[match.group(1)] = text
         end = match.end()
     return pairs
 
 
-def _unquoted(text: str) -> str:
+def _unquoted(text: str) -> str | None:
+    """Read a quoted value, which the log formatter escapes as JSON does."""
     if not text.startswith('"'):
         return text
-    return ESCAPED.sub(_unescaped, text[1:-1])
-
-
-def _unescaped(match: re.Match[str]) -> str:
-    letter = match.group(1)
-    return '\n' if letter == 'n' else letter
+    try:
+        return str(json.loads(text, strict=False))
+    except ValueError:
+        return None
 
 
 def _event(source: str, pairs: Mapping[str, str]) -> Event | None:
--- /dev/null
+++ b/tests/timeline/test_timeline.py
@@ -0,0 +1,133 @@
+"""The time line keeps causal order and says what it lacks."""
+
+import logging
+from datetime import UTC, datetime
+from io import StringIO
+from pathlib import Path
+
+import pytest
+
+from bramleybend.cli.environment import Environment
+from bramleybend.cli.timeline import main
+from bramleybend.clock import ManualClock
+from bramleybend.events import EventLog, setup_logging
+from bramleybend.status import ExitStatus
+
+NOON = datetime(2026, 1, 1, 12, tzinfo=UTC)
+LAGGING = datetime(2026, 1, 1, 11, tzinfo=UTC)
+
+
+@pytest.fixture(name='logs')
+def _logs(tmp_path: Path) -> Path:
+    """Two VMs, an hour apart by their clocks, write about one request."""
+    streams = StringIO(), StringIO()
+    home = EventLog('gateway@entry-1', 'aaaaaaaaaa', ManualClock(NOON))
+    owner = EventLog('scheduler@entry-2', 'bbbbbbbbbb', ManualClock(LAGGING))
+    root = logging.getLogger()
+    handlers = root.handlers.copy()
+    setup_logging('INFO', streams[0])
+    home.record('accepted', 't/1', tier=1)
+    asked = home.hybrid.tick()
+    home.record('sent', 't/1', runner='r-1', note='<b>"x"</b>\n\x1b[2J')
+    home.record('accepted', 't/2', tier=4)
+    logging.getLogger('other').warning('not an event')
+    setup_logging('INFO', streams[1])
+    owner.hybrid.observe(asked)
+    owner.record('granted', 't/1', runner='r-1')
+    root.handlers = handlers
+    for name, stream in zip(('entry-1', 'entry-2'), streams, strict=True):
+        (tmp_path / f'{name}.log').write_text(stream.getvalue())
+    return tmp_path
+
+
+def show(*args: str) -> tuple[ExitStatus, list[str], str]:
+    """Run the program; return its code, its lines and what it said."""
+    out, err = StringIO(), StringIO()
+    status = main(args, Environment(stdout=out, stderr=err))
+    return status, out.getvalue().splitlines(), err.getvalue()
+
+
+def test_an_effect_follows_its_cause_though_its_clock_lags(logs: Path) -> None:
+    """The owner's wall clock is an hour behind; its grant still comes last."""
+    status, lines, err = show('--request', '1', str(logs))
+    assert status is ExitStatus.OK
+    assert [line.split()[2] for line in lines] == [
+        'accepted',
+        'sent',
+        'granted',
+    ]
+    assert '3 of 4 events from 2 files' in err
+    assert '\x1b' not in ''.join(lines)
+
+
+@pytest.mark.parametrize(
+    ('flags', 'events'),
+    [
+        (('--vm', 'entry-2'), ['granted']),
+        (('--runner', 'r-1'), ['sent', 'granted']),
+        (('--tier', '1'), ['accepted', 'sent', 'granted']),
+        (('--tier', '4', '--vm', 'entry-1'), ['accepted']),
+    ],
+)
+def test_filters_choose(
+    logs: Path,
+    flags: tuple[str, ...],
+    events: list[str],
+) -> None:
+    """A tier brings every event of its requests."""
+    _, lines, _ = show(*flags, str(logs))
+    assert [line.split()[2] for line in lines] == events
+
+
+def test_torn_and_missing_lines_are_told(logs: Path) -> None:
+    """A killed process leaves half a line; a collector loses one.
+
+    The log of entry-1 lacks its first line, has a line of zeros and ends in
+    the middle of one. What is whole is shown, the rest is counted, so nobody
+    takes the hole for what happened. The log given twice counts once.
+    """
+    log = logs / 'entry-1.log'
+    lines = log.read_bytes().splitlines(keepends=True)
+    cut = lines[2][: len(lines[2]) // 2]
+    log.write_bytes(b''.join([lines[1], b'\0\0\n', b'at="x\n', lines[2], cut]))
+    status, shown, err = show(str(logs), str(log))
+    assert (status, len(shown)) == (ExitStatus.OK, 3)
+    assert '1 events of gateway@entry-1~aaaaaaaa are missing' in err
+    assert '6 torn lines were left out' in err
+    assert '2 events stood twice' in err
+
+
+def test_the_page_needs_nothing_else_and_runs_nothing_logged(
+    logs: Path,
+) -> None:
+    """One file, no links, and text from the logs stays text."""
+    target = logs / 'page.html'
+    status, lines, _ = show('--html', str(target), str(logs))
+    text = target.read_text()
+    assert (status, lines) == (ExitStatus.OK, [])
+    assert '&lt;b&gt;&quot;x&quot;&lt;/b&gt;??[2J' in text
+    assert text.count('<tr>') == 5
+    assert '<th>scheduler@entry-2~bbbbbbbb</th>' in text
+    assert 'http' not in text
+
+
+@pytest.mark.parametrize(
+    ('args', 'status', 'named'),
+    [
+        (['none.log'], ExitStatus.NOT_FOUND, 'none.log cannot be read'),
+        (['--tier', '5', '.'], ExitStatus.USAGE, "'5' is not a tier"),
+        ([], ExitStatus.USAGE, 'FILE'),
+        (['--request', 'x', '{logs}'], ExitStatus.NOT_FOUND, 'no event'),
+        (['--html', '/none/x', '{logs}'], ExitStatus.NOT_FOUND, 'written'),
+    ],
+)
+def test_bad_input_gets_a_clear_message(
+    logs: Path,
+    args: list[str],
+    status: ExitStatus,
+    named: str,
+) -> None:
+    """Nothing is printed that could be taken for a time line."""
+    found, lines, err = show(*(arg.format(logs=logs) for arg in args))
+    assert (found, lines) == (status, [])
+    assert named in err
