--- a/tests/utils/entry_vm.py
+++ b/tests/utils/entry_vm.py
@@ -144,7 +144,9 @@
             process.send_signal(number)
 
     async def is_ready(self) -> bool:
-        """Whether the gateway says that it can serve."""
+        """Whether the gateway says that it can serve; raise if one ended."""
+        for process in self.processes:
+            process.check_running()
         try:
             reply = await call('GET', f'{self.url}/ready', timeout_s=1)
         except BrokenCallError:
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -11,6 +11,7 @@
 
 ROOT: Final = Path(__file__).resolve().parents[2]
 EXIT_LIMIT_S: Final = 10
+LOG_TAIL: Final = 12
 PR_SET_PDEATHSIG: Final = 1
 
 _LIBC: Final = ctypes.CDLL(None)
@@ -22,6 +23,10 @@
     _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+class ProcessEndedError(Exception):
+    """A process that should run has ended."""
+
+
 class Process:
     """One program, its output in a file of the run directory."""
 
@@ -81,6 +86,14 @@
             self.send_signal(signal.SIGKILL)
             await self.wait()
 
+    def check_running(self) -> None:
+        """Raise with the last lines of the log if the process has ended."""
+        if not self.is_running:
+            tail = '\n'.join(self.log_text().splitlines()[-LOG_TAIL:])
+            raise ProcessEndedError(
+                f'{self.name} ended with {self.exit_code}; {self.log}:\n{tail}',
+            )
+
     def log_text(self) -> str:
         """Return what the process wrote so far."""
         return self.log.read_text(errors='replace')
