--- a/tests/utils/callers.py
+++ b/tests/utils/callers.py
@@ -47,7 +47,7 @@
         self._entries = list(entries)
         self._ledger = ledger
         self._keeps_route = keeps_route
-        self._route: Route | None = None
+        self._routes: dict[str, Route] = {}  # by profile
 
     async def send(self, work: Work) -> Record:
         """Send until a final answer comes or the deadline has passed."""
@@ -64,25 +64,26 @@
 
     async def send_under(self, attempt: Attempt, work: Work) -> Reading:
         """Send under an id until one whole answer comes."""
-        route = await self.route(time.monotonic() + work.deadline_s)
+        deadline = time.monotonic() + work.deadline_s
+        route = await self.route(work.profile, deadline)
         return await self._send_attempt(
             attempt,
             work,
             route.addresses,
-            time.monotonic() + work.deadline_s,
+            deadline,
         )
 
-    async def route(self, deadline: float) -> Route:
+    async def route(self, profile: str, deadline: float) -> Route:
         """Return the kept route, or ask the entries for one."""
-        kept = self._route
+        kept = self._routes.get(profile)
         if kept is not None and self._keeps_route:
             if kept.until > time.monotonic():
                 return kept
         while time.monotonic() < deadline:
             for entry in tuple(self._entries):
-                route = await _ask(entry)
+                route = await _ask(entry, profile)
                 if route is not None:
-                    self._route = route
+                    self._routes[profile] = route
                     return route
                 self._entries.append(self._entries.pop(0))
             await asyncio.sleep(ROUND_PAUSE_S)
@@ -91,7 +92,7 @@
     async def _send_until_final(self, record: Record, deadline: float) -> None:
         work = record.work
         while True:
-            route = await self.route(deadline)
+            route = await self.route(work.profile, deadline)
             attempt = Attempt(f'{route.ticket}/{uuid.uuid4().hex}')
             record.attempts.append(attempt)
             reading = await self._send_attempt(
@@ -104,7 +105,7 @@
                 break
             # A request that was not run comes back under a new id: the old
             # one is void for ever. A new ticket leads to a VM that serves.
-            self._route = None
+            self._routes.clear()
             pause = max(reading.retry_after_s, ROUND_PAUSE_S)
             if time.monotonic() + pause >= deadline:
                 break
@@ -130,8 +131,9 @@
                     attempt.reading = reading
                     return reading
             await asyncio.sleep(ROUND_PAUSE_S)
-            self._route = None
-            addresses = (await self.route(deadline)).addresses
+            self._routes.clear()
+            route = await self.route(work.profile, deadline)
+            addresses = route.addresses
         raise NoAnswerError
 
     async def _send_once(
@@ -229,11 +231,11 @@
             yield line.decode().rstrip('\r')
 
 
-async def _ask(entry: str) -> Route | None:
+async def _ask(entry: str, profile: str) -> Route | None:
     try:
         reply = await call(
             'GET',
-            f'http://{entry}/v1/address',
+            f'http://{entry}/v1/address?profile={profile}',
             timeout_s=ADDRESS_TIMEOUT_S,
         )
     except BrokenCallError:
--- a/tests/utils/engine_batch.py
+++ b/tests/utils/engine_batch.py
@@ -47,6 +47,9 @@
     cached_tokens: int = 0
     prefill_left: float = 0
     decoded: float = 0
+    admitted_at: float = field(default_factory=time.time)
+    started_at: float = 0  # wall time, to hold against logged events
+    ended_at: float = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -63,6 +66,7 @@
     def finish(self, state: RunState) -> None:
         """End the run and wake its readers."""
         self.state = state
+        self.ended_at = time.time()
         self.notify()
 
     def notify(self) -> None:
@@ -79,7 +83,7 @@
         if len(self.events) >= self.max_tokens:
             self.events.append(json.dumps({'usage': self.usage()}))
             self.events.append(DONE_EVENT)
-            self.state = RunState.DONE
+            self.finish(RunState.DONE)
         self.notify()
 
     def usage(self) -> dict[str, int]:
@@ -166,6 +170,7 @@
         while self.waiting and len(self.running) < self.slots:
             run = self.waiting.popleft()
             run.state = RunState.RUNNING
+            run.started_at = time.time()
             run.cached_tokens = self._cache.match(run.prefixes) * BLOCK_TOKENS
             run.prefill_left = max(run.prompt_tokens - run.cached_tokens, 1)
             self.running.append(run)
--- a/tests/utils/plain_service.py
+++ b/tests/utils/plain_service.py
@@ -1,8 +1,9 @@
 """Stand-in for a plain service that records every call it ran."""
 
 import asyncio
+import time
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from http import HTTPStatus
 from random import Random
 
@@ -30,6 +31,7 @@
 
     run_id: str
     body_hash: str
+    at: float = field(default_factory=time.time)
 
 
 class PlainService:
