--- /dev/null
+++ b/tests/failures/test_planned_stop.py
@@ -0,0 +1,52 @@
+"""An entry VM is stopped as planned, under load.
+
+What the caller sees: its answer, whole; later requests go to other addresses.
+Order: SIGTERM reaches both processes at once; they take nothing new, let all
+in flight end, write the journal and exit 0. Why: a stop is planned, so
+nothing about it excuses a cut stream.
+"""
+
+from pathlib import Path
+
+from bramleybend.answers import Outcome
+from tests.utils.cluster import Layout
+from tests.utils.engine import EngineConfig
+from tests.utils.load import Stream
+from tests.utils.scenario import assert_clean, scenario
+from tests.utils.waiting import wait_until
+
+LAYOUT = Layout(
+    vms=3,
+    engines=(EngineConfig(decode_tps=60),) * 2,
+    plain_latencies_ms=(60, 120),
+)
+LOAD = (
+    Stream('slot-claim', 15, 8),
+    Stream('availability', 10, 5),
+    Stream('debrief', 4, 12, (200, 1000), (40, 100)),
+)
+REFUSED = 'ConnectionRefusedError'
+
+
+async def test_a_planned_stop_cuts_nothing_and_exits_0(
+    tmp_path: Path,
+) -> None:
+    """Every request is done; the only broken sends met a closed port."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        leaving = scene.cluster.vms[0]
+        async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > 60,
+                '60 requests done before the stop',
+            )
+            codes = await leaving.stop()
+            done = scene.count(Outcome.DONE)
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > done + 40,
+                '40 more requests done after the stop',
+            )
+        cut = [why for why in scene.broken_sends() if REFUSED not in why]
+        assert not cut, cut[:5]
+        assert codes == (0, 0)
+        assert_clean(scene.verdict())
+        assert scene.verdict().is_clean, str(scene.verdict())
--- /dev/null
+++ b/tests/failures/test_runner_leaving.py
@@ -0,0 +1,96 @@
+"""A runner leaves, and the VM list tells so late or not at all.
+
+What the caller sees: nothing. Order: the runner is marked as leaving, the
+list shows it (late), the schedulers stop giving it work. Why: its VM goes
+away in a short while, and what still ran there would be cut off.
+"""
+
+import time
+from pathlib import Path
+
+from bramleybend.answers import Outcome
+from tests.utils.cluster import ENGINE_SERVICE, PLAIN_SERVICE, Layout
+from tests.utils.engine import Engine, EngineConfig
+from tests.utils.load import Stream
+from tests.utils.plain_service import PlainService
+from tests.utils.scenario import Scenario, assert_clean, scenario
+from tests.utils.waiting import wait_until
+
+LAYOUT = Layout(
+    vms=3,
+    engines=(EngineConfig(decode_tps=300),) * 2,
+    plain_latencies_ms=(20, 20),
+)
+LOAD = (
+    Stream('availability', 20, 5),
+    Stream('debrief', 8, 8, (50, 200), (10, 20)),
+)
+FEW_SECONDS = 3
+LEAVING = {
+    ENGINE_SERVICE: f'{ENGINE_SERVICE}-walton-1',
+    PLAIN_SERVICE: f'{PLAIN_SERVICE}-walton-1',
+}
+
+
+def _last_work_at(standin: Engine | PlainService) -> float:
+    if isinstance(standin, Engine):
+        return max((run.admitted_at for run in standin.admitted), default=0)
+    return max((call.at for call in standin.calls), default=0)
+
+
+async def _done_more(scene: Scenario, count: int, what: str) -> None:
+    goal = scene.count(Outcome.DONE) + count
+    await wait_until(lambda: scene.count(Outcome.DONE) >= goal, what)
+
+
+async def _leave_under_load(scene: Scenario, lag_s: float) -> None:
+    leaving = [scene.cluster.by_name[name] for name in LEAVING.values()]
+    async with scene.load(LOAD):
+        await wait_until(
+            lambda: all(_last_work_at(each.standin) for each in leaving),
+            'both runners that will leave have had work',
+        )
+        scene.cluster.vm_list.faults.lag_s = lag_s
+        for name in LEAVING.values():
+            scene.cluster.vm_list.mark_leaving(name)
+        limit = time.time() + lag_s + FEW_SECONDS
+        await wait_until(lambda: time.time() > limit, 'a few seconds')
+        await _done_more(scene, 60, 'the load goes on without them')
+    for each in leaving:
+        assert _last_work_at(each.standin) < limit, each.vm.name
+
+
+async def test_a_leaving_runner_gets_no_new_work(tmp_path: Path) -> None:
+    """Not after a few seconds, and no caller notices."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        await _leave_under_load(scene, lag_s=0)
+        assert_clean(scene.verdict())
+        assert scene.verdict().is_clean, str(scene.verdict())
+
+
+async def test_a_lagging_list_delays_but_does_not_defeat_leaving(
+    tmp_path: Path,
+) -> None:
+    """The few seconds start when the list shows the change."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        await _leave_under_load(scene, lag_s=2)
+        assert_clean(scene.verdict())
+
+
+async def test_a_runner_that_refuses_is_left_alone_while_the_list_is_down(
+    tmp_path: Path,
+) -> None:
+    """The runner's own refusal is word enough; its work goes elsewhere."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        leaving = [scene.cluster.by_name[name] for name in LEAVING.values()]
+        async with scene.load(LOAD):
+            await _done_more(scene, 30, 'the load is served')
+            scene.cluster.vm_list.faults.down = True
+            for each in leaving:
+                each.standin.faults.down = True
+            refused_from = time.time()
+            await _done_more(scene, 120, 'the load goes on without them')
+        for each in leaving:
+            assert _last_work_at(each.standin) < refused_from
+        assert_clean(scene.verdict())
+        assert scene.verdict().is_clean, str(scene.verdict())
--- /dev/null
+++ b/tests/utils/scenario.py
@@ -0,0 +1,90 @@
+"""A cluster with callers around it, as the tests of failures use it."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Sequence
+from pathlib import Path
+
+from bramleybend.answers import Outcome
+from tests.utils.callers import Caller
+from tests.utils.cluster import EXAMPLE, Cluster, Layout
+from tests.utils.entry_vm import EntryVm
+from tests.utils.ledger import Ledger, Verdict
+from tests.utils.load import Stream, plan, play
+from tests.utils.work import Declared, WorkMaker
+
+LARGE_SCHOOL = 'walton-aero-club'  # may use every profile
+
+
+class Scenario:
+    """What one test drives and looks at."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Stand before a cluster that is ready."""
+        self.cluster = cluster
+        self.ledger = Ledger()
+        self.declared = Declared.load(EXAMPLE.read_text())
+        self.make = WorkMaker(self.declared)
+
+    def caller(self, first: EntryVm | None = None, **options: bool) -> Caller:
+        """Return a caller that asks `first` before the other VMs."""
+        vms = sorted(self.cluster.vms, key=lambda vm: vm is not first)
+        return Caller([vm.endpoint for vm in vms], self.ledger, **options)
+
+    def callers(self) -> list[Caller]:
+        """Return two callers for each VM that ask it first."""
+        return [self.caller(vm) for vm in self.cluster.vms * 2]
+
+    @contextlib.asynccontextmanager
+    async def load(
+        self,
+        streams: Sequence[Stream],
+        seconds: float = 60,
+    ) -> AsyncIterator[None]:
+        """Send a load while the body runs; then wait for every answer."""
+        over = asyncio.Event()
+        arrivals = plan(self.declared, streams, seconds)
+        playing = asyncio.create_task(
+            play(arrivals, self.callers(), over.is_set),
+        )
+        try:
+            yield
+            over.set()
+            await playing
+        finally:
+            playing.cancel()
+
+    def count(self, outcome: Outcome, profile: str = '') -> int:
+        """Count the requests that ended so, of one profile or of all."""
+        return sum(
+            record.outcome is outcome
+            for record in self.ledger.records
+            if profile in {'', record.work.profile}
+        )
+
+    def broken_sends(self) -> list[str]:
+        """Return why connections of callers broke."""
+        return [
+            reason
+            for record in self.ledger.records
+            for attempt in record.attempts
+            for reason in attempt.broken
+        ]
+
+    def verdict(self) -> Verdict:
+        """Judge all answers against the runners' records."""
+        return self.ledger.judge(self.cluster.runners.runs_of())
+
+
+@contextlib.asynccontextmanager
+async def scenario(layout: Layout, run_dir: Path) -> AsyncIterator[Scenario]:
+    """Start a cluster and wait until every VM can serve."""
+    async with Cluster(layout, run_dir) as cluster:
+        await cluster.ready()
+        yield Scenario(cluster)
+
+
+def assert_clean(verdict: Verdict) -> None:
+    """Every request has one answer, and none of them is wrong."""
+    assert not verdict.wrong, '\n'.join(verdict.wrong[:5])
+    assert not verdict.lost, str(verdict)
