--- /dev/null
+++ b/tests/failures/test_shortage.py
@@ -0,0 +1,82 @@
+"""Much more work than the engines can do, in all tiers at once.
+
+What the caller sees: bulk work is turned away or stopped, high tiers are
+served. Order: queues fill, deadlines near, lower tiers give their slots up,
+and only then may a higher tier be shed. Why: a request is shed only once no
+owner serves anything lower, so each shed event is held against what the
+engines were running at that moment.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from bramleybend.answers import Outcome
+from bramleybend.models import Tier
+from tests.utils.cluster import Layout
+from tests.utils.engine import EngineConfig
+from tests.utils.engine_batch import Run
+from tests.utils.eventlog import parse_events
+from tests.utils.load import Stream
+from tests.utils.scenario import Scenario, assert_clean, scenario
+from tests.utils.waiting import wait_until
+
+LAYOUT = Layout(
+    vms=3,
+    engines=(EngineConfig(slots=4, decode_tps=40),) * 2,
+    plain_latencies_ms=(20,),
+)
+# Eight slots give 320 tokens a second; this asks for about 1,500.
+LOAD = (
+    Stream('logbook-check', 5, 4, (100, 400), (30, 50)),
+    Stream('debrief', 10, 4, (100, 400), (50, 80)),
+    Stream('syllabus-summary', 8, 4, (100, 400), (60, 100)),
+)
+
+
+@dataclass(frozen=True)
+class _Served:
+    tier: Tier
+    start: float
+    end: float
+
+
+def _served(scene: Scenario) -> Iterator[_Served]:
+    tiers = {
+        record.work.content: record.work.tier for record in scene.ledger.records
+    }
+    for engine in scene.cluster.runners.engines:
+        for run in engine.admitted:
+            yield _served_of(run, tiers[run.prompt_hash])
+
+
+def _served_of(run: Run, tier: Tier) -> _Served:
+    return _Served(tier, run.admitted_at, run.ended_at or float('inf'))
+
+
+async def test_no_higher_tier_is_shed_while_a_lower_one_is_served(
+    tmp_path: Path,
+) -> None:
+    """Each shed event finds nothing of a lower tier on any engine."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.NOT_RUN) >= 20,
+                '20 requests turned away',
+            )
+        sheds = [
+            event
+            for event in parse_events(scene.cluster.event_lines())
+            if event['event'] == 'shed'
+        ]
+        assert sheds, 'the load was no shortage'
+        served = list(_served(scene))
+        for shed in sheds:
+            lower = [
+                each
+                for each in served
+                if each.tier > int(shed['tier'])
+                and each.start < shed.at < each.end
+            ]
+            assert not lower, (shed, lower)
+        assert_clean(scene.verdict())
--- a/tests/utils/answers.py
+++ b/tests/utils/answers.py
@@ -8,6 +8,8 @@
 import json
 from typing import Final
 
+from xxhash import xxh64
+
 BYTES_A_TOKEN: Final = 4
 BLOCK_TOKENS: Final = 64
 BLOCK_BYTES: Final = BYTES_A_TOKEN * BLOCK_TOKENS
@@ -28,11 +30,11 @@
 def prefix_hashes(prompt: str) -> list[str]:
     """Name each whole block of the prompt together with all before it."""
     encoded = prompt.encode()
-    digest = hashlib.sha256()
+    digest = xxh64()
     hashes = []
     for start in range(0, len(encoded) - BLOCK_BYTES + 1, BLOCK_BYTES):
         digest.update(encoded[start : start + BLOCK_BYTES])
-        hashes.append(digest.hexdigest()[:HASH_LENGTH])
+        hashes.append(digest.hexdigest())
     return hashes
 
 
