--- a/bramleybend/decisions/floor.py
+++ b/bramleybend/decisions/floor.py
@@ -17,11 +17,11 @@
 
 from bramleybend.models import Tier
 
-HOLD_S: Final = 2.0
-MARGIN_S: Final = 0.2
+HOLD_S: Final = 1.0
+MARGIN_S: Final = 0.1
 # A gateway whose view is older than FRESH_S neither uses an owner's grant nor
 # sheds, so after that time nobody deals with the owner that was replaced.
-FRESH_S: Final = 3.0
+FRESH_S: Final = 1.5
 ADOPTION_GRACE_S: Final = FRESH_S + HOLD_S
 
 
--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -90,15 +90,14 @@
         while True:
             refusal = await self._acquire(ask, excluded, urgent=urgent)
             if isinstance(refusal, Slot):
-                self._granted(job, refusal)
-                return refusal
+                if self._deps.views.is_fresh:
+                    self._granted(job, refusal)
+                    return refusal
+                await refusal.end(Ended(outcome=End.NOT_SENT, refused=False))
+                continue
             if isinstance(refusal, Answer):
                 return refusal
-            if await self._deps.floors.may_shed(
-                job.service.name,
-                job.profile.tier,
-                job.service.shards,
-            ):
+            if await self._may_shed(job):
                 return self._shed(job, refusal, proved=True)
             if self._deps.clock.monotonic() >= ask.deadline:
                 # No owner would say that nothing lower runs, and the time
@@ -107,6 +106,14 @@
             urgent = True
             await asyncio.sleep(SHED_PAUSE_S)
 
+    async def _may_shed(self, job: Job) -> bool:
+        permitted = await self._deps.floors.may_shed(
+            job.service.name,
+            job.profile.tier,
+            job.service.shards,
+        )
+        return permitted and self._deps.views.is_fresh
+
     async def _acquire(
         self,
         ask: Ask,
@@ -124,8 +131,11 @@
             match await self._deps.asker.acquire(message, ask.deadline):
                 case Ok(slot):
                     return slot
-                case Err(Refused() as refused) if not refused.shed:
-                    return _refused(refused)
+                case Err(Refused() as refused):
+                    # An urgent ask was refused for want of capacity before,
+                    # whatever its deadline says by now.
+                    if not refused.shed and not urgent:
+                        return _refused(refused)
                 case Err(Problem() as problem):
                     return not_run(str(problem), RETRY_AFTER)
         return refused or not_run('no shard can be reached', RETRY_AFTER)
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from dataclasses import dataclass, field, replace
+from math import inf
 from typing import Final
 
 import grpc
@@ -15,6 +16,7 @@
 from bramleybend.clock import Clock
 from bramleybend.declarations import parse_terms
 from bramleybend.decisions.actions import ShardView
+from bramleybend.decisions.floor import FRESH_S
 from bramleybend.events import EventLog
 from bramleybend.identity import Identity
 from bramleybend.models import Terms
@@ -28,9 +30,9 @@
 from bramleybend.wire.bramleybend_pb2_grpc import LocalStub
 from bramleybend.wire.channels import PROTOCOL, Channels
 
-VIEW_WAIT_S: Final = 0.5
-VIEW_TIMEOUT_S: Final = 1.5
-RETRY_S: Final = 0.2
+VIEW_WAIT_S: Final = 0.4
+VIEW_TIMEOUT_S: Final = 0.9
+RETRY_S: Final = 0.1
 
 
 @dataclass(frozen=True)
@@ -43,7 +45,7 @@
     shards: tuple[ShardView, ...] = ()
     endpoints: dict[str, str] = field(default_factory=dict)
     refused: frozenset[str] = frozenset()  # fingerprints
-    heard_at: float = float('-inf')
+    heard_at: float = -inf
 
 
 class ViewFollower:
@@ -65,12 +67,22 @@
         self._clock = clock
         self._events = events
         self._turn = 0
+        self._asked_at = -inf
 
     @property
     def age_s(self) -> float:
         """Seconds since the system was last heard of."""
         return self._clock.monotonic() - self.view.heard_at
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the owners seen here can still be the owners.
+
+        A grant or a floor of an owner that was replaced meanwhile would be
+        used beside those of its successor; see `decisions.floor`.
+        """
+        return self._clock.monotonic() - self._asked_at <= FRESH_S
+
     async def follow(self) -> None:
         """Ask for views until cancelled."""
         while True:
@@ -115,6 +127,7 @@
     def _take(self, reply: ViewReply, asked_at: float) -> None:
         # The wait for a reply may have frozen this process with it, so the
         # word is dated from before the question, never from its arrival.
+        self._asked_at = asked_at
         self.view = replace(
             self.view,
             terms=self._terms(reply),
