Never say not_run once a try has run; tell a crash from a broken link

Cause: test_a_poison_request_is_contained showed not_run for content that two runners had run: the last try met a restarting runner, and its end decided. Now any try that reached a runner decides. A restarted engine answers 404 to a resume, which counts as its crash.

--- a/bramleybend/answers.py
+++ b/bramleybend/answers.py
@@ -84,3 +84,12 @@
         reason,
         'ask for a new ticket; the old request will not be run',
     )
+
+
+def quarantined() -> Answer:
+    """Say that the content is refused for good."""
+    return rejected(
+        'runners crashed while they ran this content',
+        'change the content; the same one will not be run again',
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+    )
--- a/bramleybend/gateway/ask.py
+++ b/bramleybend/gateway/ask.py
@@ -7,7 +7,7 @@
 from xxhash import xxh3_64
 
 from bramleybend.gateway.run import RequestBody
-from bramleybend.models import Ask, Profile
+from bramleybend.models import Ask, Profile, ServiceKind
 from bramleybend.wire.bramleybend_pb2 import AskMessage
 
 CHARS_A_TOKEN: Final = 4
@@ -20,9 +20,14 @@
 MAX_PREFIXES: Final = 16
 
 
-def ask_of(req: RequestBody, profile: Profile) -> Ask:
+def ask_of(req: RequestBody, profile: Profile, kind: ServiceKind) -> Ask:
     """Estimate from the body what an owner needs to decide."""
-    prompt, max_tokens = _prompt_of(req.body)
+    if kind is ServiceKind.ENGINE:
+        prompt, max_tokens = _prompt_of(req.body)
+    else:
+        # A plain call decodes no tokens. Taken for a completion of default
+        # length, short calls would seem to fill their service and be shed.
+        prompt, max_tokens = req.body.decode(errors='replace'), 0
     prompt_tokens = max(len(prompt) // CHARS_A_TOKEN, 1)
     return Ask(
         request_id=req.request_id,
--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -74,6 +74,7 @@
         self._run_id = run_id
         self._usage = Usage()
         self._received = 0
+        self._crashed = False
 
     async def proceed(self) -> AttemptEnd:
         """Dispatch and read to the end; never dispatches twice."""
@@ -151,10 +152,14 @@
                 self._received,
             )
         except OSError:
+            self._crashed = True
             return None
         try:
             head = await exchange.head()
             if head.status != HTTPStatus.OK:
+                # An engine that no longer knows a run it had admitted has
+                # been restarted; by now it may look as well as ever.
+                self._crashed |= head.status == HTTPStatus.NOT_FOUND
                 return None
             return await self._events(exchange)
         except BROKEN:
@@ -196,9 +201,11 @@
 
     async def _broken(self, end: End) -> AttemptEnd:
         """Tell a crashed runner from a broken connection."""
-        try:
-            probe = await connect(self._address.host, self._address.port)
-        except OSError:
-            return AttemptEnd(end, self._usage, crashed=True)
-        probe.close()
-        return AttemptEnd(end, self._usage)
+        if not self._crashed:
+            try:
+                probe = await connect(self._address.host, self._address.port)
+            except OSError:
+                self._crashed = True
+            else:
+                probe.close()
+        return AttemptEnd(end, self._usage, crashed=self._crashed)
--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -8,7 +8,13 @@
 
 from result import Err, Ok
 
-from bramleybend.answers import Answer, Outcome, not_run, unknown
+from bramleybend.answers import (
+    Answer,
+    Outcome,
+    not_run,
+    quarantined,
+    unknown,
+)
 from bramleybend.clock import Clock
 from bramleybend.decisions.routing import rank_shards
 from bramleybend.errors import Problem
@@ -21,11 +27,12 @@
 from bramleybend.gateway.view import ViewFollower
 from bramleybend.metrics import Metric, Metrics
 from bramleybend.models import Ask, Profile, Repeat, Service
-from bramleybend.wire.bramleybend_pb2 import Ended, Refused
+from bramleybend.wire.bramleybend_pb2 import AskMessage, Ended, Refused
 
 RETRY_AFTER: Final = timedelta(seconds=1)
 MAX_ATTEMPTS: Final = 4
 RETRY_PAUSE_S: Final = 0.05
+REPEATABLE: Final = frozenset((End.STOPPED, End.TORN, End.UNHEARD))
 # An owner refuses this long before a deadline, so that the tier floor can be
 # asked for in time.
 SHED_PAUSE_S: Final = 0.05
@@ -68,44 +75,85 @@
     async def dispatch(self, job: Job) -> Answer:
         """Run the job to its outcome."""
         excluded: list[str] = []
+        ran: AttemptEnd | None = None
         for number in range(MAX_ATTEMPTS):
             slot = await self._slot(job, excluded)
             if isinstance(slot, Answer):
-                return slot
+                return self._given_up(job, slot, ran)
             end = await self._attempt(job, slot, number)
-            answer = self._answer(job, end, number)
-            if answer is not None:
-                return answer
+            if end.end is End.WHOLE:
+                return Answer(Outcome.DONE, 'whole')
+            if end.end is not End.NOT_SENT:
+                ran = end
+            if not self._may_go_on(job, end):
+                break
             excluded.append(slot.runner)
             self._deps.events.record('retry', job.request_id, end=end.end)
             await asyncio.sleep(RETRY_PAUSE_S * 2**number)
-        return not_run('every runner that was tried refused it', RETRY_AFTER)
+        refused = not_run('no runner took it', RETRY_AFTER)
+        return self._given_up(job, refused, ran)
+
+    def _given_up(
+        self,
+        job: Job,
+        answer: Answer,
+        ran: AttemptEnd | None,
+    ) -> Answer:
+        # Once an earlier try has reached a runner, `not_run` is untrue
+        # whatever the last one met, and a caller that acts on it would have
+        # its work done twice.
+        if ran is None:
+            return answer
+        return _final(ran, out_of_time=self._out_of_time(job))
+
+    def _out_of_time(self, job: Job) -> bool:
+        return self._deps.clock.monotonic() >= job.run.req.deadline
+
+    def _may_go_on(self, job: Job, end: AttemptEnd) -> bool:
+        """Whether another try is safe and still of use."""
+        if self._out_of_time(job) or job.run.abandoned.is_set():
+            return False
+        if end.end is End.NOT_SENT:
+            return True
+        # Once a caller has read part of an answer, a second run could go on
+        # with other words: the whole would be nobody's answer.
+        return (
+            job.profile.repeat is Repeat.IDEMPOTENT
+            and job.run.chunk_count == 0
+            and end.end in REPEATABLE
+        )
 
     # Slots
 
     async def _slot(self, job: Job, excluded: list[str]) -> Slot | Answer:
         """Wait for a slot; refuse only what may be refused."""
-        ask = ask_of(job.run.req, job.profile)
+        ask = ask_of(job.run.req, job.profile, job.service.kind)
         urgent = False
         while True:
             refusal = await self._acquire(ask, excluded, urgent=urgent)
-            if isinstance(refusal, Slot):
-                if self._deps.views.is_fresh:
-                    self._granted(job, refusal)
-                    return refusal
-                await refusal.end(Ended(outcome=End.NOT_SENT, refused=False))
-                continue
             if isinstance(refusal, Answer):
                 return refusal
+            if isinstance(refusal, Slot):
+                slot = await self._usable(job, refusal)
+                if slot is not None:
+                    return slot
+                continue
             if await self._may_shed(job):
                 return self._shed(job, refusal, proved=True)
-            if self._deps.clock.monotonic() >= ask.deadline:
+            if self._out_of_time(job):
                 # No owner would say that nothing lower runs, and the time
                 # is up: told apart, since the promise is not proved.
                 return self._shed(job, refusal, proved=False)
             urgent = True
             await asyncio.sleep(SHED_PAUSE_S)
 
+    async def _usable(self, job: Job, slot: Slot) -> Slot | None:
+        if not self._deps.views.is_fresh:
+            await slot.end(Ended(outcome=End.NOT_SENT))
+            return None
+        self._granted(job, slot)
+        return slot
+
     async def _may_shed(self, job: Job) -> bool:
         permitted = await self._deps.floors.may_shed(
             job.service.name,
@@ -123,22 +171,37 @@
     ) -> Slot | Answer | Refused:
         view = self._deps.views.view
         ranked = rank_shards(ask, view.shards, self._deps.rng) or [0]
-        refused: Refused | None = None
+        last: Slot | Answer | Refused = not_run(
+            'no shard can be reached',
+            RETRY_AFTER,
+        )
         for shard in ranked:
             message = ask_message(ask, excluded, self._left_s(ask))
             message.shard = shard
             message.urgent = urgent
-            match await self._deps.asker.acquire(message, ask.deadline):
-                case Ok(slot):
-                    return slot
-                case Err(Refused() as refused):
-                    # An urgent ask was refused for want of capacity before,
-                    # whatever its deadline says by now.
-                    if not refused.shed and not urgent:
-                        return _refused(refused)
-                case Err(Problem() as problem):
-                    return not_run(str(problem), RETRY_AFTER)
-        return refused or not_run('no shard can be reached', RETRY_AFTER)
+            last = await self._acquire_at(message, ask.deadline)
+            if not isinstance(last, Refused):
+                break
+        return last
+
+    async def _acquire_at(
+        self,
+        message: AskMessage,
+        deadline: float,
+    ) -> Slot | Answer | Refused:
+        """Ask one shard; a `Refused` is one that may go on elsewhere."""
+        match await self._deps.asker.acquire(message, deadline):
+            case Ok(slot):
+                return slot
+            case Err(Problem() as problem):
+                return not_run(str(problem), RETRY_AFTER)
+            case Err(Refused() as refused):
+                # An urgent ask was refused for want of capacity before,
+                # whatever its deadline says by now.
+                if refused.quarantined or not (refused.shed or message.urgent):
+                    return _refused(refused)
+                return refused
+        raise AssertionError(message)
 
     def _left_s(self, ask: Ask) -> float:
         return max(ask.deadline - self._deps.clock.monotonic(), 0)
@@ -212,6 +275,11 @@
             )
             if proceeding.done():
                 return proceeding.result()
+            if preempted.done():
+                self._deps.metrics.count(
+                    Metric.PREEMPTED,
+                    tier=int(job.profile.tier),
+                )
             return await self._stop(job, attempt, proceeding)
         finally:
             for task in (proceeding, preempted, abandoned):
@@ -228,44 +296,13 @@
             proceeding.cancel()
             return AttemptEnd(End.NOT_SENT)
         if job.profile.cancellable and await attempt.stop():
-            self._deps.metrics.count(
-                Metric.PREEMPTED,
-                tier=int(job.profile.tier),
-            )
             return AttemptEnd(End.STOPPED)
         return AttemptEnd(End.UNHEARD)
 
-    # Outcomes
-
-    def _answer(
-        self,
-        job: Job,
-        end: AttemptEnd,
-        number: int,
-    ) -> Answer | None:
-        """Return the final answer, or None where another try is safe."""
-        if end.end is End.WHOLE:
-            return Answer(Outcome.DONE, 'whole')
-        out_of_time = self._deps.clock.monotonic() >= job.run.req.deadline
-        if end.end is End.NOT_SENT:
-            if out_of_time or number + 1 == MAX_ATTEMPTS:
-                return not_run('no runner took it', RETRY_AFTER)
-            return None
-        if not out_of_time and self._may_repeat(job, end):
-            return None
-        return _final(end, out_of_time=out_of_time)
-
-    def _may_repeat(self, job: Job, end: AttemptEnd) -> bool:
-        # Once a caller has read part of an answer, a second run could go on
-        # with other words: the whole would be nobody's answer.
-        return (
-            job.profile.repeat is Repeat.IDEMPOTENT
-            and job.run.chunk_count == 0
-            and end.end in {End.STOPPED, End.TORN, End.UNHEARD}
-        )
-
 
 def _refused(refused: Refused) -> Answer:
+    if refused.quarantined:
+        return quarantined()
     return not_run(
         refused.reason,
         timedelta(seconds=refused.retry_after_s),
@@ -275,7 +312,7 @@
 def _final(end: AttemptEnd, *, out_of_time: bool) -> Answer:
     match end.end:
         case End.STOPPED:
-            reason = 'its deadline passed' if out_of_time else 'preempted'
+            reason = 'its deadline passed' if out_of_time else 'given up'
             return Answer(
                 Outcome.CANCELLED,
                 f'stopped while it ran: {reason}',
--- a/bramleybend/gateway/intake.py
+++ b/bramleybend/gateway/intake.py
@@ -5,12 +5,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
-from http import HTTPStatus
 from typing import Final
 
 from result import Err, Ok
 
-from bramleybend.answers import Answer, not_run, rejected
+from bramleybend.answers import Answer, not_run, quarantined, rejected
 from bramleybend.clock import Clock
 from bramleybend.events import EventLog
 from bramleybend.gateway.border import Received, check_headers
@@ -131,11 +130,7 @@
             )
         if req.fingerprint in self._deps.views.view.refused:
             self._deps.metrics.count(Metric.QUARANTINED)
-            return rejected(
-                'runners crashed while they ran this content',
-                'change the content; the same one will not be run again',
-                HTTPStatus.UNPROCESSABLE_ENTITY,
-            )
+            return quarantined()
         return self._not_fresh()
 
     def _not_fresh(self) -> Answer | None:
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -23,6 +23,7 @@
 from bramleybend.scheduler.peers import Peers, make_peers
 from bramleybend.scheduler.shard_task import ShardDeps
 from bramleybend.scheduler.shards import ShardTable, Surroundings
+from bramleybend.scheduler.suspects import exported
 from bramleybend.scheduler.view_service import ViewService, ViewSources
 from bramleybend.settings import Settings
 from bramleybend.state.terms_follower import FollowerPort, TermsFollower
@@ -151,7 +152,7 @@
             lambda: self.peers.alive(),
             lambda: self.listed.runners,
             self.known_loads,
-            self.peers.suspects,
+            lambda: exported(self.crashes),
             lambda: self.terms.age_s,
         )
 
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -8,6 +8,7 @@
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.actions import RunReport
+from bramleybend.decisions.quarantine import Verdict
 from bramleybend.models import Ask, Tier
 from bramleybend.scheduler.messages import (
     Adopted,
@@ -26,6 +27,8 @@
     FloorRequest,
     HoldReply,
     HoldRequest,
+    Queued,
+    Refused,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import OwnerServicer
 from bramleybend.wire.check import Context, refuse_other_protocol
@@ -101,11 +104,22 @@
             ask = _ask_of(first.adopt.ask, now)
             shard.post(Adopted(hold, ask, first.adopt.runner))
             return
-        suspect = self._shards.is_suspect(hold.fingerprint)
+        verdict = self._shards.verdict(hold.fingerprint)
+        if verdict is Verdict.REFUSED:
+            _refuse_content(hold)
+            return
+        suspect = verdict is Verdict.SUSPECT
         ask = _ask_of(first.ask, now, suspect=suspect)
         shard.post(Asked(hold, ask, first.ask.urgent))
 
 
+def _refuse_content(hold: HoldChannel) -> None:
+    refused = Refused(reason='quarantined', quarantined=True)
+    hold.outbox.put_nowait(HoldReply(queued=Queued()))
+    hold.outbox.put_nowait(HoldReply(refused=refused))
+    hold.outbox.put_nowait(None)
+
+
 async def _read(
     requests: AsyncIterator[HoldRequest],
     shard: ShardTask,
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -79,11 +79,10 @@
             return False
         return self._deps.clock.monotonic() - since >= ADOPTION_GRACE_S
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Whether this content was in flight when a runner crashed."""
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Whether this content was in flight when runners crashed."""
         now = self._deps.clock.monotonic()
-        verdict = self._deps.crashes.verdict(fingerprint, now)
-        return verdict is not Verdict.CLEAR
+        return self._deps.crashes.verdict(fingerprint, now)
 
     async def watch(self) -> None:
         """Follow list, terms and members until cancelled."""
--- /dev/null
+++ b/bramleybend/scheduler/suspects.py
@@ -0,0 +1,39 @@
+"""Crash suspicion on the wire: to gateways and to other schedulers."""
+
+from collections.abc import Iterable
+
+from bramleybend.decisions.quarantine import CrashBook, CrashRecord
+from bramleybend.wire.bramleybend_pb2 import SuspectRecord
+
+
+def exported(book: CrashBook) -> list[SuspectRecord]:
+    """Put every record on the wire."""
+    return [
+        SuspectRecord(
+            fingerprint=record.fingerprint,
+            generation=record.generation,
+            runners=sorted(record.runners),
+            refused=record.refused,
+        )
+        for record in book.export()
+    ]
+
+
+def merge(
+    book: CrashBook,
+    records: Iterable[SuspectRecord],
+    now: float,
+) -> None:
+    """Take in what another scheduler knows."""
+    book.merge(
+        [
+            CrashRecord(
+                record.fingerprint,
+                record.generation,
+                frozenset(record.runners),
+                record.refused,
+            )
+            for record in records
+        ],
+        now,
+    )
