--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -52,4 +52,4 @@
     if not shard.switches.admission or shard.lower_runs(ask.tier):
         return False
     wait = shard.queue.cost_ahead(ask) / shard.drain.value
-    return wait > (shard.latest_start(ask) - now) * SURE_WAIT
+    return wait > (ask.deadline - now) * SURE_WAIT
--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -10,7 +10,8 @@
 over a bounded number of times.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from itertools import islice
 from math import inf
 
 from bramleybend.decisions.actions import Action, Grant
@@ -19,6 +20,8 @@
 from bramleybend.decisions.shard import Shard
 
 PLACE_S = 0.05
+HOLD_S = 0.25
+MOST_WINDOWS = 8
 
 
 @dataclass(frozen=True)
@@ -26,6 +29,7 @@
     entry: Waiting
     runner: Runner
     seconds: float
+    regret: float = 0
 
 
 def start_waiting(shard: Shard, now: float) -> list[Action]:
@@ -45,33 +49,49 @@
     free = shard.pool.free(now) if shard.queue else []
     if not free:
         return None
-    window = shard.queue.window(shard.lowest_tier(now))
-    choices = [
-        _Choice(entry, runner, _seconds(shard, entry, runner, place))
-        for place, entry in enumerate(window)
-        for runner in free
-        if runner.name not in entry.ask.excluded
-    ]
-    return min(choices, key=_by_seconds, default=None)
-
-
-def _seconds(
+    windows = shard.queue.windows(shard.lowest_tier(now))
+    for window in islice(windows, MOST_WINDOWS):
+        choices = [
+            choice
+            for place, entry in enumerate(window)
+            for choice in _place(shard, entry, place, now)
+        ]
+        if choices:
+            return min(choices, key=_by_regret)
+    return None
+
+
+def _place(
     shard: Shard,
     entry: Waiting,
-    runner: Runner,
     place: int,
-) -> float:
-    crowd = 1 + len(runner.in_flight) / runner.limit.value
-    seconds = shard.pool.seconds_on(entry.ask, runner)
-    return seconds * crowd + place * PLACE_S
+    now: float,
+) -> list[_Choice]:
+    """Weigh the free runners against waiting for a busy one."""
+    best: _Choice | None = None
+    least = inf
+    for runner in shard.pool:
+        if runner.leaving or runner.name in entry.ask.excluded:
+            continue
+        seconds = shard.pool.seconds_on(entry.ask, runner)
+        wait = runner.wait_s(now)
+        least = min(least, seconds + wait)
+        if wait == 0 and (best is None or seconds < best.seconds):
+            best = _Choice(entry, runner, seconds)
+    if best is None:
+        return []
+    regret = best.seconds - least
+    if regret > HOLD_S and now < entry.urgent_from:
+        return []
+    return [replace(best, regret=regret + place * PLACE_S)]
 
 
-def _by_seconds(choice: _Choice) -> float:
-    return choice.seconds
+def _by_regret(choice: _Choice) -> float:
+    return choice.regret
 
 
 def _start_suspect(shard: Shard, now: float) -> list[Action]:
-    window = shard.suspects.window(shard.lowest_tier(now))
+    window = next(shard.suspects.windows(shard.lowest_tier(now)), [])
     running = [run for run in shard.runs.values() if run.ask.suspect]
     if running or not window:
         return []
--- a/bramleybend/decisions/learning.py
+++ b/bramleybend/decisions/learning.py
@@ -6,6 +6,7 @@
 from bramleybend.decisions.runs import Run, Runner, work_of
 from bramleybend.decisions.shard import Shard
 
+SMOOTHING = 0.15
 DONE = 'done'
 
 
@@ -36,8 +37,12 @@
     run.prefill_tokens = prefill_tokens
     runner = shard.pool.get(run.runner)
     if runner is not None:
+        # The prompts filled at once share the runner, so it is as much faster.
+        filling = len(runner.in_flight) - len(runner.streams)
+        shared = (run.filling + max(filling, 1)) / 2
+        shard.prefill_over(run)
         runner.streams.add(run.ask.request_id)
-        runner.speed.prefilled(prefill_tokens, now - run.started)
+        runner.speed.prefilled(prefill_tokens * shared, now - run.started)
         runner.limit.streaming(len(runner.streams), len(runner.in_flight))
 
 
@@ -55,6 +60,8 @@
     if runner is not None and _plausible(report.seconds, now - run.started):
         _learn_pace(runner, run, report, work)
         runner.limit.completed(len(runner.in_flight))
+        passed = report.seconds - runner.mean_seconds
+        runner.mean_seconds += passed * SMOOTHING
 
 
 def _learn_pace(
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -22,7 +22,7 @@
 from bramleybend.decisions.learning import learn, learn_first_token
 from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.preemption import next_preemption, preempt
-from bramleybend.decisions.queueing import WaitingQueue
+from bramleybend.decisions.queueing import SURE, WaitingQueue
 from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.switches import Switches
 from bramleybend.decisions.turnaway import DrainRate
@@ -49,13 +49,13 @@
         if ask.request_id in self._shard.line(ask):
             return []
         ask = cleaned(ask)
-        latest_start = self._shard.latest_start(ask)
-        if latest_start <= moment:
+        seconds = self._shard.pool.least_seconds(ask)
+        if ask.deadline - seconds * SURE <= moment:
             return [refuse(self._shard, ask, 'deadline_past', shed=False)]
         reason = refusal(self._shard, ask, moment) if self._listed else None
         if reason is not None:
             return [refuse(self._shard, ask, reason, shed=True)]
-        self._shard.line(ask).add(ask, moment, latest_start)
+        self._shard.line(ask).add(ask, moment, seconds)
         return self._act(moment)
 
     def adopt(self, ask: Ask, runner: str, now: float) -> list[Action]:
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -73,8 +73,10 @@
         """Estimate how long a request takes on the best runner."""
         if not self._switches.expiry:
             return 0
+        decode = max(ask.cost - ask.prompt_tokens, 1)
         seconds = (
-            self.seconds_on(ask, runner) for runner in self._runners.values()
+            self.pace_of(runner).seconds(0, decode)
+            for runner in self._runners.values()
         )
         return min(seconds, default=0)
 
@@ -82,7 +84,7 @@
         """Estimate how long a request runs there, cached prefixes left out."""
         cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
         decode = max(ask.cost - ask.prompt_tokens, 1)
-        prefill = max(ask.prompt_tokens - cached, 0)
+        prefill = max(ask.prompt_tokens - cached, 0) + runner.backlog
         return self.pace_of(runner).seconds(prefill, decode)
 
     def _count(self, run: Run) -> None:
--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -18,8 +18,6 @@
 from bramleybend.decisions.shard import Shard
 from bramleybend.models import Tier
 
-LEAD_S = 1.0  # before the latest start; a cancel takes a round trip
-
 
 def choose_victim(runs: Iterable[Run], tier: int) -> Run | None:
     """Pick the run that yields to a request of a tier, if there is one."""
@@ -51,9 +49,7 @@
     if not shard.switches.preemption or not shard.queue:
         return inf
     times = [
-        shard.queue.next_due(tier) - LEAD_S
-        for tier in Tier
-        if shard.lower_runs(tier)
+        shard.queue.next_urgent(tier) for tier in Tier if shard.lower_runs(tier)
     ]
     return min((time for time in times if time > now), default=inf)
 
@@ -77,4 +73,4 @@
         return []
     # Under a floor a gateway is about to shed: everything here is urgent.
     floored = any(tier <= floor for floor in shard.floors)
-    return shard.queue.due(inf if floored else now + LEAD_S, tier)
+    return shard.queue.urgent(inf if floored else now, tier)
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -13,7 +13,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from math import inf
 
@@ -22,6 +22,9 @@
 from bramleybend.models import Ask
 
 AGEING = 0.0005  # seconds of later arrival that one unit of cost counts as
+SURE = 0.5  # of the least seconds; only what is surely too late is given up
+LIKELY = 2.0  # times the least seconds; what a run takes on a busy runner
+LEAD_S = 1.0  # before that: a preemption takes a round trip and a cleanup
 WINDOW = 16  # entries a free runner may choose its best prefix match from
 
 
@@ -31,7 +34,8 @@
 
     ask: Ask
     arrived: float
-    latest_start: float
+    latest_start: float  # later it is surely too late
+    urgent_from: float  # later it is at risk
     rank: float
 
     @property
@@ -44,6 +48,11 @@
         """Sort by latest start."""
         return (self.latest_start, self.ask.request_id)
 
+    @property
+    def urgency(self) -> tuple[float, str]:
+        """Sort by the time from which it is at risk."""
+        return (self.urgent_from, self.ask.request_id)
+
 
 class TierQueue:
     """The entries of one tier, fair between workspaces."""
@@ -59,6 +68,7 @@
         self._costs: defaultdict[str, float] = defaultdict(float)
         self.cost = float(0)
         self.expiry = SortedList()
+        self.urgent = SortedList()
 
     def __len__(self) -> int:
         """Count the entries."""
@@ -75,6 +85,7 @@
             self._order.add((served, name))
         self._lanes[name].add(entry)
         self.expiry.add(entry.due)
+        self.urgent.add(entry.urgency)
         self._costs[name] += entry.ask.cost
         self.cost += entry.ask.cost
 
@@ -84,6 +95,7 @@
         lane = self._lanes[name]
         lane.remove(entry)
         self.expiry.remove(entry.due)
+        self.urgent.remove(entry.urgency)
         self._costs[name] -= entry.ask.cost
         self.cost -= entry.ask.cost
         if not lane:
@@ -107,12 +119,10 @@
         if self._order:
             self._floor = max(self._floor, self._order[0][0])
 
-    def window(self) -> list[Waiting]:
-        """Return the next entries of the workspace whose turn it is."""
-        if not self._order:
-            return []
-        lane = self._lanes[self._order[0][1]]
-        return list(lane.islice(0, WINDOW))
+    def windows(self) -> Iterator[list[Waiting]]:
+        """Go over the next entries of each workspace, in turn."""
+        for _, name in self._order:
+            yield list(self._lanes[name].islice(0, WINDOW))
 
     def cost_ahead(self, ask: Ask) -> float:
         """Return the workspace's own cost times those it takes turns with."""
@@ -153,10 +163,15 @@
         """Tell whether a request waits."""
         return request_id in self._entries
 
-    def add(self, ask: Ask, now: float, latest_start: float) -> None:
-        """Queue a request that is of no use if started after a time."""
-        rank = now + ask.cost * self._ageing
-        entry = Waiting(ask, now, latest_start, rank)
+    def add(self, ask: Ask, now: float, seconds: float) -> None:
+        """Queue a request that takes so many seconds at least."""
+        entry = Waiting(
+            ask,
+            now,
+            ask.deadline - seconds * SURE,
+            ask.deadline - seconds * LIKELY - LEAD_S,
+            now + ask.cost * self._ageing,
+        )
         self._entries[ask.request_id] = entry
         self._tier(ask.tier).add(entry)
 
@@ -171,15 +186,11 @@
         """Count cost as served to the request's workspace."""
         self._tier(ask.tier).charge(ask, cost)
 
-    def window(self, lowest: int) -> list[Waiting]:
-        """Return the next entries of the first tier, down to `lowest`."""
+    def windows(self, lowest: int) -> Iterator[list[Waiting]]:
+        """Go over the next entries, tier by tier down to `lowest`."""
         for tier in sorted(self._tiers):
-            if tier > lowest:
-                break
-            entries = self._tiers[tier].window()
-            if entries:
-                return entries
-        return []
+            if tier <= lowest:
+                yield from self._tiers[tier].windows()
 
     def due(self, before: float, tier: int) -> list[Waiting]:
         """Return the tier's entries whose latest start is before a time."""
@@ -188,6 +199,18 @@
         ids = self._tiers[tier].expiry.irange(maximum=(before, ''))
         return [self._entries[request_id] for _, request_id in ids]
 
+    def urgent(self, now: float, tier: int) -> list[Waiting]:
+        """Return the tier's entries that are at risk."""
+        if tier not in self._tiers:
+            return []
+        ids = self._tiers[tier].urgent.irange(maximum=(now, ''))
+        return [self._entries[request_id] for _, request_id in ids]
+
+    def next_urgent(self, tier: int) -> float:
+        """Return when the next entry of a tier is at risk."""
+        urgent = self._tiers[tier].urgent if tier in self._tiers else ()
+        return urgent[0][0] if urgent else inf
+
     def next_due(self, tier: int) -> float:
         """Return the earliest latest start in a tier."""
         expiry = self._tiers[tier].expiry if tier in self._tiers else ()
--- a/bramleybend/decisions/runs.py
+++ b/bramleybend/decisions/runs.py
@@ -19,6 +19,8 @@
     runner: str
     started: float
     prefill_tokens: int  # computed or being computed for this run alone
+    filling: int = 1  # runs being prefilled there when it started
+    in_backlog: int = 0  # tokens counted in its runner's backlog
     first_token_at: float | None = None
     yields_to: Tier | None = None  # a preemption was ordered
 
@@ -35,8 +37,23 @@
     leaving: bool = False
     in_flight: set[str] = field(default_factory=set)
     streams: set[str] = field(default_factory=set)  # past the first token
+    mean_seconds: float = 1  # of a run
+    backlog: int = 0  # prompt tokens sent there and not known as filled
     alone: str | None = None  # the suspect that runs here by itself
 
+    def wait_s(self, now: float) -> float:
+        """Estimate the wait for a slot."""
+        if self.room(now) > 0:
+            return 0
+        return self.mean_seconds / max(len(self.in_flight), 1)
+
+    def forget(self, request_id: str) -> None:
+        """Free a slot; unknown ids change nothing."""
+        self.in_flight.discard(request_id)
+        self.streams.discard(request_id)
+        if self.alone == request_id:
+            self.alone = None
+
     def room(self, now: float) -> int:
         """Return how many more requests may start here now."""
         share = self.ramp.share(now)
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -1,7 +1,6 @@
 """All that one owner knows of its shard, without any policy."""
 
 from dataclasses import dataclass, field
-from math import inf
 from random import Random
 
 from bramleybend.decisions.pool import RunnerPool
@@ -12,9 +11,6 @@
 from bramleybend.models import Ask, Tier
 
 
-SURE = 0.5  # of the estimate; only what is surely too late is given up
-
-
 @dataclass
 class Shard:
     """The queue, the runs and the runners of one shard."""
@@ -53,7 +49,10 @@
         self.leave_queue(ask.request_id)
         cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
         prefill = max(ask.prompt_tokens - cached, 0)
-        run = Run(ask, runner.name, now, prefill)
+        filling = len(runner.in_flight) - len(runner.streams) + 1
+        run = Run(ask, runner.name, now, prefill, filling)
+        run.in_backlog = prefill
+        runner.backlog += prefill
         self.runs[ask.request_id] = run
         runner.in_flight.add(ask.request_id)
         runner.cache.sent(ask.prefixes, now)
@@ -76,25 +75,25 @@
         )
         self.queue.charge(ask, ask.cost)
 
+    def prefill_over(self, run: Run) -> None:
+        """Take a run's prompt out of its runner's backlog, once."""
+        runner = self.pool.get(run.runner)
+        if runner is not None and run.in_backlog:
+            runner.backlog = max(runner.backlog - run.in_backlog, 0)
+        run.in_backlog = 0
+
     def finish(self, request_id: str) -> Run | None:
         """Forget a run; its slot is free."""
         run = self.runs.pop(request_id, None)
+        if run is not None:
+            self.prefill_over(run)
         for waiting, victim in tuple(self.victims.items()):
             if victim == request_id:
                 self.victims.pop(waiting)
         for runner in self.pool:
-            runner.in_flight.discard(request_id)
-            runner.streams.discard(request_id)
-            if runner.alone == request_id:
-                runner.alone = None
+            runner.forget(request_id)
         return run
 
     def lower_runs(self, tier: int) -> list[Run]:
         """Return the runs of a lower tier."""
         return [run for run in self.runs.values() if run.ask.tier > tier]
-
-    def latest_start(self, ask: Ask) -> float:
-        """Return when a request must have started to end in time."""
-        if not self.switches.expiry:
-            return inf
-        return ask.deadline - self.pool.least_seconds(ask) * SURE
