Name a process's VM on the time line; read a gateway's shorter status

Cause: the programs name themselves only gateway or scheduler, so twelve lanes looked like two; a gateway's status has no VM, and an age may be endless, which JSON cannot say. Change: lanes take the VM from the event that a process starts with; missing keys have defaults and an endless age reads as none. Run: pytest tests/timeline tests/cli: 58 passed.

--- a/bramleybend/cli/control.py
+++ b/bramleybend/cli/control.py
@@ -1,11 +1,18 @@
 """What an operator asks of one process: status, explain, drain."""
 
 import json
+import math
 from collections.abc import Awaitable
-from typing import Any, Protocol, TypeVar
+from typing import Annotated, Any, Protocol, TypeVar
 
 from grpc import StatusCode, aio
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 from result import Err, Ok, Result
 
 from bramleybend.cli.constants import CALL_TIMEOUT_S
@@ -21,6 +28,14 @@
 Reply = TypeVar('Reply')
 
 
+def _known(age: float | None) -> float | None:
+    """Read an endless age as none; JSON has no word for it."""
+    return age if age is not None and math.isfinite(age) else None
+
+
+Age = Annotated[float | None, AfterValidator(_known)]
+
+
 class ShardStatus(BaseModel):
     """One shard as a process sees it."""
 
@@ -40,12 +55,12 @@
 
     model_config = ConfigDict(extra='allow')
 
-    process: str
-    vm: str
+    process: str = ''
+    vm: str = ''
     incarnation: str = ''
     domain: str = ''
     terms_version: int = 0
-    terms_age_s: float | None = None
+    terms_age_s: Age = None
     log_ok: bool | None = None
     list_ok: bool | None = None
     draining: bool = False
--- a/bramleybend/timeline/merge.py
+++ b/bramleybend/timeline/merge.py
@@ -3,13 +3,14 @@
 import re
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from bramleybend.events import Stamp
 from bramleybend.timeline.read import Event, Source
 
 SEPARATORS: Final = re.compile('[/@:]')
+STARTED: Final = 'started'
 VM_FIELDS: Final = ('vm', 'owner', 'member', 'home')
 
 
@@ -39,7 +40,7 @@
     """Order all events by hybrid time; drop those that were given twice."""
     events = [event for source in sources for event in source.events]
     unique = {_key(event): event for event in events}
-    ordered = sorted(unique.values(), key=_order)
+    ordered = _named(sorted(unique.values(), key=_order))
     return Merged(
         tuple(ordered),
         len(sources),
@@ -69,6 +70,21 @@
     ]
 
 
+def _named(events: Sequence[Event]) -> list[Event]:
+    """Add its VM to a process's name, from the event that it started with."""
+    vms = {
+        event.writer: event.fields['vm']
+        for event in events
+        if event.name == STARTED and 'vm' in event.fields
+    }
+    return [
+        replace(event, process=f'{event.process}@{vms[event.writer]}')
+        if event.writer in vms
+        else event
+        for event in events
+    ]
+
+
 def _key(event: Event) -> tuple[str, str, Stamp]:
     return (*event.writer, event.stamp)
 
