Drive ctl and the time line through real processes under load

Cause: the operators' tools were tested against fakes alone. Ruled out: a drain that stops both programs at once, since requests that wait at the gateway need slots. Change: a test publishes, waits, drains and looks while callers are served, and reads one request's story by explain and from the logs of killed VMs; METRICS.md marks the names that no program sends yet.

--- a/bramleybend/cli/output.py
+++ b/bramleybend/cli/output.py
@@ -63,7 +63,7 @@
 
 
 def _cell(item: object) -> str:
-    if item is None:
+    if item is None or item == '':
         return '-'
     if isinstance(item, bool):
         return 'yes' if item else 'no'
--- a/bramleybend/metrics_page.py
+++ b/bramleybend/metrics_page.py
@@ -1,12 +1,15 @@
 """Writes docs/operators/METRICS.md: `python -m bramleybend.metrics_page`."""
 
+import re
 import sys
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Final
 
 from bramleybend.metric_types import MetricInfo, MetricType
 from bramleybend.metrics import PREFIX, Metric
 
+USE: Final = re.compile(r'\bMetric\.([A-Z_]+)')
 INTRODUCTION: Final = """# Metrics
 
 Written by `python -m bramleybend.metrics_page`; do not edit. A test compares
@@ -15,36 +18,46 @@
 Metrics go to the statsd given by `--statsd`, by UDP: a statsd that is away
 costs nothing, and its metrics are lost. Labels are parts of the name, in the
 order shown; a label without a value reads `none`. Gauges carry the VM's name,
-since each VM sets its own. A name stands here as soon as the code declares
-it; that a program sends it is for that program's tests to show.
+since each VM sets its own. "not yet" marks a name that is declared and that
+no program sends so far.
 
 Watch first: `goodput` by tier (Parwaz: bookings must not starve behind
 debriefs) and `wasted_prefill_tokens` (Zvukopat: long prompts are costly to
-process again). `terms_age_s` that grows on one VM means that it is cut off;
-`log_errors` on all of them means that the log is down.
+process again). `log_errors` from all VMs means that the log is down; from one,
+that this VM is cut off, which `bramleybend-ctl status` shows by name.
 
-| Name | Type | Unit | Meaning |
-|---|---|---|---|
+| Name | Type | Unit | Sent | Meaning |
+|---|---|---|---|---|
 """
 
 
 def metrics_page() -> str:
     """Return the whole page."""
-    return INTRODUCTION + ''.join(_row(metric.value) for metric in Metric)
+    sent = _names_sent()
+    rows = (_row(metric.value, metric.name in sent) for metric in Metric)
+    return INTRODUCTION + ''.join(rows)
 
 
-def _row(info: MetricInfo) -> str:
-    cells = ' | '.join(_cells(info))
+def _names_sent() -> frozenset[str]:
+    """Return the metrics that any module of the package names."""
+    modules = Path(__file__).parent.rglob('*.py')
+    sources = (module.read_text(encoding='utf-8') for module in modules)
+    return frozenset(name for text in sources for name in USE.findall(text))
+
+
+def _row(info: MetricInfo, is_sent: bool) -> str:
+    cells = ' | '.join(_cells(info, is_sent))
     return f'| {cells} |\n'
 
 
-def _cells(info: MetricInfo) -> Iterator[str]:
+def _cells(info: MetricInfo, is_sent: bool) -> Iterator[str]:
     scope = ['vm', '<vm>'] if info.kind is MetricType.GAUGE else []
     labels = [f'<{label}>' for label in info.labels]
     name = '.'.join([PREFIX, *scope, info.name, *labels])
     yield f'`{name}`'
     yield info.kind.value
     yield info.unit
+    yield 'yes' if is_sent else 'not yet'
     yield info.meaning
 
 
--- /dev/null
+++ b/tests/failures/test_operators_at_work.py
@@ -0,0 +1,106 @@
+"""An operator publishes, looks and drains while callers are served.
+
+What the caller sees: nothing; every answer is whole. Order: a publish is
+awaited everywhere, then one VM is drained: its gateway takes nothing new,
+ends what it has and exits, and only then its scheduler leaves. Why: requests
+that wait at a draining gateway still need slots, and others' requests go on
+with the VM's scheduler until it has handed its shards on.
+"""
+
+from io import StringIO
+from pathlib import Path
+
+from bramleybend.answers import Outcome
+from bramleybend.cli.ctl import execute
+from bramleybend.cli.environment import Environment
+from bramleybend.cli.timeline import main as show_timeline
+from bramleybend.status import ExitStatus
+from tests.utils.cluster import EXAMPLE, Layout
+from tests.utils.engine import EngineConfig
+from tests.utils.load import Stream
+from tests.utils.scenario import Scenario, assert_clean, scenario
+from tests.utils.waiting import wait_until
+
+LAYOUT = Layout(
+    vms=3,
+    engines=(EngineConfig(decode_tps=60),) * 2,
+    plain_latencies_ms=(60, 120),
+)
+LOAD = (
+    Stream('slot-claim', 15, 8),
+    Stream('availability', 10, 5),
+    Stream('debrief', 4, 12, (200, 1000), (40, 100)),
+)
+REFUSED = 'ConnectionRefusedError'
+
+
+async def ctl(scene: Scenario, *args: str) -> tuple[ExitStatus, str]:
+    """Run one command as the operator would; return code and output."""
+    out = StringIO()
+    env = Environment(
+        stdout=out,
+        stderr=StringIO(),
+        variables={
+            'BRAMLEYBEND_LOG_SERVICE': scene.cluster.log.url,
+            'BRAMLEYBEND_VM_LIST': scene.cluster.vm_list.url,
+        },
+    )
+    return await execute(args, env), out.getvalue()
+
+
+async def test_a_publish_and_a_drain_under_load_cut_nothing(
+    tmp_path: Path,
+) -> None:
+    """The only broken sends met the port that the drained VM had closed."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        leaving = scene.cluster.vms[0]
+        async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > 40,
+                '40 requests done before the publish',
+            )
+            published, _ = await ctl(
+                scene, 'publish', str(EXAMPLE), '--base', '1'
+            )
+            waited, told = await ctl(scene, 'wait', '2', '--timeout', '10')
+            drained, _ = await ctl(scene, 'drain', leaving.name)
+            codes = await leaving.exit_codes()
+            done = scene.count(Outcome.DONE)
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > done + 40,
+                '40 more requests done after the drain',
+            )
+        status, listing = await ctl(scene, 'status')
+        cut = [why for why in scene.broken_sends() if REFUSED not in why]
+        assert (published, waited, drained) == (ExitStatus.OK,) * 3
+        assert told == 'version 2 is in force on all 6 processes\n'
+        assert codes == (0, 0)
+        assert not cut, cut[:5]
+        assert_clean(scene.verdict())
+        # The list still names the drained VM, so its silence is told.
+        assert status is ExitStatus.UNAVAILABLE
+        assert listing.count('no answer') == 2
+
+
+async def test_a_request_can_be_explained_and_seen_on_the_time_line(
+    tmp_path: Path,
+) -> None:
+    """The VM that took it in is killed; its log still tells the story."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > 10,
+                '10 requests done',
+            )
+        request_id = scene.ledger.records[0].attempts[-1].request_id
+        explained, story = await ctl(scene, 'explain', request_id)
+        for vm in scene.cluster.vms:
+            await vm.kill()
+    out = StringIO()
+    env = Environment(stdout=out, stderr=StringIO())
+    args = ['--request', request_id, str(tmp_path)]
+    assert show_timeline(args, env) is ExitStatus.OK
+    assert explained is ExitStatus.OK
+    for event in ('accepted', 'granted', 'dispatched', 'settled'):
+        assert f' {event} ' in story
+        assert f' {event} ' in out.getvalue()
