Show a whole caller in the standard library; say how to come back

Change: examples/caller.py, run by a test against real processes with one entry dead; the remedy names a new id.

--- a/bramleybend/answers.py
+++ b/bramleybend/answers.py
@@ -54,7 +54,7 @@
     return Answer(
         Outcome.NOT_RUN,
         reason,
-        'send the same request again after Retry-After',
+        'send it again under a new id after Retry-After',
         retry_after,
     )
 
--- a/tests/failures/test_operators_at_work.py
+++ b/tests/failures/test_operators_at_work.py
@@ -7,6 +7,7 @@
 with the VM's scheduler until it has handed its shards on.
 """
 
+import asyncio
 from io import StringIO
 from pathlib import Path
 
@@ -15,10 +16,11 @@
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.timeline import main as show_timeline
 from bramleybend.status import ExitStatus
+from examples.caller import send
 from tests.utils.cluster import EXAMPLE, Layout
 from tests.utils.engine import EngineConfig
 from tests.utils.load import Stream
-from tests.utils.scenario import Scenario, assert_clean, scenario
+from tests.utils.scenario import LARGE_SCHOOL, Scenario, assert_clean, scenario
 from tests.utils.waiting import wait_until
 
 LAYOUT = Layout(
@@ -82,6 +84,22 @@
         assert listing.count('no answer') == 2
 
 
+async def test_the_example_caller_gets_one_answer(tmp_path: Path) -> None:
+    """One entry is dead; the caller needs nothing but the standard library."""
+    layout = Layout(vms=2, engines=(), plain_latencies_ms=(5,))
+    async with scenario(layout, tmp_path) as scene:
+        dead, alive = scene.cluster.vms
+        await dead.kill()
+        entries = [dead.endpoint, alive.endpoint]
+        names = [LARGE_SCHOOL, 'booking-app', 'slot-claim']
+        outcome, text = await asyncio.to_thread(send, entries, names, b'{}')
+        rejected, why = await asyncio.to_thread(
+            send, entries, [*names[:2], 'none'], b'{}'
+        )
+    assert (outcome, 'confirmed' in text) == (Outcome.DONE, True)
+    assert (rejected, "no profile 'none'" in why) == (Outcome.REJECTED, True)
+
+
 async def test_a_request_can_be_explained_and_seen_on_the_time_line(
     tmp_path: Path,
 ) -> None:
