Write the pages for callers, operators and newcomers

Cause: an operator at night, a caller's author and a newcomer each need to manage from the pages alone. Change: index, glossary, callers' interface, operators' pages (install, settings, publish, drain, outages, poison request, metrics, ctl), README, CONTRIBUTING and CHANGELOG; what is not built is marked. Tests hold links, commands, exit codes, status keys, declaration keys, headers and outcomes against the code.

--- a/tests/failures/test_operators_at_work.py
+++ b/tests/failures/test_operators_at_work.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import json
 from io import StringIO
 from pathlib import Path
 
@@ -33,6 +34,7 @@
     Stream('availability', 10, 5),
     Stream('debrief', 4, 12, (200, 1000), (40, 100)),
 )
+SECRET = 'student-is-afraid-of-stalls'
 REFUSED = 'ConnectionRefusedError'
 
 
@@ -85,18 +87,27 @@
 
 
 async def test_the_example_caller_gets_one_answer(tmp_path: Path) -> None:
-    """One entry is dead; the caller needs nothing but the standard library."""
-    layout = Layout(vms=2, engines=(), plain_latencies_ms=(5,))
+    """One entry is dead; and no log holds what was sent, at any level."""
+    layout = Layout(
+        vms=2,
+        engines=(),
+        plain_latencies_ms=(5,),
+        log_level='DEBUG',
+    )
+    body = json.dumps({'note': SECRET}).encode()
     async with scenario(layout, tmp_path) as scene:
         dead, alive = scene.cluster.vms
         await dead.kill()
         entries = [dead.endpoint, alive.endpoint]
         names = [LARGE_SCHOOL, 'booking-app', 'slot-claim']
-        outcome, text = await asyncio.to_thread(send, entries, names, b'{}')
+        outcome, text = await asyncio.to_thread(send, entries, names, body)
         rejected, why = await asyncio.to_thread(
-            send, entries, [*names[:2], 'none'], b'{}'
+            send, entries, [*names[:2], 'none'], body
         )
     assert (outcome, 'confirmed' in text) == (Outcome.DONE, True)
+    logs = ''.join(log.read_text() for log in tmp_path.glob('*.log'))
+    assert 'event=settled' in logs
+    assert SECRET not in logs
     assert (rejected, "no profile 'none'" in why) == (Outcome.REJECTED, True)
 
 
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,66 @@
+"""The pages lead somewhere and leave nothing of the programs out."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from bramleybend.answers import STATUS
+from bramleybend.cli.control import ProcessStatus
+from bramleybend.cli.definition import COMMANDS, QUERIES
+from bramleybend.declarations import (
+    ProfileDeclaration,
+    ServiceDeclaration,
+    WorkspaceDeclaration,
+)
+from bramleybend.gateway.border import NAMED
+from bramleybend.status import ExitStatus
+
+ROOT = Path(__file__).parent.parent
+LINK = re.compile(r'\]\(([^)#:]+)[^):]*\)')
+TEST_NAME = re.compile(r'`(?:tests/failures/)?(test_\w+\.py)`')
+PAGES = sorted([*ROOT.glob('*.md'), *ROOT.glob('docs/**/*.md')])
+
+
+@pytest.mark.parametrize('page', PAGES, ids=lambda page: page.name)
+def test_links_and_named_tests_are_there(page: Path) -> None:
+    """A reader at night has no time for a page that was moved."""
+    text = page.read_text(encoding='utf-8')
+    for link in LINK.findall(text):
+        assert (page.parent / link).exists(), link
+    for name in TEST_NAME.findall(text):
+        assert (ROOT / 'tests' / 'failures' / name).exists(), name
+
+
+def test_the_page_of_ctl_names_every_command_code_and_key() -> None:
+    """What a command prints can be looked up."""
+    text = (ROOT / 'docs' / 'operators' / 'CTL.md').read_text(encoding='utf-8')
+    for spec in (*QUERIES, *COMMANDS):
+        assert f'| `{spec.name}' in text
+    for status in ExitStatus:
+        assert f'| {status.value} |' in text
+    for key in ProcessStatus.model_fields:
+        assert f'`{key}`' in text
+
+
+def test_the_page_of_publishing_names_every_key() -> None:
+    """A declaration can be written from the page and an example."""
+    page = ROOT / 'docs' / 'operators' / 'PUBLISH.md'
+    text = page.read_text(encoding='utf-8')
+    models = {
+        'services': ServiceDeclaration,
+        'profiles': ProfileDeclaration,
+        'workspaces': WorkspaceDeclaration,
+    }
+    for section, model in models.items():
+        for key in model.model_fields:
+            assert f'`{section}.NAME.{key}`' in text
+
+
+def test_the_callers_page_names_every_header_and_outcome() -> None:
+    """A caller can be written from the page alone."""
+    text = (ROOT / 'docs' / 'CALLERS.md').read_text(encoding='utf-8')
+    for name in NAMED:
+        assert name in text.lower()
+    for outcome, status in STATUS.items():
+        assert f'| `{outcome}` | {status.value}' in text
