--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from pydantic import BaseModel
 
 from bramleybend.answers import STATUS
 from bramleybend.cli.control import ProcessStatus
@@ -47,7 +48,7 @@
     """A declaration can be written from the page and an example."""
     page = ROOT / 'docs' / 'operators' / 'PUBLISH.md'
     text = page.read_text(encoding='utf-8')
-    models = {
+    models: dict[str, type[BaseModel]] = {
         'services': ServiceDeclaration,
         'profiles': ProfileDeclaration,
         'workspaces': WorkspaceDeclaration,
