--- a/bramleybend/state/journal_rules.py
+++ b/bramleybend/state/journal_rules.py
@@ -9,7 +9,7 @@
 import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
-from typing import Final, TypeVar
+from typing import Final, Self, TypeVar
 
 from bramleybend.answers import Outcome
 from bramleybend.clients.log_service import LogRecord
@@ -99,6 +99,11 @@
     sealed: bool = False
     _stream: _Stream = field(default_factory=_Stream)
 
+    @classmethod
+    def resume(cls, next_offset: int, *, sealed: bool) -> Self:
+        """Go on where an earlier reading ended."""
+        return cls(sealed=sealed, _stream=_Stream(next_offset))
+
     @property
     def next_offset(self) -> int:
         """Return where to read on."""
--- /dev/null
+++ b/spec/checking.py
@@ -0,0 +1,104 @@
+"""Runs a model, its mutants and its witnesses through the model checker."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from minicheck import Protocol, check_safety
+
+MAX_STATES: Final = 400_000
+
+Predicate = Callable[[dict[str, Any]], bool]
+Step = tuple[str, tuple[Any, ...]]
+Trace = list[Step]
+Transitions = Callable[[Any], list[Step]]
+
+
+@dataclass(frozen=True)
+class Model:
+    """A protocol, the safeguards to switch off and the states to reach.
+
+    `build` gives the transitions with one safeguard switched off, or with all
+    of them on for an empty name. A witness is a state that must be reachable:
+    without it an invariant could hold because nothing ever happens.
+    """
+
+    name: str
+    initial: Any
+    build: Callable[[str], Transitions]
+    invariants: Mapping[str, Predicate]
+    mutants: tuple[str, ...]
+    witnesses: Mapping[str, Predicate] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Report:
+    """What one search found."""
+
+    states: int
+    exhaustive: bool
+    traces: Mapping[str, Trace]  # shortest way to each violated invariant
+
+
+def check(model: Model, mutant: str = '') -> Report:
+    """Search all reachable states; a mutant's search ends when it fails."""
+    return _search(model, mutant, model.invariants)
+
+
+def reach(model: Model) -> Report:
+    """Search for the witnesses; their traces are the shortest ways there."""
+    never = {
+        name: _negate(reached) for name, reached in model.witnesses.items()
+    }
+    return _search(model, '', never)
+
+
+def _until_violated(model: Model, transitions: Transitions) -> Transitions:
+    violated = False
+
+    def stepped(state: Any) -> list[Step]:
+        nonlocal violated
+        fields = dict(zip(model.initial._fields, state, strict=True))
+        violated = violated or not all(
+            holds(fields) for holds in model.invariants.values()
+        )
+        return [] if violated else transitions(state)
+
+    return stepped
+
+
+def _negate(predicate: Predicate) -> Predicate:
+    return lambda state: not predicate(state)
+
+
+def _search(
+    model: Model,
+    mutant: str,
+    invariants: Mapping[str, Predicate],
+) -> Report:
+    transitions = model.build(mutant)
+    if mutant:
+        transitions = _until_violated(model, transitions)
+    found = check_safety(
+        Protocol(
+            name=model.name,
+            candidate=False,
+            fields=model.initial._fields,
+            initial=model.initial,
+            transitions=transitions,
+            invariants=dict(invariants),
+        ),
+        max_states=MAX_STATES,
+    )
+    return Report(
+        found['reachable_states'],
+        found['exhaustive'],
+        {
+            name: [
+                (step['label'], model.initial._make(step['state'].values()))
+                for step in verdict['counterexample']
+            ]
+            for name, verdict in found['properties'].items()
+            if verdict['holds'] is False
+        },
+    )
