Find peers by gossip in place of the VM list alone

Cause: the list lags, so a killed VM kept owning shards until it was taken off the list, and nothing carried loads, crash records or word of newer terms between schedulers.

Change: a gossip task over gRPC drives Members; loads go from their owner and through one relay; crash records are sampled to a bound; a peer with newer terms is asked for them. A starting scheduler counts whom the list shows until gossip has brought the table.

Ruled out: naming nobody alive while joining (test_home_paused failed: the gateway found no owner and answered not_run).

Tests: tests/failures 19 of 20 pass. test_a_poison_request_is_contained fails 3 of 3 times before this change and 3 of 3 after it: the gateway says rejected of a request that a runner ran.

--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -20,7 +20,8 @@
 from bramleybend.models import Tier
 from bramleybend.scheduler.list_watch import ListWatch
 from bramleybend.scheduler.owner_service import OwnerService
-from bramleybend.scheduler.peers import Peers, make_peers
+from bramleybend.scheduler.peer_wire import GrpcPeerWire
+from bramleybend.scheduler.peers import PeerSources, make_peers
 from bramleybend.scheduler.shard_task import ShardDeps
 from bramleybend.scheduler.shards import ShardTable, Surroundings
 from bramleybend.scheduler.suspects import exported
@@ -65,12 +66,12 @@
         )
         self.terms = self._make_terms()
         self.shards = self._make_shards()
-        self.peers: Peers
+        self._wire = GrpcPeerWire(cfg.scheduler_port)
+        self.peers = make_peers(self._peer_sources(), self._wire, clock)
         self._grpc: grpc.aio.Server
 
     async def start(self) -> None:
         """Listen, and follow list, terms and peers."""
-        self.peers = make_peers(self, self._channels, self._clock)
         self._grpc = grpc.aio.server(options=SERVER_OPTIONS)
         add_OwnerServicer_to_server(
             OwnerService(self.shards, self._clock),
@@ -111,6 +112,7 @@
         for task in self._tasks:
             task.cancel()
         await self._grpc.stop(GRPC_GRACE_S)
+        await self._wire.close()
         await self._channels.close()
         self.events.record('stopped')
 
@@ -146,6 +148,15 @@
             Random(),
         )
 
+    def _peer_sources(self) -> PeerSources:
+        return PeerSources(
+            self.identity,
+            self.terms,
+            self.crashes,
+            lambda: self.listed.entries,
+            lambda: self.shards.loads(),
+        )
+
     def _view_sources(self) -> ViewSources:
         return ViewSources(
             self.terms,
--- /dev/null
+++ b/bramleybend/scheduler/gossip.py
@@ -0,0 +1,180 @@
+"""The task that probes peers and carries news between schedulers.
+
+It owns the `Members` state: everything here runs on one event loop, and no
+await stands between reading that state and writing it.
+"""
+
+import asyncio
+from collections.abc import Coroutine, Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Final, Protocol
+
+from bramleybend.clock import Clock
+from bramleybend.models import Vm
+from bramleybend.scheduler.gossip_records import read_members, write_members
+from bramleybend.scheduler.heard_shards import HeardShards
+from bramleybend.scheduler.peer_wire import PeerWire
+from bramleybend.state.member import Member
+from bramleybend.state.membership import PERIOD_S, Members, Outgoing
+from bramleybend.wire.bramleybend_pb2 import (
+    GossipMessage,
+    Header,
+    ShardRecord,
+    SuspectRecord,
+)
+
+PROBE_TIMEOUT_S: Final = 0.3
+# A helper's own probe takes up to the first; the rest is the way there.
+HELPER_TIMEOUT_S: Final = 0.4
+# An answer that took this much longer than its limit was held up here: the
+# process was paused, and the silence says nothing of the peer.
+HELD_UP_S: Final = 0.5
+LIST_POLLS: Final = 20
+
+
+class News(Protocol):
+    """What rides on the probes besides membership; all of it bounded."""
+
+    def header(self) -> Header:
+        """Return the header, with the version of the terms in force."""
+
+    def listed(self) -> Sequence[Vm]:
+        """Return the entry VMs on the VM list."""
+
+    def own_shards(self) -> Iterable[ShardRecord]:
+        """Return the loads of the shards owned here."""
+
+    def suspects(self) -> Iterable[SuspectRecord]:
+        """Return some records of requests that crashed runners."""
+
+    def take_suspects(self, records: Iterable[SuspectRecord]) -> None:
+        """Take in such records of a peer."""
+
+    def heard_from(self, peer: Member, terms_version: int) -> None:
+        """Note that a peer spoke and which terms it has."""
+
+
+@dataclass(frozen=True)
+class GossipDeps:
+    """What the task works with."""
+
+    members: Members
+    wire: PeerWire
+    news: News
+    clock: Clock
+
+
+class Gossip:
+    """Probes on a timer and answers the probes of others."""
+
+    def __init__(self, deps: GossipDeps, rng: Random) -> None:
+        """Send nothing until run."""
+        self.shards = HeardShards(rng)
+        self._members = deps.members
+        self._wire = deps.wire
+        self._news = deps.news
+        self._clock = deps.clock
+        self._probes: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probe once a period until cancelled."""
+        await self._wait_for_list()
+        while True:
+            self.probe_now()
+            await asyncio.sleep(PERIOD_S)
+
+    def probe_now(self) -> None:
+        """Begin a period's probes; also used to announce leaving at once."""
+        now = self._clock.monotonic()
+        self._members.learn_listed(self._news.listed(), now)
+        for outgoing in self._members.tick(now):
+            self._spawn(self._probe(outgoing))
+
+    async def answer(self, message: GossipMessage) -> GossipMessage:
+        """Take in a peer's message, probe for it if asked, and reply."""
+        answered = False
+        if message.probe:
+            answered = await self._probe_for_peer(message.probe)
+        members = read_members(message.members)
+        if not members:
+            return self._message(())
+        self._take_news(members[0], message)
+        now = self._clock.monotonic()
+        reply = self._members.on_message(members[0], members[1:], now)
+        return self._message(reply, answered=answered)
+
+    async def _probe(self, outgoing: Outgoing) -> None:
+        answered = await self._exchange(outgoing, PROBE_TIMEOUT_S)
+        if answered is None:
+            return
+        now = self._clock.monotonic()
+        target = outgoing.target
+        asks = self._members.on_probe_result(target, answered, now)
+        if not asks:
+            return
+        reached = await asyncio.gather(
+            *(self._exchange(ask, HELPER_TIMEOUT_S) for ask in asks),
+        )
+        now = self._clock.monotonic()
+        self._members.on_indirect_result(target, any(reached), now)
+
+    async def _probe_for_peer(self, address: str) -> bool:
+        own = Outgoing(address, (self._members.own.member,))
+        return bool(await self._exchange(own, PROBE_TIMEOUT_S))
+
+    async def _exchange(
+        self,
+        outgoing: Outgoing,
+        timeout_s: float,
+    ) -> bool | None:
+        """Whether the answer wanted came; None if that can't be said."""
+        message = self._message(outgoing.records, outgoing.probe)
+        began = self._clock.monotonic()
+        reply = await self._wire.gossip(outgoing.target, message, timeout_s)
+        now = self._clock.monotonic()
+        if reply is None:
+            held_up = now - began > timeout_s + HELD_UP_S
+            return None if held_up else False
+        members = read_members(reply.members)
+        if members:
+            self._take_news(members[0], reply)
+            self._members.on_records(members, now)
+        return reply.probe_answered if outgoing.probe else True
+
+    def _message(
+        self,
+        records: Iterable[Member],
+        probe: str = '',
+        *,
+        answered: bool = False,
+    ) -> GossipMessage:
+        now = self._clock.monotonic()
+        shards = [*self._news.own_shards(), *self.shards.to_relay(now)]
+        return GossipMessage(
+            header=self._news.header(),
+            members=write_members(records),
+            suspects=self._news.suspects(),
+            shards=shards,
+            probe=probe,
+            probe_answered=answered,
+        )
+
+    def _take_news(self, sender: Member, message: GossipMessage) -> None:
+        now = self._clock.monotonic()
+        self.shards.take(message.header.incarnation, message.shards, now)
+        self._news.take_suspects(message.suspects)
+        self._news.heard_from(sender, message.header.terms_version)
+
+    async def _wait_for_list(self) -> None:
+        # The list is read while this starts; without it the first period
+        # would pass with nobody to probe.
+        for _ in range(LIST_POLLS):
+            if self._news.listed():
+                return
+            await asyncio.sleep(PERIOD_S / LIST_POLLS)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
--- /dev/null
+++ b/bramleybend/scheduler/peer_wire.py
@@ -0,0 +1,116 @@
+"""Messages to other schedulers, over channels of their own.
+
+Probes go to every peer in turn. Among hundreds they would push the channels
+that gateways and floors use out of a shared cache, and a probe must not wait
+behind their streams either.
+"""
+
+import asyncio
+from collections import OrderedDict
+from typing import Final, Protocol
+
+import grpc
+
+from bramleybend.wire.bramleybend_pb2 import (
+    GossipMessage,
+    TermsReply,
+    TermsRequest,
+)
+from bramleybend.wire.bramleybend_pb2_grpc import PeerStub
+
+MAX_CHANNELS: Final = 32
+FETCH_TIMEOUT_S: Final = 2.0
+MAX_TERMS: Final = 33_554_432  # bytes; any document of terms fits
+# A peer that comes back must be met by the next probe, not after a backoff.
+OPTIONS: Final = (
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 500),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.max_receive_message_length', MAX_TERMS),
+)
+
+
+class PeerWire(Protocol):
+    """How messages reach a peer; None stands for no answer in time."""
+
+    async def gossip(
+        self,
+        address: str,
+        message: GossipMessage,
+        timeout_s: float,
+    ) -> GossipMessage | None:
+        """Exchange news with a peer."""
+
+    async def fetch_terms(
+        self,
+        address: str,
+        request: TermsRequest,
+    ) -> TermsReply | None:
+        """Ask a peer for its terms."""
+
+
+class GrpcPeerWire:
+    """Keeps the channels used last; the others are closed."""
+
+    def __init__(self, port: int) -> None:
+        """Reach every peer at the same port."""
+        self._port = port
+        self._channels: OrderedDict[str, grpc.aio.Channel] = OrderedDict()
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def gossip(
+        self,
+        address: str,
+        message: GossipMessage,
+        timeout_s: float,
+    ) -> GossipMessage | None:
+        """Exchange news with a peer."""
+        try:
+            reply: GossipMessage = await self._stub(address).Gossip(
+                message,
+                timeout=timeout_s,
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        return reply
+
+    async def fetch_terms(
+        self,
+        address: str,
+        request: TermsRequest,
+    ) -> TermsReply | None:
+        """Ask a peer for its terms."""
+        try:
+            reply: TermsReply = await self._stub(address).FetchTerms(
+                request,
+                timeout=FETCH_TIMEOUT_S,
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        return reply
+
+    async def close(self) -> None:
+        """Close every channel."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
+
+    def _stub(self, address: str) -> PeerStub:
+        channel = self._channels.pop(address, None)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(
+                f'{address}:{self._port}',
+                options=OPTIONS,
+            )
+        self._channels[address] = channel
+        if len(self._channels) > MAX_CHANNELS:
+            self._close_oldest()
+        return PeerStub(channel)
+
+    def _close_oldest(self) -> None:
+        oldest = self._channels.popitem(last=False)[1]
+        task = asyncio.create_task(oldest.close(FETCH_TIMEOUT_S))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- a/bramleybend/scheduler/suspects.py
+++ b/bramleybend/scheduler/suspects.py
@@ -1,6 +1,7 @@
 """Crash suspicion on the wire: to gateways and to other schedulers."""
 
 from collections.abc import Iterable
+from random import Random
 
 from bramleybend.decisions.quarantine import CrashBook, CrashRecord
 from bramleybend.wire.bramleybend_pb2 import SuspectRecord
@@ -8,15 +9,7 @@
 
 def exported(book: CrashBook) -> list[SuspectRecord]:
     """Put every record on the wire."""
-    return [
-        SuspectRecord(
-            fingerprint=record.fingerprint,
-            generation=record.generation,
-            runners=sorted(record.runners),
-            refused=record.refused,
-        )
-        for record in book.export()
-    ]
+    return _on_wire(book.export())
 
 
 def merge(
@@ -37,3 +30,21 @@
         ],
         now,
     )
+
+
+def sampled(book: CrashBook, rng: Random, limit: int) -> list[SuspectRecord]:
+    """Put a random part of the records on the wire, so messages are bounded."""
+    records = book.export()
+    return _on_wire(rng.sample(records, min(limit, len(records))))
+
+
+def _on_wire(records: Iterable[CrashRecord]) -> list[SuspectRecord]:
+    return [
+        SuspectRecord(
+            fingerprint=record.fingerprint,
+            generation=record.generation,
+            runners=sorted(record.runners),
+            refused=record.refused,
+        )
+        for record in records
+    ]
