Learn from whole runs and from what was cached; never drop a run's last events

Cause: the owner's policy was told 'whole' where it reads 'done', so no completion taught it anything, and a first token reported nothing cached, so it forgot every prefix it had sent.

--- a/bramleybend/decisions/learning.py
+++ b/bramleybend/decisions/learning.py
@@ -17,6 +17,9 @@
     runner = shard.pool.get(run.runner)
     if runner is None:
         return
+    if report.outcome == DONE and report.prompt_tokens > 0:
+        expected = run.ask.prompt_tokens - run.prefill_tokens
+        runner.cache.found(run.ask.prefixes, expected, report.cached_tokens)
     if report.refused:
         runner.limit.refused()
     if report.crashed:
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -79,13 +79,20 @@
         cached_tokens: int,
         now: float,
     ) -> list[Action]:
-        """Learn from a finished prefill."""
+        """Learn from a finished prefill.
+
+        Many engines tell what was cached only with the last event, so
+        `cached_tokens` is negative where it is not known yet.
+        """
         moment = self._advance(now)
         run = self._shard.runs.get(request_id)
         runner = self._shard.pool.get(run.runner) if run else None
         if run and runner:
             expected = run.ask.prompt_tokens - run.prefill_tokens
-            runner.cache.found(run.ask.prefixes, expected, cached_tokens)
+            if cached_tokens < 0:
+                cached_tokens = expected
+            else:
+                runner.cache.found(run.ask.prefixes, expected, cached_tokens)
             prefill = max(prompt_tokens - cached_tokens, 0)
             learn_first_token(self._shard, run, prefill, moment)
         return self._act(moment)
--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -65,6 +65,7 @@
         slot: Slot,
         kind: ServiceKind,
         run_id: str,
+        prompt_tokens: int,
     ) -> None:
         """Prepare; nothing is sent before `proceed`."""
         host, _, port = slot.endpoint.rpartition(':')
@@ -72,6 +73,7 @@
         self._run = run
         self._slot = slot
         self._run_id = run_id
+        self._prompt_tokens = prompt_tokens
         self._usage = Usage()
         self._received = 0
         self._crashed = False
@@ -186,7 +188,7 @@
         first = self._run.chunk_count == 0
         fits = self._run.add(event + EVENT_END)
         if first:
-            await self._slot.first_token(0, 0)
+            await self._slot.first_token(self._prompt_tokens)
         return fits
 
     async def _unheard(self) -> AttemptEnd:
--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from result import Err, Ok
 
@@ -32,6 +32,7 @@
 RETRY_AFTER: Final = timedelta(seconds=1)
 MAX_ATTEMPTS: Final = 4
 RETRY_PAUSE_S: Final = 0.05
+LAST_EVENTS_S: Final = 0.2
 REPEATABLE: Final = frozenset((End.STOPPED, End.TORN, End.UNHEARD))
 # An owner refuses this long before a deadline, so that the tier floor can be
 # asked for in time.
@@ -71,6 +72,7 @@
     def __init__(self, deps: Deps) -> None:
         """Take the means; hold no state between runs."""
         self._deps = deps
+        self._ending: set[asyncio.Task[None]] = set()
 
     async def dispatch(self, job: Job) -> Answer:
         """Run the job to its outcome."""
@@ -88,7 +90,7 @@
             if not self._may_go_on(job, end):
                 break
             excluded.append(slot.runner)
-            self._deps.events.record('retry', job.request_id, end=end.end)
+            self._note(job, 'retry', end=end.end)
             await asyncio.sleep(RETRY_PAUSE_S * 2**number)
         refused = not_run('no runner took it', RETRY_AFTER)
         return self._given_up(job, refused, ran)
@@ -207,20 +209,14 @@
         return max(ask.deadline - self._deps.clock.monotonic(), 0)
 
     def _granted(self, job: Job, slot: Slot) -> None:
-        self._deps.events.record(
-            'granted',
-            job.request_id,
-            runner=slot.runner,
-            tier=int(job.profile.tier),
-        )
+        self._note(job, 'granted', runner=slot.runner)
 
     def _shed(self, job: Job, refused: Refused, *, proved: bool) -> Answer:
         self._deps.metrics.count(Metric.SHED, tier=int(job.profile.tier))
-        self._deps.events.record(
+        self._note(
+            job,
             'shed',
-            job.request_id,
             service=job.service.name,
-            tier=int(job.profile.tier),
             reason=refused.reason,
             proved=proved,
         )
@@ -230,28 +226,23 @@
 
     async def _attempt(self, job: Job, slot: Slot, number: int) -> AttemptEnd:
         started = self._deps.clock.monotonic()
+        ask = ask_of(job.run.req, job.profile, job.service.kind)
         attempt = Attempt(
             job.run,
             slot,
             job.service.kind,
             _run_id(job, number),
+            ask.prompt_tokens,
         )
-        self._deps.events.record(
-            'dispatched',
-            job.request_id,
-            runner=slot.runner,
-            tier=int(job.profile.tier),
-        )
+        self._note(job, 'dispatched', runner=slot.runner)
         end = await self._proceed(job, slot, attempt)
         seconds = self._deps.clock.monotonic() - started
-        self._deps.events.record(
-            'attempt_ended',
-            job.request_id,
-            runner=slot.runner,
-            end=end.end,
-        )
+        self._note(job, 'attempt_ended', runner=slot.runner, end=end.end)
+        self._count_prefill(job, end, ask.prompt_tokens)
         # The caller's answer does not wait for the owner's last word.
-        asyncio.create_task(slot.end(_ended(end, seconds)))  # noqa: RUF006
+        ending = asyncio.create_task(slot.end(_ended(end, seconds)))
+        self._ending.add(ending)
+        ending.add_done_callback(self._ending.discard)
         return end
 
     async def _proceed(
@@ -261,44 +252,95 @@
         attempt: Attempt,
     ) -> AttemptEnd:
         proceeding = asyncio.create_task(attempt.proceed())
-        preempted = asyncio.create_task(slot.preempted.wait())
-        abandoned = asyncio.create_task(job.run.abandoned.wait())
-        left_s = max(
-            job.run.req.deadline - self._deps.clock.monotonic(),
-            0,
+        reasons = (
+            asyncio.create_task(slot.preempted.wait()),
+            asyncio.create_task(job.run.abandoned.wait()),
         )
         try:
-            await asyncio.wait(
-                (proceeding, preempted, abandoned),
-                timeout=left_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            await self._until(job, proceeding, *reasons)
+            if not proceeding.done() and not self._out_of_time(job):
+                # Preempted, or its caller has gone. What may not be stopped,
+                # or can't be reached to be stopped, goes on to its end.
+                if await self._stopped(job, attempt, proceeding):
+                    return AttemptEnd(End.STOPPED)
+                await self._until(job, proceeding)
             if proceeding.done():
                 return proceeding.result()
-            if preempted.done():
-                self._deps.metrics.count(
-                    Metric.PREEMPTED,
-                    tier=int(job.profile.tier),
-                )
-            return await self._stop(job, attempt, proceeding)
+            return await self._at_deadline(job, attempt, proceeding)
         finally:
-            for task in (proceeding, preempted, abandoned):
+            for task in (proceeding, *reasons):
                 task.cancel()
 
-    async def _stop(
+    async def _until(self, job: Job, *tasks: asyncio.Task[Any]) -> None:
+        """Wait for the first of the tasks, at most to the deadline."""
+        await asyncio.wait(
+            tasks,
+            timeout=max(job.run.req.deadline - self._deps.clock.monotonic(), 0),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+    async def _stopped(
+        self,
+        job: Job,
+        attempt: Attempt,
+        proceeding: asyncio.Task[AttemptEnd],
+    ) -> bool:
+        """Stop the run where that is allowed; true once it is certain."""
+        if not job.profile.cancellable or not await attempt.stop():
+            return False
+        # A run that ended as it was being cancelled has its last events on
+        # the way; thrown away, a whole answer would count as cancelled.
+        await asyncio.wait((proceeding,), timeout=LAST_EVENTS_S)
+        if proceeding.done() and proceeding.result().end is End.WHOLE:
+            return False
+        self._deps.metrics.count(
+            Metric.PREEMPTED,
+            tier=int(job.profile.tier),
+        )
+        return True
+
+    async def _at_deadline(
         self,
         job: Job,
         attempt: Attempt,
         proceeding: asyncio.Task[AttemptEnd],
     ) -> AttemptEnd:
-        """Preempted or out of time: stop the run where that is allowed."""
         if not job.run.dispatched:
             proceeding.cancel()
             return AttemptEnd(End.NOT_SENT)
-        if job.profile.cancellable and await attempt.stop():
+        if await self._stopped(job, attempt, proceeding):
             return AttemptEnd(End.STOPPED)
         return AttemptEnd(End.UNHEARD)
 
+    def _count_prefill(self, job: Job, end: AttemptEnd, estimate: int) -> None:
+        """Count prompt tokens by whether their answer reached somebody."""
+        if end.end is End.NOT_SENT:
+            return
+        tier = int(job.profile.tier)
+        prompt_tokens = end.usage.prompt_tokens or estimate
+        prefilled = prompt_tokens - end.usage.cached_tokens
+        self._deps.metrics.count(Metric.PREFILL_TOKENS, prefilled, tier=tier)
+        if end.end is End.WHOLE:
+            self._deps.metrics.count(
+                Metric.GOODPUT_TOKENS,
+                end.usage.completion_tokens,
+                tier=tier,
+            )
+            return
+        self._deps.metrics.count(
+            Metric.WASTED_PREFILL_TOKENS,
+            prefilled,
+            tier=tier,
+        )
+
+    def _note(self, job: Job, event: str, **fields: object) -> None:
+        self._deps.events.record(
+            event,
+            job.request_id,
+            tier=int(job.profile.tier),
+            **fields,
+        )
+
 
 def _refused(refused: Refused) -> Answer:
     if refused.quarantined:
@@ -353,7 +395,7 @@
 
 def _ended(end: AttemptEnd, seconds: float) -> Ended:
     return Ended(
-        outcome=end.end,
+        outcome=Outcome.DONE if end.end is End.WHOLE else end.end,
         runner_crashed=end.crashed,
         refused=end.end is End.NOT_SENT,
         prompt_tokens=end.usage.prompt_tokens,
--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 from typing import Final
@@ -93,7 +94,10 @@
         terms: Terms,
         profile: Profile,
     ) -> Run | Answer:
-        run = Run(req)
+        # A profile's timeout bounds what a caller may ask for, so that a slip
+        # in a deadline does not hold a slot for a day.
+        latest = self._deps.clock.monotonic() + profile.timeout.total_seconds()
+        run = Run(replace(req, deadline=min(req.deadline, latest)))
         added = self._ids.add(request_id, run, self._deps.clock.monotonic())
         if isinstance(added, Expired):
             return expired(added.reason)
--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -40,6 +40,7 @@
 AVOID_S: Final = 3.0
 ADOPT_RETRY_S: Final = 0.3
 LAST_CALL_TIMEOUT_S: Final = 1.0
+UNKNOWN_YET: Final = -1  # engines tell what was cached at the end
 
 Hold: TypeAlias = grpc.aio.StreamStreamCall[HoldRequest, HoldReply]
 Members: TypeAlias = Callable[[], Sequence[Member]]
@@ -75,13 +76,13 @@
         self._ending = False
         self._watch = asyncio.create_task(self._watch_owner())
 
-    async def first_token(self, prompt_tokens: int, cached: int) -> None:
+    async def first_token(self, prompt_tokens: int) -> None:
         """Tell the owner that the prefill is over."""
         await self._send(
             HoldRequest(
                 first_token=FirstToken(
                     prompt_tokens=prompt_tokens,
-                    cached_tokens=cached,
+                    cached_tokens=UNKNOWN_YET,
                 ),
             ),
         )
@@ -178,6 +179,15 @@
             self._avoid[owner.incarnation] = self._clock.monotonic() + AVOID_S
         return None
 
+    def _note_unreachable(self, owner: Member) -> None:
+        now = self._clock.monotonic()
+        self._avoid = {
+            incarnation: until
+            for incarnation, until in self._avoid.items()
+            if until > now
+        }
+        self._avoid[owner.incarnation] = now + AVOID_S
+
     def ranked(self, service: str, shard: int) -> list[Member]:
         """Return owners in rank order, those just found dead last."""
         now = self._clock.monotonic()
--- a/spec/resends.py
+++ b/spec/resends.py
@@ -143,12 +143,15 @@
     initial=State(),
     build=build,
     invariants={
-        'a request is dispatched at most once': lambda now: max(now['ran'])
-        <= 1,
-        'told not run means not run': lambda now: not any(
-            refused and ran == 1 and not _ran_before(now, index)
-            for index, (refused, ran) in enumerate(
-                zip(now['refused'], now['ran'], strict=True),
+        'a request is dispatched at most once': lambda now: (
+            max(now['ran']) <= 1
+        ),
+        'told not run means not run': lambda now: (
+            not any(
+                refused and ran == 1 and not _ran_before(now, index)
+                for index, (refused, ran) in enumerate(
+                    zip(now['refused'], now['ran'], strict=True),
+                )
             )
         ),
     },
