--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -12,7 +12,6 @@
 from bramleybend.control import ControlService
 from bramleybend.decisions.floor import ShedPermits
 from bramleybend.events import EventLog
-from bramleybend.gateway.dispatcher import Deps
 from bramleybend.gateway.floor_round import FloorPort, FloorRounds
 from bramleybend.gateway.forwarding import (
     Forwarder,
@@ -22,6 +21,7 @@
 from bramleybend.gateway.home import Home
 from bramleybend.gateway.http_server import HttpServer
 from bramleybend.gateway.intake import Intake, IntakeDeps
+from bramleybend.gateway.job import Deps
 from bramleybend.gateway.journal import JournalWriter
 from bramleybend.gateway.lost_home import LostHomes
 from bramleybend.gateway.routes import Routes
--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -16,7 +16,8 @@
 from bramleybend.answers import Answer, Outcome, expired, not_run, rejected
 from bramleybend.events import EventLog
 from bramleybend.gateway.border import check_terms
-from bramleybend.gateway.dispatcher import Deps, Dispatcher, Job
+from bramleybend.gateway.dispatcher import Dispatcher
+from bramleybend.gateway.job import Deps, Job
 from bramleybend.gateway.journal import JournalWriter
 from bramleybend.gateway.run import RequestBody, Run, settle_on_fault
 from bramleybend.metrics import Metric
--- /dev/null
+++ b/bramleybend/gateway/job.py
@@ -0,0 +1,63 @@
+"""A run with the terms it runs under, and what carries it."""
+
+from dataclasses import dataclass
+from random import Random
+
+from bramleybend.clock import Clock
+from bramleybend.events import EventLog
+from bramleybend.gateway.ask import ask_of
+from bramleybend.gateway.floor_round import FloorRounds
+from bramleybend.gateway.run import Run
+from bramleybend.gateway.slots import SlotAsker
+from bramleybend.gateway.view import ViewFollower
+from bramleybend.metrics import Metrics
+from bramleybend.models import Ask, Profile, Service, Tier
+
+
+@dataclass(frozen=True)
+class Deps:
+    """What a gateway's runs are carried with."""
+
+    asker: SlotAsker
+    floors: FloorRounds
+    views: ViewFollower
+    clock: Clock
+    events: EventLog
+    metrics: Metrics
+    rng: Random
+
+    def note(self, job: 'Job', event: str, **fields: object) -> None:
+        """Record an event of one job."""
+        self.events.record(
+            event,
+            job.request_id,
+            tier=int(job.tier),
+            **fields,
+        )
+
+    def left_s(self, job: 'Job') -> float:
+        """Seconds to the job's deadline; 0 once it has passed."""
+        return max(job.run.req.deadline - self.clock.monotonic(), 0)
+
+
+@dataclass(frozen=True)
+class Job:
+    """One request to be run, under one version of the terms."""
+
+    run: Run
+    profile: Profile
+    service: Service
+
+    @property
+    def request_id(self) -> str:
+        """The request's id."""
+        return self.run.req.request_id
+
+    @property
+    def tier(self) -> Tier:
+        """The request's rank."""
+        return self.profile.tier
+
+    def ask(self) -> Ask:
+        """Return what an owner needs to decide about it."""
+        return ask_of(self.run.req, self.profile, self.service.kind)
--- /dev/null
+++ b/bramleybend/gateway/slot_search.py
@@ -0,0 +1,134 @@
+"""Finds a slot for a job, and refuses it only where that is allowed."""
+
+import asyncio
+from datetime import timedelta
+from typing import Final
+
+from result import Err, Ok
+
+from bramleybend.answers import Answer, not_run, quarantined
+from bramleybend.decisions.routing import rank_shards
+from bramleybend.errors import Problem
+from bramleybend.gateway.ask import ask_message
+from bramleybend.gateway.attempt import End
+from bramleybend.gateway.job import Deps, Job
+from bramleybend.gateway.slots import Slot
+from bramleybend.metrics import Metric
+from bramleybend.models import Ask
+from bramleybend.wire.bramleybend_pb2 import AskMessage, Ended, Refused
+
+RETRY_AFTER: Final = timedelta(seconds=1)
+SHED_PAUSE_S: Final = 0.05
+
+
+class SlotSearch:
+    """Asks shards in rank, and for the tier floor before it sheds."""
+
+    def __init__(self, deps: Deps) -> None:
+        """Take the means; hold no state between jobs."""
+        self._deps = deps
+
+    async def find(self, job: Job, excluded: list[str]) -> Slot | Answer:
+        """Wait for a slot; refuse only what may be refused."""
+        ask = job.ask()
+        urgent = False
+        while True:
+            found = await self._acquire(ask, excluded, urgent=urgent)
+            if isinstance(found, Refused):
+                final = await self._refusal(job, found)
+                if final is not None:
+                    return final
+                urgent = True
+                await asyncio.sleep(SHED_PAUSE_S)
+            elif isinstance(found, Answer) or await self._usable(job, found):
+                return found
+
+    async def _refusal(self, job: Job, refused: Refused) -> Answer | None:
+        """Return the final answer, or None while it may not be shed."""
+        if await self._may_shed(job):
+            return self._shed(job, refused, proved=True)
+        if not self._deps.left_s(job):
+            # No owner would say that nothing lower runs, and the time is
+            # up: told apart, since the promise is not proved.
+            return self._shed(job, refused, proved=False)
+        return None
+
+    async def _usable(self, job: Job, slot: Slot) -> bool:
+        """Whether the grant is still its shard owner's; else give it back."""
+        if self._deps.views.is_fresh:
+            self._deps.note(job, 'granted', runner=slot.runner)
+            return True
+        await slot.end(Ended(outcome=End.NOT_SENT))
+        return False
+
+    async def _may_shed(self, job: Job) -> bool:
+        permitted = await self._deps.floors.may_shed(
+            job.service.name,
+            job.tier,
+            job.service.shards,
+        )
+        return permitted and self._deps.views.is_fresh
+
+    async def _acquire(
+        self,
+        ask: Ask,
+        excluded: list[str],
+        *,
+        urgent: bool,
+    ) -> Slot | Answer | Refused:
+        view = self._deps.views.view
+        ranked = rank_shards(ask, view.shards, self._deps.rng) or [0]
+        last: Slot | Answer | Refused = not_run(
+            'no shard can be reached',
+            RETRY_AFTER,
+        )
+        for shard in ranked:
+            message = ask_message(ask, excluded, self._left_s(ask))
+            message.shard = shard
+            message.urgent = urgent
+            last = await self._acquire_at(message, ask.deadline)
+            if not isinstance(last, Refused):
+                break
+        return last
+
+    async def _acquire_at(
+        self,
+        message: AskMessage,
+        deadline: float,
+    ) -> Slot | Answer | Refused:
+        """Ask one shard; a `Refused` is one that may go on elsewhere."""
+        match await self._deps.asker.acquire(message, deadline):
+            case Ok(slot):
+                return slot
+            case Err(Problem() as problem):
+                return not_run(str(problem), RETRY_AFTER)
+            case Err(Refused() as refused):
+                # An urgent ask was refused for want of capacity before,
+                # whatever its deadline says by now.
+                if refused.quarantined or not (refused.shed or message.urgent):
+                    return _refused(refused)
+                return refused
+        raise AssertionError(message)
+
+    def _left_s(self, ask: Ask) -> float:
+        return max(ask.deadline - self._deps.clock.monotonic(), 0)
+
+    def _shed(self, job: Job, refused: Refused, *, proved: bool) -> Answer:
+        self._deps.metrics.count(Metric.SHED, tier=int(job.tier))
+        self._deps.note(
+            job,
+            'shed',
+            service=job.service.name,
+            reason=refused.reason,
+            proved=proved,
+        )
+        return _refused(refused)
+
+
+def _refused(refused: Refused) -> Answer:
+    if refused.quarantined:
+        return quarantined()
+    return not_run(
+        refused.reason,
+        timedelta(seconds=refused.retry_after_s),
+    )
--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -179,15 +179,6 @@
             self._avoid[owner.incarnation] = self._clock.monotonic() + AVOID_S
         return None
 
-    def _note_unreachable(self, owner: Member) -> None:
-        now = self._clock.monotonic()
-        self._avoid = {
-            incarnation: until
-            for incarnation, until in self._avoid.items()
-            if until > now
-        }
-        self._avoid[owner.incarnation] = now + AVOID_S
-
     def ranked(self, service: str, shard: int) -> list[Member]:
         """Return owners in rank order, those just found dead last."""
         now = self._clock.monotonic()
@@ -197,6 +188,15 @@
             key=lambda owner: self._avoid.get(owner.incarnation, 0) > now,
         )
 
+    def _note_unreachable(self, owner: Member) -> None:
+        now = self._clock.monotonic()
+        self._avoid = {
+            incarnation: until
+            for incarnation, until in self._avoid.items()
+            if until > now
+        }
+        self._avoid[owner.incarnation] = now + AVOID_S
+
     async def _opened(self, owner: Member, first: HoldRequest) -> Hold | None:
         endpoint = f'{owner.address}:{self._port.port}'
         stub = OwnerStub(self._port.channels.get(endpoint))
--- /dev/null
+++ b/bramleybend/gateway/supervisor.py
@@ -0,0 +1,152 @@
+"""Watches over one attempt: preemption, lost callers, the deadline."""
+
+import asyncio
+from typing import Any, Final
+
+from bramleybend.answers import Outcome
+from bramleybend.gateway.attempt import Attempt, AttemptEnd, End
+from bramleybend.gateway.job import Deps, Job
+from bramleybend.gateway.slots import Slot
+from bramleybend.metrics import Metric
+from bramleybend.models import Repeat
+from bramleybend.wire.bramleybend_pb2 import Ended
+
+LAST_EVENTS_S: Final = 0.2
+
+
+class Supervisor:
+    """Carries attempts to their end, and stops them where that is allowed."""
+
+    def __init__(self, deps: Deps) -> None:
+        """Supervise nothing yet."""
+        self._deps = deps
+        self._ending: set[asyncio.Task[None]] = set()
+
+    async def carry(self, job: Job, slot: Slot, number: int) -> AttemptEnd:
+        started = self._deps.clock.monotonic()
+        ask = job.ask()
+        attempt = Attempt(
+            job.run,
+            slot,
+            job.service.kind,
+            _run_id(job, number),
+            ask.prompt_tokens,
+        )
+        self._deps.note(job, 'dispatched', runner=slot.runner)
+        end = await self._proceed(job, slot, attempt)
+        seconds = self._deps.clock.monotonic() - started
+        self._deps.note(job, 'attempt_ended', runner=slot.runner, end=end.end)
+        self._count_prefill(job, end, ask.prompt_tokens)
+        # The caller's answer does not wait for the owner's last word.
+        ending = asyncio.create_task(slot.end(_ended(end, seconds)))
+        self._ending.add(ending)
+        ending.add_done_callback(self._ending.discard)
+        return end
+
+    async def _proceed(
+        self,
+        job: Job,
+        slot: Slot,
+        attempt: Attempt,
+    ) -> AttemptEnd:
+        proceeding = asyncio.create_task(attempt.proceed())
+        reasons = (
+            asyncio.create_task(slot.preempted.wait()),
+            asyncio.create_task(job.run.abandoned.wait()),
+        )
+        try:
+            await self._until(job, proceeding, *reasons)
+            if await self._stopped(job, attempt, proceeding):
+                if slot.preempted.is_set():
+                    self._deps.metrics.count(
+                        Metric.PREEMPTED,
+                        tier=int(job.tier),
+                    )
+                return AttemptEnd(End.STOPPED)
+            # What may not be stopped, or can't be reached to be stopped,
+            # goes on to its end.
+            await self._until(job, proceeding)
+            return self._end_of(job, proceeding)
+        finally:
+            for task in (proceeding, *reasons):
+                task.cancel()
+
+    async def _until(self, job: Job, *tasks: asyncio.Task[Any]) -> None:
+        """Wait for the first of the tasks, at most to the deadline."""
+        await asyncio.wait(
+            tasks,
+            timeout=self._deps.left_s(job),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+    async def _stopped(
+        self,
+        job: Job,
+        attempt: Attempt,
+        proceeding: asyncio.Task[AttemptEnd],
+    ) -> bool:
+        """Stop the run where that is allowed; true once it is certain."""
+        if proceeding.done() or not job.run.dispatched:
+            return False
+        if not job.profile.cancellable or not await attempt.stop():
+            return False
+        # A run that ended as it was being cancelled has its last events on
+        # the way; thrown away, a whole answer would count as cancelled.
+        await asyncio.wait((proceeding,), timeout=LAST_EVENTS_S)
+        return not (proceeding.done() and proceeding.result().end is End.WHOLE)
+
+    def _end_of(
+        self,
+        job: Job,
+        proceeding: asyncio.Task[AttemptEnd],
+    ) -> AttemptEnd:
+        if proceeding.done():
+            return proceeding.result()
+        if job.run.dispatched:
+            return AttemptEnd(End.UNHEARD)
+        return AttemptEnd(End.NOT_SENT)
+
+    def _count_prefill(self, job: Job, end: AttemptEnd, estimate: int) -> None:
+        """Count prompt tokens by whether their answer reached somebody."""
+        if end.end is End.NOT_SENT:
+            return
+        tier = int(job.tier)
+        prompt_tokens = end.usage.prompt_tokens or estimate
+        prefilled = prompt_tokens - end.usage.cached_tokens
+        self._deps.metrics.count(Metric.PREFILL_TOKENS, prefilled, tier=tier)
+        if end.end is End.WHOLE:
+            self._deps.metrics.count(
+                Metric.GOODPUT_TOKENS,
+                end.usage.completion_tokens,
+                tier=tier,
+            )
+            return
+        self._deps.metrics.count(
+            Metric.WASTED_PREFILL_TOKENS,
+            prefilled,
+            tier=tier,
+        )
+
+
+def _run_id(job: Job, number: int) -> str:
+    """Return the id the runner sees.
+
+    Work that may run once keeps one id over all tries, so an engine that
+    did admit a try that looked unsent refuses the next.
+    """
+    base = job.request_id.replace('/', '_').replace(':', '_')
+    if job.profile.repeat is Repeat.IDEMPOTENT:
+        return f'{base}_{number}'
+    return base
+
+
+def _ended(end: AttemptEnd, seconds: float) -> Ended:
+    return Ended(
+        outcome=Outcome.DONE if end.end is End.WHOLE else end.end,
+        runner_crashed=end.crashed,
+        refused=end.end is End.NOT_SENT,
+        prompt_tokens=end.usage.prompt_tokens,
+        cached_tokens=end.usage.cached_tokens,
+        completion_tokens=end.usage.completion_tokens,
+        seconds=seconds,
+    )
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -14,9 +14,9 @@
 from result import Err, Ok
 
 from bramleybend.clock import Clock
-from bramleybend.declarations import parse_terms
 from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.floor import FRESH_S
+from bramleybend.declarations import parse_terms
 from bramleybend.events import EventLog
 from bramleybend.identity import Identity
 from bramleybend.models import Terms
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -1,7 +1,6 @@
 """Builds a scheduler from its parts, runs it and stops it."""
 
 import asyncio
-from collections.abc import Coroutine
 from random import Random
 from typing import Any, Final
 
@@ -89,14 +88,7 @@
             f'{self._cfg.address}:{self._cfg.scheduler_port}',
         )
         await self._grpc.start()
-        for work in (
-            self.listed.watch(),
-            self.terms.follow(),
-            self.peers.follow(),
-            self.shards.watch(),
-            self._send_gauges(),
-        ):
-            self._spawn(work)
+        self._spawn_all()
         self.events.record('started', vm=self._cfg.vm)
 
     async def stop(self) -> None:
@@ -114,8 +106,30 @@
         await self._channels.close()
         self.events.record('stopped')
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def known_loads(self) -> list[ShardView]:
+        """Return the load of every shard: own, heard of, or unknown."""
+        own = {(each.service, each.shard): each for each in self.shards.loads()}
+        heard = self.peers.loads()
+        terms = self.terms.terms
+        if terms is None:
+            return []
+        return [
+            own.get((service.name, shard))
+            or heard.get((service.name, shard))
+            or ShardView(service.name, shard, 0, 0, 0, 0)
+            for service in terms.services.values()
+            for shard in range(service.shards)
+        ]
+
+    def _spawn_all(self) -> None:
+        for work in (
+            self.listed.watch(),
+            self.terms.follow(),
+            self.peers.follow(),
+            self.shards.watch(),
+            self._send_gauges(),
+        ):
+            self._tasks.append(asyncio.create_task(work))
 
     def _make_terms(self) -> TermsFollower:
         return TermsFollower(
@@ -156,21 +170,6 @@
             lambda: self.terms.age_s,
         )
 
-    def known_loads(self) -> list[ShardView]:
-        """Return the load of every shard: own, heard of, or unknown."""
-        own = {(each.service, each.shard): each for each in self.shards.loads()}
-        heard = self.peers.loads()
-        terms = self.terms.terms
-        if terms is None:
-            return []
-        return [
-            own.get((service.name, shard))
-            or heard.get((service.name, shard))
-            or ShardView(service.name, shard, 0, 0, 0, 0)
-            for service in terms.services.values()
-            for shard in range(service.shards)
-        ]
-
     def _is_renewer(self) -> bool:
         ranked = owners_of('terms', 0, self.peers.alive())
         return bool(ranked) and (ranked[0].vm == self.identity.vm)
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import Final
 
+from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.floor import ADOPTION_GRACE_S
 from bramleybend.decisions.owner import make_shard_policy
 from bramleybend.decisions.ownership import owners_of, shard_of
-from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.quarantine import Verdict
 from bramleybend.models import Service, Terms, Tier, Vm
 from bramleybend.scheduler.messages import (
--- a/bramleybend/state/terms_follower.py
+++ b/bramleybend/state/terms_follower.py
@@ -27,8 +27,8 @@
 from bramleybend.state.terms_rules import (
     Applied,
     Ignored,
-    Renewed,
     RenewalTimer,
+    Renewed,
     TermsLog,
 )
 
