Bound what a home keeps; budget reruns; distrust an empty VM list

Prompts are dropped once a run is settled; answers are kept as one buffer. Reruns of idempotent work take from the budgets of decisions.retries. A planned stop waits for the longest request (default 3600 s instead of 30).

--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -185,7 +185,7 @@
         usage = usage_in(event)
         if usage is not None:
             self._usage = usage
-        first = self._run.chunk_count == 0
+        first = not self._run.has_begun
         fits = self._run.add(event + EVENT_END)
         if first:
             await self._slot.first_token(self._prompt_tokens)
--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -5,15 +5,14 @@
 from typing import Final
 
 from bramleybend.answers import Answer, Outcome, not_run, unknown
+from bramleybend.decisions.retries import RetryBudgets, backoff
 from bramleybend.gateway.attempt import AttemptEnd, End
 from bramleybend.gateway.job import Deps, Job
 from bramleybend.gateway.slot_search import SlotSearch
 from bramleybend.gateway.supervisor import Supervisor
-from bramleybend.models import Repeat
 
 RETRY_AFTER: Final = timedelta(seconds=1)
 MAX_ATTEMPTS: Final = 4
-RETRY_PAUSE_S: Final = 0.05
 REPEATABLE: Final = frozenset((End.STOPPED, End.TORN, End.UNHEARD))
 
 
@@ -25,6 +24,7 @@
         self._deps = deps
         self._search = SlotSearch(deps)
         self._supervisor = Supervisor(deps)
+        self._retries = RetryBudgets()
 
     async def dispatch(self, job: Job) -> Answer:
         """Run the job to its outcome."""
@@ -36,6 +36,11 @@
                 return self._given_up(job, slot, ran)
             end = await self._supervisor.carry(job, slot, number)
             if end.end is End.WHOLE:
+                self._retries.succeeded(
+                    job.run.req.workspace,
+                    job.service.name,
+                    self._deps.clock.monotonic(),
+                )
                 return Answer(Outcome.DONE, 'whole')
             if end.end is not End.NOT_SENT:
                 ran = end
@@ -43,7 +48,8 @@
                 break
             excluded.append(slot.runner)
             self._deps.note(job, 'retry', end=end.end)
-            await asyncio.sleep(RETRY_PAUSE_S * 2**number)
+            pause = backoff(number + 1, self._deps.rng)
+            await asyncio.sleep(pause.total_seconds())
         refused = not_run('no runner took it', RETRY_AFTER)
         return self._given_up(job, refused, ran)
 
@@ -69,9 +75,14 @@
         # Once a caller has read part of an answer, a second run could go on
         # with other words: the whole would be nobody's answer.
         return (
-            job.profile.repeat is Repeat.IDEMPOTENT
-            and job.run.chunk_count == 0
-            and end.end in REPEATABLE
+            end.end in REPEATABLE
+            and not job.run.has_begun
+            and self._retries.allow(
+                job.profile.repeat,
+                job.run.req.workspace,
+                job.service.name,
+                self._deps.clock.monotonic(),
+            )
         )
 
 
--- a/bramleybend/gateway/forwarding.py
+++ b/bramleybend/gateway/forwarding.py
@@ -103,7 +103,7 @@
             raise TimeoutError('the home ended without an outcome')
 
     async def _after_loss(self, request_id: RequestId, run: Run) -> None:
-        if run.chunk_count:
+        if run.has_begun:
             # Part of the answer is with the caller already. It sends the id
             # again, and is then told what the journal proves.
             run.tear()
--- a/bramleybend/gateway/routes.py
+++ b/bramleybend/gateway/routes.py
@@ -92,7 +92,7 @@
             return answer_of(run)
         with run.followed():
             await run.begun()
-            if run.req.stream and run.chunk_count:
+            if run.req.stream and run.has_begun:
                 return HttpAnswer(
                     HTTPStatus.OK,
                     EVENT_TYPE,
--- a/bramleybend/gateway/run.py
+++ b/bramleybend/gateway/run.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Final
 
@@ -73,26 +73,24 @@
         self.abandoned = asyncio.Event()
         self._followers = 0
         self._leaving: asyncio.TimerHandle | None = None
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._answer = bytearray()
         self._changed = asyncio.Event()
 
     @property
-    def chunk_count(self) -> int:
-        """How many events of the answer have arrived."""
-        return len(self._chunks)
+    def has_begun(self) -> bool:
+        """Whether any part of the answer has arrived."""
+        return bool(self._answer)
 
     @property
     def body(self) -> bytes:
         """The answer as far as it has arrived."""
-        return b''.join(self._chunks)
+        return bytes(self._answer)
 
     def add(self, chunk: bytes) -> bool:
-        """Keep an event of the answer; false once it grows too large."""
-        self._size += len(chunk)
-        self._chunks.append(chunk)
+        """Keep a part of the answer; false once it grows too large."""
+        self._answer += chunk
         self._wake()
-        return self._size <= MAX_KEPT_BYTES
+        return len(self._answer) <= MAX_KEPT_BYTES
 
     def finish(self, answer: Answer) -> None:
         """Settle the outcome; the first one stands."""
@@ -100,6 +98,9 @@
         # have read already, so later calls change nothing.
         if self.answer is None:
             self.answer = answer
+            # Kept for as long as the id is, a logbook's prompt would weigh
+            # many times its answer; its fingerprint is all a resend needs.
+            self.req = replace(self.req, body=b'')
             self._wake()
 
     def tear(self) -> None:
@@ -141,9 +142,11 @@
         """Yield the answer from its start until the outcome is known."""
         position = 0
         while True:
-            while position < len(self._chunks):
-                yield self._chunks[position]
-                position += 1
+            if position < len(self._answer):
+                fresh = bytes(self._answer[position:])
+                position += len(fresh)
+                yield fresh
+                continue
             if self.answer is not None:
                 return
             if self.torn:
@@ -161,7 +164,7 @@
 
     @property
     def _streaming(self) -> bool:
-        return self.req.stream and bool(self._chunks)
+        return self.req.stream and self.has_begun
 
     def _wake(self) -> None:
         changed = self._changed
--- a/bramleybend/scheduler/list_watch.py
+++ b/bramleybend/scheduler/list_watch.py
@@ -58,13 +58,20 @@
     async def poll(self) -> None:
         """Read the list once."""
         match await self._list.fetch():
+            case Ok(()) if self.vms:
+                # A list service that has just started has nothing yet; taken
+                # at its word it would end all service at once.
+                self._distrust('the VM list is empty')
             case Ok(vms):
                 self._take(vms)
             case Err(problem):
-                self._metrics.count(Metric.LIST_ERRORS)
-                if self.ok:
-                    self._events.record('list_down', detail=problem.detail)
-                self.ok = False
+                self._distrust(problem.detail)
+
+    def _distrust(self, detail: str) -> None:
+        self._metrics.count(Metric.LIST_ERRORS)
+        if self.ok:
+            self._events.record('list_down', detail=detail)
+        self.ok = False
 
     def _take(self, vms: tuple[Vm, ...]) -> None:
         now = self._clock.monotonic()
--- a/bramleybend/settings.py
+++ b/bramleybend/settings.py
@@ -38,7 +38,9 @@
 SCHEDULER_PORT: Final = 7002
 TERMS_STALE_AFTER_S: Final = 10
 LIST_POLL_S: Final = 1
-DRAIN_TIMEOUT_S: Final = 30
+# Longer than any request: a planned stop cuts off nothing in flight, and
+# ends as soon as the last one has.
+DRAIN_TIMEOUT_S: Final = 3600
 # Shown by the gateway alone; the scheduler opens no port to callers.
 GATEWAY_ONLY: Final = frozenset(('http_port',))
 
@@ -116,8 +118,8 @@
     )
     drain_timeout_s: Seconds = Field(
         default=DRAIN_TIMEOUT_S,
-        description='seconds that a planned stop waits for requests in flight',
-        examples=['30'],
+        description='seconds that a planned stop waits at most for requests in flight; it ends with the last of them',
+        examples=['3600'],
     )
 
 
