Let a caller read why its request was refused before the connection ends

Cause: test_bad_input showed a reset in place of the 413: the connection was closed with the rest of the body unread. The gateway now reads on for at most 2 s.

--- a/bramleybend/gateway/http_server.py
+++ b/bramleybend/gateway/http_server.py
@@ -31,6 +31,7 @@
 # collect: at 200 connections a second they stay under 6,000 open sockets.
 READ_TIMEOUT_S: Final = 30.0
 LOST: Final = (*BROKEN, TornError)
+LINGER_S: Final = 2.0
 JSON_TYPE: Final = 'application/json'
 EVENT_TYPE: Final = 'text/event-stream'
 OUTCOME_HEADER: Final = 'Bramleybend-Outcome'
@@ -279,6 +280,18 @@
         if self._http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             with suppress(h11.LocalProtocolError, OSError):
                 await self._answer(answer_of(answer))
+                await self._linger()
+
+    async def _linger(self) -> None:
+        """Read on for a moment before the connection is closed."""
+        # Closed with bytes unread, the connection would be reset, and the
+        # caller would see that in place of the answer that tells why.
+        self._writer.write_eof()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                discarded = await self._reader.read(READ_SIZE)
+                while discarded:
+                    discarded = await self._reader.read(READ_SIZE)
 
     async def _send(self, event: h11.Event) -> None:
         payload = self._http.send(event)
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,168 @@
+"""Bad input at the callers' border.
+
+The caller sees a typed answer that names what is wrong and the remedy, at
+once, and the gateway goes on serving. Order: bytes come in, are found wrong
+before anything is kept of them, and the connection ends where it must. Why:
+one caller's slip must cost no other caller anything.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+
+from bramleybend.answers import Outcome
+from tests.utils.cluster import Cluster, Layout
+from tests.utils.http_client import Reply, call
+from tests.utils.scenario import LARGE_SCHOOL
+
+pytestmark = [
+    pytest.mark.xdist_group('bad_input'),
+    pytest.mark.asyncio(loop_scope='module'),
+]
+LIMIT_S = 10
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def gateway(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> AsyncIterator[str]:
+    """Start one entry VM and return its `ip:port`."""
+    run_dir: Path = tmp_path_factory.mktemp('bad-input')
+    async with Cluster(Layout(vms=1), run_dir) as cluster:
+        await cluster.ready()
+        yield cluster.vms[0].endpoint
+
+
+async def _ticket(gateway: str) -> str:
+    reply = await call('GET', f'http://{gateway}/v1/address')
+    return str(json.loads(reply.body)['ticket'])
+
+
+async def _raw(gateway: str, sent: bytes) -> bytes:
+    """Send bytes as they are and return all that comes back."""
+    host, _, port = gateway.partition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(sent)
+    async with asyncio.timeout(LIMIT_S):
+        got = await reader.read()
+    writer.close()
+    return got
+
+
+async def _send(gateway: str, **changed: str | None) -> Reply:
+    """Send a good request with some headers changed or left out."""
+    deadline = datetime.now(UTC) + timedelta(seconds=LIMIT_S)
+    headers = {
+        'Bramleybend-Request-Id': f'{await _ticket(gateway)}/one',
+        'Bramleybend-Workspace': LARGE_SCHOOL,
+        'Bramleybend-Service': 'booking-app',
+        'Bramleybend-Profile': 'availability',
+        'Bramleybend-Deadline': deadline.isoformat(),
+    }
+    for name, text in changed.items():
+        header = f'Bramleybend-{name.replace("_", "-").title()}'
+        headers.pop(header)
+        if text is not None:
+            headers[header] = text
+    return await call(
+        'POST',
+        f'http://{gateway}/v1/requests',
+        headers,
+        b'{}',
+    )
+
+
+@pytest.mark.parametrize(
+    ('changed', 'status', 'named'),
+    [
+        ({'workspace': 'nobody'}, 404, 'nobody'),
+        ({'service': 'nothing'}, 404, 'nothing'),
+        ({'profile': 'no-such'}, 404, 'no-such'),
+        ({'profile': 'debrief'}, 400, 'briefing-llm'),
+        ({'request_id': None}, 400, 'bramleybend-request-id'),
+        ({'request_id': 'no-ticket'}, 400, 'own part'),
+        ({'request_id': 'x/one'}, 400, 'ticket'),
+        ({'deadline': 'tomorrow'}, 400, 'tomorrow'),
+        ({'deadline': '2020-01-01T00:00:00Z'}, 400, 'passed'),
+    ],
+)
+async def test_a_wrong_header_is_named_with_its_remedy(
+    gateway: str,
+    changed: dict[str, str | None],
+    status: int,
+    named: str,
+) -> None:
+    """The answer says `rejected`, what is wrong and what to do."""
+    reply = await _send(gateway, **changed)
+    answer = json.loads(reply.body)
+    assert reply.status == status
+    assert answer['outcome'] == Outcome.REJECTED
+    assert named in answer['reason']
+    assert answer['remedy']
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'GARBAGE\r\n\r\n', b'400'),
+        (b'GET / HTTP/1.1\r\nHost: a\r\nX: ' + b'a' * 20_000, b'431'),
+        (
+            b'POST /v1/requests HTTP/1.1\r\nHost: a\r\n'
+            b'Content-Length: 5000000\r\n\r\n' + b'a' * 5_000_000,
+            b'413',
+        ),
+        (
+            b'GET /nowhere HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n',
+            b'404',
+        ),
+    ],
+)
+async def test_bytes_that_are_no_request_get_an_answer(
+    gateway: str,
+    sent: bytes,
+    status: bytes,
+) -> None:
+    """Malformed, oversized and unknown ones, each with its status."""
+    got = await _raw(gateway, sent)
+    assert got.startswith(b'HTTP/1.1 ' + status), got[:200]
+    assert b'"remedy"' in got
+
+
+async def test_the_gateway_goes_on_after_a_half_sent_request(
+    gateway: str,
+) -> None:
+    """A caller hangs up within its body; the next one is served."""
+    host, _, port = gateway.partition(':')
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b'POST /v1/requests HTTP/1.1\r\nHost: a\r\n')
+    writer.write(b'Content-Length: 100\r\n\r\nhalf')
+    await writer.drain()
+    writer.close()
+    reply = await _send(gateway)
+    assert reply.headers['bramleybend-outcome'] == Outcome.DONE
+
+
+async def test_an_id_sent_with_another_body_is_refused(gateway: str) -> None:
+    """Else its sender would be given the answer to another request."""
+    ticket = await _ticket(gateway)
+    first = await _send(gateway, request_id=f'{ticket}/two')
+    assert first.status == 200
+    deadline = datetime.now(UTC) + timedelta(seconds=LIMIT_S)
+    second = await call(
+        'POST',
+        f'http://{gateway}/v1/requests',
+        {
+            'Bramleybend-Request-Id': f'{ticket}/two',
+            'Bramleybend-Workspace': LARGE_SCHOOL,
+            'Bramleybend-Service': 'booking-app',
+            'Bramleybend-Profile': 'availability',
+            'Bramleybend-Deadline': deadline.isoformat(),
+        },
+        b'{"other": 1}',
+    )
+    assert json.loads(second.body)['outcome'] == Outcome.REJECTED
