Recover terms that the log and every VM have lost

Cause: once all VMs were away for longer than the log keeps records, no publish has a base and no VM serves, for ever. Ruled out: letting publish start from version 0 again, which a VM that still holds a higher version would never take. Change: recover writes a renewal by hand, refused while the log or any VM that answers knows the terms; the log is read eight records at a time, as a reply with 500 large documents is over the client's limit. wait tells progress only when it changes; a directory without logs is an error.

--- a/bramleybend/cli/arguments.py
+++ b/bramleybend/cli/arguments.py
@@ -97,6 +97,17 @@
     _add_publisher(parser)
 
 
+def add_recovering(parser: ArgumentParser) -> None:
+    """Take a file and a version above all that there ever were."""
+    add_file(parser)
+    parser.add_argument(
+        'version',
+        type=version,
+        metavar='VERSION',
+        help='a version above any that was ever in force',
+    )
+
+
 def _add_publisher(parser: ArgumentParser) -> None:
     parser.add_argument(
         '--publish-id',
--- a/bramleybend/cli/commands.py
+++ b/bramleybend/cli/commands.py
@@ -14,9 +14,11 @@
     Told,
     ask_status,
     entry_vms,
+    find_processes,
     of_vm,
 )
 from bramleybend.cli.publishing import Draft, Published, publish_draft
+from bramleybend.cli.recovery import recover_terms
 from bramleybend.errors import ErrorKind
 
 
@@ -53,6 +55,32 @@
     return _report(await publish_draft(ctx, draft))
 
 
+async def recover(ctx: Context) -> Report:
+    """Put terms in force that neither the log nor any VM knows any more."""
+    document = read_document(ctx, ctx.flags.file)
+    told = await ask_status(ctx, await find_processes(ctx))
+    knowing = [each for each in told if _knows_terms(each)]
+    if knowing:
+        where = knowing[0].process
+        fail(
+            ErrorKind.CONFLICT,
+            f'{where.vm} {where.kind} still knows the terms',
+            'wait a minute: it writes them to the log again',
+        )
+    version = ctx.flags.version or 0
+    await recover_terms(ctx, document, version)
+    return Report(
+        f'version {version} is in force by the log\n'
+        f'next: bramleybend-ctl wait {version}',
+        {'version': version},
+    )
+
+
+def _knows_terms(told: Told) -> bool:
+    status = told.reply.ok()
+    return status is not None and status.terms_version > 0
+
+
 async def drain(ctx: Context) -> Report:
     """Stop a VM's gateway, wait for its requests, then its scheduler.
 
--- a/bramleybend/cli/ctl.py
+++ b/bramleybend/cli/ctl.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 from typing import Final, TypeAlias
 
-from bramleybend.cli.commands import drain, publish, restore
+from bramleybend.cli.commands import drain, publish, recover, restore
 from bramleybend.cli.fleet_queries import explain, status, wait
 from bramleybend.cli.queries import diff, history, show, validate
 from bramleybend.cli.constants import CTL
@@ -35,6 +35,7 @@
     {
         'publish': publish,
         'restore': restore,
+        'recover': recover,
         'drain': drain,
     },
 )
--- a/bramleybend/cli/definition.py
+++ b/bramleybend/cli/definition.py
@@ -11,6 +11,7 @@
     add_files,
     add_optional_version,
     add_publishing,
+    add_recovering,
     add_request,
     add_restoring,
     add_target,
@@ -99,6 +100,12 @@
         'restore 11',
         (add_restoring, add_log),
     ),
+    Spec(
+        'recover',
+        'put terms in force that the log and every VM have lost',
+        'recover parwaz.yaml 57',
+        (add_recovering, add_log, add_vms, add_places),
+    ),
     Spec(
         'drain',
         'let a VM finish its requests and take no new ones',
--- a/bramleybend/cli/fleet_queries.py
+++ b/bramleybend/cli/fleet_queries.py
@@ -39,11 +39,14 @@
     if wanted is None:
         wanted = (await ctx.history()).current
     deadline = ctx.env.clock.monotonic() + ctx.flags.timeout_s
+    shown = -1
     while True:
         told = await ask_status(ctx, await find_processes(ctx))
         behind = [each for each in told if not _has(each, wanted)]
         done = len(told) - len(behind)
-        ctx.progress(f'version {wanted}: in force on {done} of {len(told)}')
+        if done != shown:
+            shown = done
+            ctx.progress(f'version {wanted}: in force on {done} of {len(told)}')
         if not behind:
             return Report(
                 f'version {wanted} is in force on all {len(told)} processes',
--- a/bramleybend/cli/history.py
+++ b/bramleybend/cli/history.py
@@ -24,6 +24,8 @@
 )
 
 RENEWED_BY: Final = '(renewal)'
+# Documents are up to 1 MiB, and a reply of the log may have 16 MiB.
+READ_AT_ONCE: Final = 8
 
 
 @dataclass(frozen=True)
@@ -68,20 +70,35 @@
         """The text of the current version."""
         return self._terms.document
 
+    @property
+    def anchored(self) -> bool:
+        """Whether the terms in force are known from the log."""
+        return self._terms.anchored
+
+    @property
+    def next_offset(self) -> int:
+        """The offset after the last record read."""
+        return self._next
+
     def outcome_of(self, publish_id: str) -> PublishOutcome:
         """Return what became of a publish, as far as was read."""
         return self._terms.outcome_of(publish_id)
 
     async def read_on(self) -> Result[None, Problem]:
+        """Read to the tail; a log that has forgotten the terms is an error."""
+        read = await self.read_to_tail()
+        return read.and_then(lambda _: self._check_anchored())
+
+    async def read_to_tail(self) -> Result[None, Problem]:
         """Read from where the last read ended to the tail."""
         while True:
             before = self._next
-            batch = await self._log.read(TERMS_STREAM, self._next)
+            batch = await self._log.read(TERMS_STREAM, before, READ_AT_ONCE)
             if batch.is_err():
                 return Err(batch.unwrap_err())
             self._take(batch.unwrap())
             if self._next >= batch.unwrap().next_offset:
-                return self._anchored()
+                return Ok(None)
             if self._next == before:
                 return Err(_stuck(before))
 
@@ -128,14 +145,15 @@
             version = Version(number, record.document, record.by)
             self.versions[number] = version
 
-    def _anchored(self) -> Result[None, Problem]:
-        if self._terms.anchored:
+    def _check_anchored(self) -> Result[None, Problem]:
+        if self.anchored:
             return Ok(None)
         return Err(
             Problem(
                 ErrorKind.LOG_UNAVAILABLE,
                 'the log has forgotten the terms and holds no renewal of them',
-                'wait a minute for a VM to renew them, then try again',
+                'wait a minute for a VM to renew them; if no VM is left that '
+                'knows them, see `bramleybend-ctl recover --help`',
             ),
         )
 
--- a/bramleybend/cli/timeline.py
+++ b/bramleybend/cli/timeline.py
@@ -81,12 +81,23 @@
     for name in paths:
         path = Path(name)
         if path.is_dir():
-            for log in sorted(path.glob('*.log')):
-                yield unwrap(read_file(log))
+            yield from _sources_in(path)
         else:
             yield unwrap(read_file(path))
 
 
+def _sources_in(directory: Path) -> Iterator[Source]:
+    logs = sorted(directory.glob('*.log'))
+    if not logs:
+        fail(
+            ErrorKind.UNKNOWN_NAME,
+            f'{directory} holds no *.log files',
+            'name the directory or the files that hold the event logs',
+        )
+    for log in logs:
+        yield unwrap(read_file(log))
+
+
 def _write_page(name: str, text: str) -> None:
     try:
         Path(name).write_text(text, encoding='utf-8')
--- a/tests/cli/test_publish.py
+++ b/tests/cli/test_publish.py
@@ -216,3 +216,26 @@
     assert status is ExitStatus.UNAVAILABLE
     assert 'wait a minute for a VM to renew them' in err
     assert world.log.appends == 1
+
+
+async def test_terms_lost_everywhere_are_recovered_once(world: World) -> None:
+    """All VMs were away for longer than the log keeps records.
+
+    Neither the log nor a VM knows the terms, so no publish has a base. The
+    operator states them; a second operator, and one whose VMs still know
+    them, are refused. The first append is lost without a word.
+    """
+    await world.run('publish', PARWAZ, '--base', '0')
+    world.log.first_offset = 1
+    refused, _, err = await world.run('recover', PARWAZ, '5')
+    assert (refused, world.log.appends) == (ExitStatus.CONFLICT, 1)
+    assert 'still knows the terms' in err
+    for process in world.processes.values():
+        process.terms_version = 0
+    world.log.lose_records = 1
+    status, _, _ = await world.run('recover', PARWAZ, '5')
+    again, _, err = await world.run('recover', PARWAZ, '6')
+    assert (status, again) == (ExitStatus.OK, ExitStatus.CONFLICT)
+    assert 'in force is 5' in err
+    _, out, _ = await world.run('publish', PARWAZ, '--base', '5')
+    assert 'version 6 is accepted' in out
