--- a/tests/failures/test_operators_at_work.py
+++ b/tests/failures/test_operators_at_work.py
@@ -16,6 +16,7 @@
 from bramleybend.cli.ctl import execute
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.timeline import main as show_timeline
+from bramleybend.clients.log_service import TERMS_STREAM
 from bramleybend.status import ExitStatus
 from examples.caller import send
 from tests.utils.cluster import EXAMPLE, Layout
@@ -133,3 +134,33 @@
     for event in ('accepted', 'granted', 'dispatched', 'settled'):
         assert f' {event} ' in story
         assert f' {event} ' in out.getvalue()
+
+
+async def test_terms_lost_everywhere_come_back_by_an_operator(
+    tmp_path: Path,
+) -> None:
+    """All VMs are replaced after the log has forgotten the terms.
+
+    Callers are told `not_run`, as no VM knows the terms and nothing on the
+    log says them. The operator states them once, and every VM takes them.
+    """
+    layout = Layout(vms=2, engines=(), plain_latencies_ms=(5,))
+    async with scenario(layout, tmp_path) as scene:
+        for vm in scene.cluster.vms:
+            await vm.kill()
+        kept = len(scene.cluster.log.records(TERMS_STREAM))
+        scene.cluster.log.faults.forget_below = {TERMS_STREAM: kept}
+        for vm in scene.cluster.vms:
+            await vm.replace()
+        await wait_until(lambda: _all_answer(scene), 'every program answers')
+        refused, _ = await ctl(scene, 'publish', str(EXAMPLE), '--base', '1')
+        recovered, _ = await ctl(scene, 'recover', str(EXAMPLE), '2')
+        waited, _ = await ctl(scene, 'wait', '2')
+        await scene.cluster.ready()
+    assert refused is ExitStatus.UNAVAILABLE
+    assert (recovered, waited) == (ExitStatus.OK, ExitStatus.OK)
+
+
+async def _all_answer(scene: Scenario) -> bool:
+    status, _ = await ctl(scene, 'status')
+    return status is ExitStatus.OK
