--- a/bramleybend/timeline/merge.py
+++ b/bramleybend/timeline/merge.py
@@ -11,6 +11,9 @@
 
 SEPARATORS: Final = re.compile('[/@:]')
 STARTED: Final = 'started'
+# Written by different processes about one request; the first of each pair
+# always happens first, so a smaller stamp on the second is a clock's fault.
+CAUSES: Final = (('accepted', 'grant'), ('grant', 'granted'))
 VM_FIELDS: Final = ('vm', 'owner', 'member', 'home')
 
 
@@ -33,6 +36,7 @@
     torn: int = 0
     others: int = 0
     repeated: int = 0
+    skew_ms: int = 0  # the least by which some VMs' clocks differ
     missing: dict[tuple[str, str], int] = field(default_factory=dict)
 
 
@@ -47,6 +51,7 @@
         sum(source.torn for source in sources),
         sum(source.others for source in sources),
         len(events) - len(unique),
+        _skew_ms(ordered),
         _missing(ordered),
     )
 
@@ -109,6 +114,20 @@
     return {writer: gap for writer, gap in gaps.items() if gap}
 
 
+def _skew_ms(events: Iterable[Event]) -> int:
+    """Return by how much an effect is stamped before its cause, at most."""
+    firsts: dict[tuple[str, str], int] = {}
+    for event in events:
+        firsts.setdefault((event.req, event.name), event.stamp.wall_ms)
+    skews = [
+        firsts[req, cause] - at
+        for (req, name), at in firsts.items()
+        for cause, effect in CAUSES
+        if name == effect and (req, cause) in firsts
+    ]
+    return max([0, *skews])
+
+
 def _of_request(event: Event, req: str) -> bool:
     return not req or event.req == req or event.req.endswith(f'/{req}')
 
--- a/bramleybend/timeline/text.py
+++ b/bramleybend/timeline/text.py
@@ -71,5 +71,10 @@
     for writer, gap in sorted(merged.missing.items()):
         lane = _lane(writer)
         yield f'{gap} events of {lane} are missing'
+    if merged.skew_ms:
+        yield (
+            f'clocks differ by {merged.skew_ms} ms or more: '
+            'some effects stand before their causes'
+        )
     if merged.repeated:
         yield f'{merged.repeated} events stood twice'
--- a/tests/timeline/test_timeline.py
+++ b/tests/timeline/test_timeline.py
@@ -99,6 +99,17 @@
     assert '2 events stood twice' in err
 
 
+def test_clocks_that_differ_are_told(tmp_path: Path) -> None:
+    """The owner's clock lags by 40 ms, so its grant stands too early."""
+    line = 'hlc={} process={} incarnation=a event={} req=t/1\n'
+    (tmp_path / 'both.log').write_text(
+        line.format('1000.0', 'gateway', 'accepted')
+        + line.format('960.0', 'scheduler', 'grant')
+    )
+    _, _, err = show(str(tmp_path))
+    assert 'clocks differ by 40 ms or more' in err
+
+
 def test_the_page_needs_nothing_else_and_runs_nothing_logged(
     logs: Path,
 ) -> None:
