--- a/tests/utils/ledger.py
+++ b/tests/utils/ledger.py
@@ -87,6 +87,7 @@
     other: int
     lost: int
     wrong: tuple[str, ...]
+    reasons: tuple[str, ...] = ()  # of what was not done, with counts
 
     @property
     def is_clean(self) -> bool:
@@ -140,8 +141,18 @@
             other=outcomes.total(),
             lost=lost,
             wrong=tuple(wrong),
+            reasons=self._reasons(),
         )
 
+    def _reasons(self) -> tuple[str, ...]:
+        reasons = Counter(
+            f'{record.work.profile} {record.outcome}: '
+            f'{record.final.reason if record.final else "no answer"}'
+            for record in self.records
+            if record.outcome is not Outcome.DONE
+        )
+        return tuple(f'{count} {why}' for why, count in reasons.items())
+
 
 def _faults(record: Record, runs: int) -> list[str]:
     outcomes = {reading.outcome for reading in record.readings}
