--- a/tests/failures/test_shortage.py
+++ b/tests/failures/test_shortage.py
@@ -47,7 +47,8 @@
     }
     for engine in scene.cluster.runners.engines:
         for run in engine.admitted:
-            yield _served_of(run, tiers[run.prompt_hash])
+            if run.prompt_hash in tiers:
+                yield _served_of(run, tiers[run.prompt_hash])
 
 
 def _served_of(run: Run, tier: Tier) -> _Served:
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -76,6 +76,12 @@
             total.update(plain.runs_of())
         return total
 
+    def run_ids(self) -> list[str]:
+        """Return the id of every run, over all runners."""
+        ids = [run.run_id for each in self.engines for run in each.admitted]
+        ids.extend(call.run_id for each in self.plains for call in each.calls)
+        return ids
+
 
 def free_prefix() -> str:
     """Return a loopback prefix that no other cluster uses now."""
