--- a/bramleybend/answers.py
+++ b/bramleybend/answers.py
@@ -54,7 +54,7 @@
     return Answer(
         Outcome.NOT_RUN,
         reason,
-        'send the same request again after Retry-After',
+        'send it again under a new id after Retry-After',
         retry_after,
     )
 
@@ -84,3 +84,12 @@
         reason,
         'ask for a new ticket; the old request will not be run',
     )
+
+
+def quarantined() -> Answer:
+    """Say that the content is refused for good."""
+    return rejected(
+        'runners crashed while they ran this content',
+        'change the content; the same one will not be run again',
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+    )
--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -65,6 +65,7 @@
         slot: Slot,
         kind: ServiceKind,
         run_id: str,
+        prompt_tokens: int,
     ) -> None:
         """Prepare; nothing is sent before `proceed`."""
         host, _, port = slot.endpoint.rpartition(':')
@@ -72,8 +73,10 @@
         self._run = run
         self._slot = slot
         self._run_id = run_id
+        self._prompt_tokens = prompt_tokens
         self._usage = Usage()
         self._received = 0
+        self._crashed = False
 
     async def proceed(self) -> AttemptEnd:
         """Dispatch and read to the end; never dispatches twice."""
@@ -151,10 +154,14 @@
                 self._received,
             )
         except OSError:
+            self._crashed = True
             return None
         try:
             head = await exchange.head()
             if head.status != HTTPStatus.OK:
+                # An engine that no longer knows a run it had admitted has
+                # been restarted; by now it may look as well as ever.
+                self._crashed |= head.status == HTTPStatus.NOT_FOUND
                 return None
             return await self._events(exchange)
         except BROKEN:
@@ -181,7 +188,7 @@
         first = self._run.chunk_count == 0
         fits = self._run.add(event + EVENT_END)
         if first:
-            await self._slot.first_token(0, 0)
+            await self._slot.first_token(self._prompt_tokens)
         return fits
 
     async def _unheard(self) -> AttemptEnd:
@@ -196,9 +203,11 @@
 
     async def _broken(self, end: End) -> AttemptEnd:
         """Tell a crashed runner from a broken connection."""
-        try:
-            probe = await connect(self._address.host, self._address.port)
-        except OSError:
-            return AttemptEnd(end, self._usage, crashed=True)
-        probe.close()
-        return AttemptEnd(end, self._usage)
+        if not self._crashed:
+            try:
+                probe = await connect(self._address.host, self._address.port)
+            except OSError:
+                self._crashed = True
+            else:
+                probe.close()
+        return AttemptEnd(end, self._usage, crashed=self._crashed)
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import Final
 
+from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.floor import ADOPTION_GRACE_S
 from bramleybend.decisions.owner import make_shard_policy
 from bramleybend.decisions.ownership import owners_of, shard_of
-from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.quarantine import Verdict
 from bramleybend.models import Service, Terms, Tier, Vm
 from bramleybend.scheduler.messages import (
@@ -79,11 +79,10 @@
             return False
         return self._deps.clock.monotonic() - since >= ADOPTION_GRACE_S
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Whether this content was in flight when a runner crashed."""
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Whether this content was in flight when runners crashed."""
         now = self._deps.clock.monotonic()
-        verdict = self._deps.crashes.verdict(fingerprint, now)
-        return verdict is not Verdict.CLEAR
+        return self._deps.crashes.verdict(fingerprint, now)
 
     async def watch(self) -> None:
         """Follow list, terms and members until cancelled."""
--- a/bramleybend/state/membership.py
+++ b/bramleybend/state/membership.py
@@ -46,7 +46,7 @@
         self._rng = rng
         self._order = ProbeOrder(rng)
         self._candidates = Candidates(rng)
-        self._table = RecordTable(rng, self._order.add)
+        self._table = RecordTable(rng, self._order.add, now)
         self._ticked = now
         self._doubts: list[str] = []  # suspicions that this node raised
 
@@ -78,7 +78,7 @@
         targets = [
             *self._doubts,
             *self._order.next_some(probes, self._table.is_dead),
-            *self._candidates.pick(self._table.is_member),
+            *self._candidates.pick(self._table.by_address, self._table.is_dead),
         ]
         return [self._message(target) for target in dict.fromkeys(targets)]
 
--- a/bramleybend/state/probing.py
+++ b/bramleybend/state/probing.py
@@ -1,11 +1,14 @@
 """Whom to probe next: members in shuffled rounds, and listed addresses."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from random import Random
 from typing import Final
 
 CANDIDATES: Final = 3  # listed addresses one node tries in a period
-TRIES: Final = 2  # of one address in a period, by all nodes together
+# Of one address in a period, by all nodes together. An address that nobody
+# met is rare but for a newcomer, which meets the last few sooner by this.
+TRIES_DEAD: Final = 2
+TRIES_UNMET: Final = 60
 FORGET_LISTED_S: Final = 120.0
 
 
@@ -72,7 +75,11 @@
         """Whether the list has held the address lately."""
         return address in self._seen
 
-    def pick(self, is_member: Callable[[str], bool]) -> list[str]:
+    def pick(
+        self,
+        met: Container[str],
+        is_dead: Callable[[str], bool],
+    ) -> list[str]:
         """Return whom to try in this period.
 
         The halves of a split region find each other again by this, since
@@ -80,8 +87,12 @@
         only a few times a period: if each tried the one that is missing,
         hundreds would call on a VM the moment it starts.
         """
-        unknown = [addr for addr in self._seen if not is_member(addr)]
-        known = len(self._seen) - len(unknown)
-        share = TRIES * len(unknown) / (known + 1)
+        unmet = [addr for addr in self._seen if addr not in met]
+        dead = [addr for addr in self._seen if is_dead(addr)]
+        known = len(self._seen) - len(unmet) - len(dead)
+        wanted = TRIES_UNMET * len(unmet) + TRIES_DEAD * len(dead)
+        share = wanted / (known + 1)
         tries = min(CANDIDATES, int(share + self._rng.random()))
-        return self._rng.sample(unknown, min(tries, len(unknown)))
+        picked = self._rng.sample(unmet, min(tries, len(unmet)))
+        rest = min(tries - len(picked), len(dead))
+        return picked + self._rng.sample(dead, rest)
--- a/bramleybend/state/records.py
+++ b/bramleybend/state/records.py
@@ -14,8 +14,9 @@
 SUSPECT_S: Final = 1.0
 SUSPECT_PER_DECADE_S: Final = 0.8
 FORGET_S: Final = 120.0
+JOIN_S: Final = 10.0
 MAX_UPDATES: Final = 24
-MAX_FILL: Final = 8  # random records, which repair what news has missed
+MAX_FILL: Final = 12  # random records, which repair what news has missed
 SLICE: Final = 60  # records for a newcomer, in one message
 
 
@@ -27,13 +28,19 @@
 class RecordTable:
     """Records by address; suspicion ends in death unless taken back."""
 
-    def __init__(self, rng: Random, on_new: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        rng: Random,
+        on_new: Callable[[str], None],
+        now: float,
+    ) -> None:
         """Start empty; `on_new` hears of each address met first."""
         self.by_address: dict[str, Member] = {}
         self._since: dict[str, float] = {}  # of suspicion or death
         self.news = UpdateQueue()
         self._rng = rng
         self._on_new = on_new
+        self._joined = now + JOIN_S
 
     # ---- queries
 
@@ -95,7 +102,10 @@
             self._since[record.address] = now
         else:
             self._since.pop(record.address, None)
-        self.news.add(record.address, len(self.by_address))
+        # What a newcomer meets first is news to nobody else; passing it all
+        # on would fill its messages for minutes.
+        if known is not None or now >= self._joined:
+            self.news.add(record.address, len(self.by_address))
 
     def mark(self, address: str, state: MemberState, now: float) -> None:
         """Learn another state of the incarnation known at an address."""
@@ -121,7 +131,9 @@
                 forgotten.append(address)
         forgotten = [addr for addr in forgotten if not is_listed(addr)]
         for address in forgotten:
-            self._forget(address)
+            self.by_address.pop(address)
+            self._since.pop(address)
+            self.news.drop(address)
         return forgotten
 
     def restart_waits(self, now: float) -> None:
@@ -146,8 +158,3 @@
     def _sample(self, size: int) -> list[Member]:
         records = list(self.by_address.values())
         return self._rng.sample(records, min(size, len(records)))
-
-    def _forget(self, address: str) -> None:
-        self.by_address.pop(address, None)
-        self._since.pop(address, None)
-        self.news.drop(address)
