--- a/bramleybend/cli/ctl.py
+++ b/bramleybend/cli/ctl.py
@@ -7,14 +7,14 @@
 from typing import Final, TypeAlias
 
 from bramleybend.cli.commands import drain, publish, recover, restore
-from bramleybend.cli.fleet_queries import explain, status, wait
-from bramleybend.cli.queries import diff, history, show, validate
 from bramleybend.cli.constants import CTL
 from bramleybend.cli.context import Context
 from bramleybend.cli.definition import parse_flags
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.exceptions import status_of
+from bramleybend.cli.fleet_queries import explain, status, wait
 from bramleybend.cli.output import Report, write_problem, write_report
+from bramleybend.cli.queries import diff, history, show, validate
 from bramleybend.errors import ProblemError
 from bramleybend.status import ExitStatus
 
