--- a/bramleybend/gateway/journal.py
+++ b/bramleybend/gateway/journal.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Final
 
@@ -26,6 +27,11 @@
 LAZY_PAUSE_S: Final = 0.25
 DOWN_PAUSE_S: Final = 0.5
 MAX_BATCH: Final = 200
+# A journal that can't be finished stays unsealed, which is only less proof;
+# a planned stop must not wait out a log outage for it.
+CLOSE_TIMEOUT_S: Final = 5.0
+CLOSE_RETRY_S: Final = 0.1
+MAY_HAVE_LANDED: Final = frozenset((None, ErrorKind.LOG_REPLY_LOST))
 # A log outage must not fill the memory: 20,000 records of 200 bytes are
 # 4 MB, and what is dropped only turns a later answer into `unknown`.
 MAX_BEHIND: Final = 20_000
@@ -61,6 +67,7 @@
         self._waiting: deque[Waiting] = deque()
         self._behind: deque[str] = deque(maxlen=MAX_BEHIND)
         self._wanted = asyncio.Event()
+        self._writing = asyncio.Lock()
 
     @property
     def sealed(self) -> bool:
@@ -99,10 +106,22 @@
         The seal says that the journal is complete, so that whoever reads it
         can tell a request that never ran from one that is not written down.
         """
-        while self._behind and self.log_ok:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._finish()
+
+    async def _finish(self) -> None:
+        while self._behind:
             await self._write_behind()
-        if self._behind or self.sealed:
-            return
+            if not self.log_ok:
+                await asyncio.sleep(CLOSE_RETRY_S)
+        # Without the lock a batch that `work` is just appending would look
+        # written, and land behind a seal that calls the journal complete.
+        async with self._writing:
+            if not self._behind and not self.sealed:
+                await self._seal()
+
+    async def _seal(self) -> None:
         seal = encode_seal(self._incarnation, complete=True)
         await self._log.append(self._stream, (seal,))
 
@@ -119,8 +138,10 @@
     async def _write_intents(self) -> None:
         count = min(len(self._waiting), MAX_BATCH)
         batch = [self._waiting.popleft() for _ in range(count)]
-        appended = await self._append([each.record for each in batch])
-        rights = await self._read_back() if appended else frozenset[str]()
+        failed = await self._append([each.record for each in batch])
+        rights: frozenset[str] = frozenset()
+        if failed in MAY_HAVE_LANDED:
+            rights = await self._read_back()
         for each in batch:
             if not each.right.done():
                 each.right.set_result(each.request_id in rights)
@@ -128,25 +149,26 @@
             self._wanted.set()
 
     async def _write_behind(self) -> None:
-        count = min(len(self._behind), MAX_BATCH)
-        batch = [self._behind.popleft() for _ in range(count)]
-        if not await self._append(batch):
-            # A second copy of a record changes nothing for its readers, so
-            # an append whose reply was lost is simply made again.
-            self._behind.extendleft(reversed(batch))
-
-    async def _append(self, records: list[str]) -> bool:
-        """Append; true if the records may be in the log."""
+        async with self._writing:
+            count = min(len(self._behind), MAX_BATCH)
+            batch = [self._behind.popleft() for _ in range(count)]
+            if batch and await self._append(batch) is not None:
+                # A second copy of a record changes nothing for its readers,
+                # so an append whose reply was lost is simply made again.
+                self._behind.extendleft(reversed(batch))
+
+    async def _append(self, records: list[str]) -> ErrorKind | None:
+        """Append; return what went wrong, if anything did."""
         match await self._log.append(self._stream, records):
             case Ok():
                 self.log_ok = True
-                return True
+                return None
             case Err(problem):
                 self.log_ok = False
                 self._metrics.count(Metric.LOG_ERRORS)
                 self._events.record('journal_append_failed', kind=problem.kind)
-                return problem.kind is ErrorKind.LOG_REPLY_LOST
-        return False
+                return problem.kind
+        return None
 
     async def _read_back(self) -> frozenset[str]:
         """Return the rights that stand; no word means no right."""
--- a/bramleybend/gateway/lost_home.py
+++ b/bramleybend/gateway/lost_home.py
@@ -61,9 +61,8 @@
         if request_id.ticket.intent_first and not view.sealed:
             # A home that is not dead after all reads this back before its
             # next dispatch, and so runs nothing that is told `not_run` here.
-            if not await self._seal(request_id):
-                return unknown(LOG_DOWN)
-            if not await self._read(request_id, view):
+            await self._seal(request_id)
+            if not await self._read(request_id, view) or not view.sealed:
                 return unknown(LOG_DOWN)
         match view.fate(request_id):
             case Ended(record):
@@ -92,12 +91,11 @@
             if not batch.records:
                 return view.next_offset >= batch.next_offset
 
-    async def _seal(self, request_id: RequestId) -> bool:
+    async def _seal(self, request_id: RequestId) -> None:
         stream = stream_of(request_id.ticket.incarnation)
         # Whether the reply came does not matter: the next read tells if the
         # seal stands, and a second one changes nothing.
-        appended = await self._log.append(stream, (encode_seal(self._vm),))
-        return appended.is_ok()
+        await self._log.append(stream, (encode_seal(self._vm),))
 
 
 def _ended(record: OutcomeRecord, run: Run) -> Answer:
