--- a/bramleybend/cli/ctl.py
+++ b/bramleybend/cli/ctl.py
@@ -1,7 +1,6 @@
 """`bramleybend-ctl`: the operators' program."""
 
 import asyncio
-import sys
 from collections.abc import Awaitable, Callable, Sequence
 from types import MappingProxyType
 from typing import Final, TypeAlias
@@ -12,6 +11,7 @@
 from bramleybend.cli.constants import CTL
 from bramleybend.cli.context import Context
 from bramleybend.cli.definition import parse_flags
+from bramleybend.cli.entry import enter
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.exceptions import status_of
 from bramleybend.cli.output import Report, write_problem, write_report
@@ -44,14 +44,7 @@
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Run one command; return the exit code."""
-    try:
-        return asyncio.run(execute(args, env))
-    except KeyboardInterrupt:
-        env.stderr.write(f'{CTL}: interrupted\n')
-        return ExitStatus.INTERRUPTED
-    except BrokenPipeError:
-        # The reader, such as `head`, has seen enough.
-        return ExitStatus.OK
+    return asyncio.run(execute(args, env))
 
 
 async def execute(args: Sequence[str], env: Environment) -> ExitStatus:
@@ -70,4 +63,4 @@
 
 def run() -> None:
     """Enter from the console."""
-    sys.exit(main(sys.argv[1:], Environment()))
+    enter(main)
--- a/bramleybend/cli/timeline.py
+++ b/bramleybend/cli/timeline.py
@@ -1,6 +1,5 @@
 """`bramleybend-timeline`: merge event logs and show them in causal order."""
 
-import sys
 from argparse import RawDescriptionHelpFormatter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -8,6 +7,7 @@
 
 from bramleybend.cli.argtypes import tier
 from bramleybend.cli.constants import TIMELINE
+from bramleybend.cli.entry import enter
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.exceptions import fail, status_of, unwrap
 from bramleybend.cli.output import write_problem
@@ -56,7 +56,7 @@
 
 def run() -> None:
     """Enter from the console."""
-    sys.exit(main(sys.argv[1:], Environment()))
+    enter(main)
 
 
 def _show(flags: Flags, env: Environment) -> None:
