--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -15,6 +15,7 @@
 from math import inf
 
 from bramleybend.decisions.actions import Action, Grant
+from bramleybend.decisions.places import Place, places_of
 from bramleybend.decisions.queueing import Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
@@ -46,44 +47,47 @@
 
 
 def _choose(shard: Shard, now: float) -> _Choice | None:
-    free = shard.pool.free(now) if shard.queue else []
-    if not free:
+    places = places_of(shard.pool, now) if shard.queue else []
+    if not any(place.free for place in places):
         return None
     windows = shard.queue.windows(shard.lowest_tier(now))
     for window in islice(windows, MOST_WINDOWS):
         choices = [
             choice
-            for place, entry in enumerate(window)
-            for choice in _place(shard, entry, place, now)
+            for position, entry in enumerate(window)
+            for choice in _weigh(entry, position, places, now)
         ]
         if choices:
             return min(choices, key=_by_regret)
     return None
 
 
-def _place(
-    shard: Shard,
+def _weigh(
     entry: Waiting,
-    place: int,
+    position: int,
+    places: list[Place],
     now: float,
 ) -> list[_Choice]:
     """Weigh the free runners against waiting for a busy one."""
+    ask = entry.ask
     best: _Choice | None = None
     least = inf
-    for runner in shard.pool:
-        if runner.leaving or runner.name in entry.ask.excluded:
+    for place in places:
+        if place.runner.name in ask.excluded:
             continue
-        seconds = shard.pool.seconds_on(entry.ask, runner)
-        wait = runner.wait_s(now)
-        least = min(least, seconds + wait)
-        if wait == 0 and (best is None or seconds < best.seconds):
-            best = _Choice(entry, runner, seconds)
+        prefill = place.prefill_tokens(ask)
+        seconds = place.seconds(ask, prefill)
+        least = min(least, seconds + place.wait)
+        in_time = now + seconds < ask.deadline
+        if place.takes(prefill) and in_time:
+            if best is None or seconds < best.seconds:
+                best = _Choice(entry, place.runner, seconds)
     if best is None:
         return []
     regret = best.seconds - least
     if regret > HOLD_S and now < entry.urgent_from:
         return []
-    return [replace(best, regret=regret + place * PLACE_S)]
+    return [replace(best, regret=regret + position * PLACE_S)]
 
 
 def _by_regret(choice: _Choice) -> float:
--- /dev/null
+++ b/bramleybend/decisions/places.py
@@ -0,0 +1,65 @@
+"""What each runner would cost a request, for one round of dispatch.
+
+Load pattern: long prompts on runners that also serve short ones.
+Without it: several long prompts are filled on one engine at once. None ends
+sooner for that, as one prompt keeps the engine busy; all of them end late,
+and no slot is left to order by tier.
+
+A runner takes a prompt while what it still has to fill lasts less than
+`FILL_S`, or if the prompt is so short (`SHORT_TOKENS`) that it hardly delays
+the others.
+"""
+
+from dataclasses import dataclass
+
+from bramleybend.decisions.pool import RunnerPool
+from bramleybend.decisions.runs import Runner
+from bramleybend.decisions.speeds import Pace
+from bramleybend.models import Ask
+
+FILL_S = 0.5
+SHORT_TOKENS = 512
+
+
+@dataclass(frozen=True)
+class Place:
+    """A runner as it stands now."""
+
+    runner: Runner
+    pace: Pace
+    free: bool
+    wait: float  # for a slot, seconds
+    fill: float  # seconds until its prompts are filled
+
+    def prefill_tokens(self, ask: Ask) -> int:
+        """Estimate the prompt tokens that are not cached here."""
+        cached = self.runner.cache.cached_tokens(
+            ask.prefixes,
+            ask.prompt_tokens,
+        )
+        return max(ask.prompt_tokens - cached, 0)
+
+    def seconds(self, ask: Ask, prefill: int) -> float:
+        """Estimate how long a request runs here."""
+        decode = max(ask.cost - ask.prompt_tokens, 1)
+        return self.fill + self.pace.seconds(prefill, decode)
+
+    def takes(self, prefill: int) -> bool:
+        """Tell whether a prompt may be started here."""
+        return self.free and (self.fill < FILL_S or prefill <= SHORT_TOKENS)
+
+
+def places_of(pool: RunnerPool, now: float) -> list[Place]:
+    """Look at the runners that may get new work."""
+    mean = pool.mean_pace()
+    return [
+        _place(runner, pool.pace_of(runner, mean), now)
+        for runner in pool
+        if not runner.leaving
+    ]
+
+
+def _place(runner: Runner, pace: Pace, now: float) -> Place:
+    free = runner.room(now) > 0
+    wait = 0 if free else runner.wait_s()
+    return Place(runner, pace, free, wait, runner.backlog / pace.prefill)
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -64,35 +64,30 @@
             if not runner.leaving
         )
 
-    def pace_of(self, runner: Runner) -> Pace:
+    def pace_of(self, runner: Runner, mean: Pace) -> Pace:
         """Return the learned pace, else the mean of the peers."""
         pace = runner.speed.pace if self._switches.speeds else None
-        return pace or self._mean_pace()
+        return pace or mean
 
     def least_seconds(self, ask: Ask) -> float:
-        """Estimate how long a request takes on the best runner."""
+        """Estimate how long a request takes on the best idle runner."""
         if not self._switches.expiry:
             return 0
+        mean = self.mean_pace()
         decode = max(ask.cost - ask.prompt_tokens, 1)
-        seconds = (
-            self.pace_of(runner).seconds(0, decode)
-            for runner in self._runners.values()
+        return min(
+            (
+                self.pace_of(runner, mean).seconds(
+                    _prefill(ask, runner),
+                    decode,
+                )
+                for runner in self._runners.values()
+            ),
+            default=0,
         )
-        return min(seconds, default=0)
-
-    def seconds_on(self, ask: Ask, runner: Runner) -> float:
-        """Estimate how long a request runs there, cached prefixes left out."""
-        cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
-        decode = max(ask.cost - ask.prompt_tokens, 1)
-        prefill = max(ask.prompt_tokens - cached, 0) + runner.backlog
-        return self.pace_of(runner).seconds(prefill, decode)
-
-    def _count(self, run: Run) -> None:
-        runner = self._runners.get(run.runner)
-        if runner is not None:
-            runner.in_flight.add(run.ask.request_id)
 
-    def _mean_pace(self) -> Pace:
+    def mean_pace(self) -> Pace:
+        """Return the peers' mean, or a guess before any run has ended."""
         paces = [
             runner.speed.pace
             for runner in self._runners.values()
@@ -105,6 +100,11 @@
             sum(pace.decode for pace in paces) / len(paces),
         )
 
+    def _count(self, run: Run) -> None:
+        runner = self._runners.get(run.runner)
+        if runner is not None:
+            runner.in_flight.add(run.ask.request_id)
+
     def _add(self, name: str, now: float) -> Runner:
         runner = Runner(
             name,
@@ -115,3 +115,8 @@
         )
         self._runners[name] = runner
         return runner
+
+
+def _prefill(ask: Ask, runner: Runner) -> int:
+    cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
+    return max(ask.prompt_tokens - cached, 0)
--- a/bramleybend/decisions/runs.py
+++ b/bramleybend/decisions/runs.py
@@ -41,10 +41,8 @@
     backlog: int = 0  # prompt tokens sent there and not known as filled
     alone: str | None = None  # the suspect that runs here by itself
 
-    def wait_s(self, now: float) -> float:
-        """Estimate the wait for a slot."""
-        if self.room(now) > 0:
-            return 0
+    def wait_s(self) -> float:
+        """Estimate the wait for a slot when all are taken."""
         return self.mean_seconds / max(len(self.in_flight), 1)
 
     def forget(self, request_id: str) -> None:
--- a/bramleybend/decisions/speeds.py
+++ b/bramleybend/decisions/speeds.py
@@ -37,29 +37,29 @@
         """Start without a measure."""
         self._prefill: float | None = None
         self._decode: float | None = None
-
-    @property
-    def pace(self) -> Pace | None:
-        """The smoothed pace, `None` until both phases were seen."""
-        if self._prefill is None or self._decode is None:
-            return None
-        return Pace(self._prefill, self._decode)
+        self.pace: Pace | None = None  # once both phases were seen
 
     def prefilled(self, tokens: float, seconds: float) -> None:
         """Learn from a prompt that was filled."""
         if tokens >= FEWEST_TOKENS and seconds > 0:
             self._prefill = _smoothed(self._prefill, tokens / seconds)
+            self._update()
 
     def decoded(self, work: float, seconds: float) -> None:
         """Learn from an answer that ended whole."""
         if work > 0 and seconds > 0:
             self._decode = _smoothed(self._decode, work / seconds)
+            self._update()
 
     def ended(self, work: float, seconds: float) -> None:
         """Learn from a run without a first token, as of one phase."""
         self.prefilled(work, seconds)
         self.decoded(work, seconds)
 
+    def _update(self) -> None:
+        if self._prefill is not None and self._decode is not None:
+            self.pace = Pace(self._prefill, self._decode)
+
 
 def _smoothed(before: float | None, measured: float) -> float:
     if before is None:
