--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -16,13 +16,13 @@
 
 from bramleybend.decisions.actions import Action, Grant
 from bramleybend.decisions.places import Place, places_of
-from bramleybend.decisions.queueing import Waiting
+from bramleybend.decisions.queueing import WINDOW, Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
 
 PLACE_S = 0.05
 HOLD_S = 0.25
-MOST_WINDOWS = 8
+MOST_WINDOWS = 6
 
 
 @dataclass(frozen=True)
@@ -50,12 +50,17 @@
     places = places_of(shard.pool, now) if shard.queue else []
     if not any(place.free for place in places):
         return None
+    most = max(place.most_prefill() for place in places)
     windows = shard.queue.windows(shard.lowest_tier(now))
     for window in islice(windows, MOST_WINDOWS):
+        # Enough entries for all runners will use them all; none is held.
+        hold = len(window) < min(len(places), WINDOW)
         choices = [
             choice
             for position, entry in enumerate(window)
+            if entry.least_prefill <= most
             for choice in _weigh(entry, position, places, now)
+            if not hold or choice.regret < HOLD_S or now > entry.urgent_from
         ]
         if choices:
             return min(choices, key=_by_regret)
@@ -70,24 +75,25 @@
 ) -> list[_Choice]:
     """Weigh the free runners against waiting for a busy one."""
     ask = entry.ask
-    best: _Choice | None = None
-    least = inf
-    for place in places:
-        if place.runner.name in ask.excluded:
-            continue
-        prefill = place.prefill_tokens(ask)
-        seconds = place.seconds(ask, prefill)
-        least = min(least, seconds + place.wait)
-        in_time = now + seconds < ask.deadline
-        if place.takes(prefill) and in_time:
-            if best is None or seconds < best.seconds:
-                best = _Choice(entry, place.runner, seconds)
-    if best is None:
-        return []
-    regret = best.seconds - least
-    if regret > HOLD_S and now < entry.urgent_from:
+    left = ask.deadline - now
+    able = places
+    if ask.excluded:
+        able = [one for one in places if one.runner.name not in ask.excluded]
+    taken = [
+        _Choice(entry, place.runner, place.seconds(ask))
+        for place in able
+        if place.takes(ask)
+    ]
+    best = min(taken, key=_by_seconds, default=None)
+    if best is None or best.seconds > left:
         return []
-    return [replace(best, regret=regret + position * PLACE_S)]
+    least = min(place.seconds(ask) + place.wait for place in able)
+    regret = best.seconds - least + position * PLACE_S
+    return [replace(best, regret=regret)]
+
+
+def _by_seconds(choice: _Choice) -> float:
+    return choice.seconds
 
 
 def _by_regret(choice: _Choice) -> float:
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -11,6 +11,7 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 
 from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.runs import Runner
@@ -39,14 +40,23 @@
         )
         return max(ask.prompt_tokens - cached, 0)
 
-    def seconds(self, ask: Ask, prefill: int) -> float:
+    def seconds(self, ask: Ask) -> float:
         """Estimate how long a request runs here."""
         decode = max(ask.cost - ask.prompt_tokens, 1)
+        prefill = self.prefill_tokens(ask)
         return self.fill + self.pace.seconds(prefill, decode)
 
-    def takes(self, prefill: int) -> bool:
-        """Tell whether a prompt may be started here."""
-        return self.free and (self.fill < FILL_S or prefill <= SHORT_TOKENS)
+    def takes(self, ask: Ask) -> bool:
+        """Tell whether a request may be started here."""
+        if not self.free or self.fill < FILL_S:
+            return self.free
+        return self.prefill_tokens(ask) <= SHORT_TOKENS
+
+    def most_prefill(self) -> float:
+        """Return the longest prefill that may be started here."""
+        if not self.free:
+            return -1
+        return inf if self.fill < FILL_S else SHORT_TOKENS
 
 
 def places_of(pool: RunnerPool, now: float) -> list[Place]:
--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -13,6 +13,7 @@
 from math import inf
 
 from bramleybend.decisions.actions import Action, Preempt
+from bramleybend.decisions.places import Place, places_of
 from bramleybend.decisions.queueing import Waiting
 from bramleybend.decisions.runs import Run
 from bramleybend.decisions.shard import Shard
@@ -56,18 +57,33 @@
 
 def _preempt_for(shard: Shard, tier: Tier, now: float) -> list[Action]:
     actions: list[Action] = []
+    places = places_of(shard.pool, now)
     for entry in _urgent(shard, tier, now):
         if entry.ask.request_id in shard.victims:
             continue
-        victim = choose_victim(shard.runs.values(), tier)
-        if victim is None:
-            break
-        victim.yields_to = tier
-        shard.victims[entry.ask.request_id] = victim.ask.request_id
-        actions.append(Preempt(victim.ask.request_id, tier))
+        runners = _of_use(entry, places, now)
+        runs = [run for run in shard.runs.values() if run.runner in runners]
+        victim = choose_victim(runs, tier)
+        if victim is not None:
+            victim.yields_to = tier
+            shard.victims[entry.ask.request_id] = victim.ask.request_id
+            actions.append(Preempt(victim.ask.request_id, tier))
     return actions
 
 
+def _of_use(entry: Waiting, places: list[Place], now: float) -> set[str]:
+    """Name the full runners on which the request would end in time."""
+    able = [
+        place for place in places if place.runner.name not in entry.ask.excluded
+    ]
+    if any(place.free for place in able):
+        return set()
+    left = entry.ask.deadline - now
+    return {
+        place.runner.name for place in able if place.seconds(entry.ask) < left
+    }
+
+
 def _urgent(shard: Shard, tier: Tier, now: float) -> list[Waiting]:
     if not shard.lower_runs(tier):
         return []
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -19,13 +19,14 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
+from bramleybend.decisions.prefixes import prefix_tokens
 from bramleybend.models import Ask
 
 AGEING = 0.0005  # seconds of later arrival that one unit of cost counts as
 SURE = 0.5  # of the least seconds; only what is surely too late is given up
 LIKELY = 2.0  # times the least seconds; what a run takes on a busy runner
 LEAD_S = 1.0  # before that: a preemption takes a round trip and a cleanup
-WINDOW = 16  # entries a free runner may choose its best prefix match from
+WINDOW = 12  # entries a free runner may choose its best prefix match from
 
 
 @dataclass(frozen=True)
@@ -38,6 +39,13 @@
     urgent_from: float  # later it is at risk
     rank: float
 
+    @property
+    def least_prefill(self) -> int:
+        """Return the prompt tokens that no prefix covers."""
+        count = len(self.ask.prefixes)
+        covered = prefix_tokens(count - 1) if count else 0
+        return max(self.ask.prompt_tokens - covered, 0)
+
     @property
     def order(self) -> tuple[float, str]:
         """Sort by rank; the id makes it total."""
