--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -15,13 +15,14 @@
 from math import inf
 
 from bramleybend.decisions.actions import Action, Grant
-from bramleybend.decisions.queueing import Waiting
+from bramleybend.decisions.places import Place, places_of
+from bramleybend.decisions.queueing import WINDOW, Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
 
 PLACE_S = 0.05
 HOLD_S = 0.25
-MOST_WINDOWS = 8
+MOST_WINDOWS = 6
 
 
 @dataclass(frozen=True)
@@ -46,44 +47,53 @@
 
 
 def _choose(shard: Shard, now: float) -> _Choice | None:
-    free = shard.pool.free(now) if shard.queue else []
-    if not free:
+    places = places_of(shard.pool, now) if shard.queue else []
+    if not any(place.free for place in places):
         return None
+    most = max(place.most_prefill() for place in places)
     windows = shard.queue.windows(shard.lowest_tier(now))
     for window in islice(windows, MOST_WINDOWS):
+        # Enough entries for all runners will use them all; none is held.
+        hold = len(window) < min(len(places), WINDOW)
         choices = [
             choice
-            for place, entry in enumerate(window)
-            for choice in _place(shard, entry, place, now)
+            for position, entry in enumerate(window)
+            if entry.least_prefill <= most
+            for choice in _weigh(entry, position, places, now)
+            if not hold or choice.regret < HOLD_S or now > entry.urgent_from
         ]
         if choices:
             return min(choices, key=_by_regret)
     return None
 
 
-def _place(
-    shard: Shard,
+def _weigh(
     entry: Waiting,
-    place: int,
+    position: int,
+    places: list[Place],
     now: float,
 ) -> list[_Choice]:
     """Weigh the free runners against waiting for a busy one."""
-    best: _Choice | None = None
-    least = inf
-    for runner in shard.pool:
-        if runner.leaving or runner.name in entry.ask.excluded:
-            continue
-        seconds = shard.pool.seconds_on(entry.ask, runner)
-        wait = runner.wait_s(now)
-        least = min(least, seconds + wait)
-        if wait == 0 and (best is None or seconds < best.seconds):
-            best = _Choice(entry, runner, seconds)
-    if best is None:
-        return []
-    regret = best.seconds - least
-    if regret > HOLD_S and now < entry.urgent_from:
+    ask = entry.ask
+    left = ask.deadline - now
+    able = places
+    if ask.excluded:
+        able = [one for one in places if one.runner.name not in ask.excluded]
+    taken = [
+        _Choice(entry, place.runner, place.seconds(ask))
+        for place in able
+        if place.takes(ask)
+    ]
+    best = min(taken, key=_by_seconds, default=None)
+    if best is None or best.seconds > left:
         return []
-    return [replace(best, regret=regret + place * PLACE_S)]
+    least = min(place.seconds(ask) + place.wait for place in able)
+    regret = best.seconds - least + position * PLACE_S
+    return [replace(best, regret=regret)]
+
+
+def _by_seconds(choice: _Choice) -> float:
+    return choice.seconds
 
 
 def _by_regret(choice: _Choice) -> float:
