--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -51,6 +51,9 @@
         self._tasks: dict[tuple[str, int], ShardTask] = {}
         self._working: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._owned_since: dict[tuple[str, int], float] = {}
+        self._ranked_for: tuple[Member, ...] = ()
+        self._owners: dict[tuple[str, int], str] = {}
+        self._handed: dict[tuple[str, int], tuple[Vm, ...]] = {}
 
     def get(self, service: str, shard: int) -> ShardTask | None:
         """Return a shard's task, or None for one that no terms name.
@@ -95,9 +98,15 @@
         terms = self._around.terms()
         if terms is None:
             return
-        for service in terms.services.values():
-            for shard in range(service.shards):
-                self._look_at(service, shard)
+        named = {
+            (service.name, shard): service
+            for service in terms.services.values()
+            for shard in range(service.shards)
+        }
+        for key in self._owned_since.keys() - named.keys():
+            self._disown(key)
+        for (_, shard), service in named.items():
+            self._look_at(service, shard)
 
     def loads(self) -> list[ShardView]:
         """Return the load of the shards owned here."""
@@ -133,20 +142,29 @@
         if self._is_owner(service.name, shard):
             self._own(service, shard)
         elif key in self._owned_since:
-            self._owned_since.pop(key)
-            self._tasks[key].post(OwnershipMoved())
-            self._deps.events.record(
-                'shard_moved',
-                service=service.name,
-                shard=shard,
-            )
+            self._disown(key)
         task = self._tasks.get(key)
         if task is not None:
             self._hand_out(task, service)
 
+    def _disown(self, key: tuple[str, int]) -> None:
+        self._owned_since.pop(key)
+        self._tasks[key].post(OwnershipMoved())
+        self._deps.events.record('shard_moved', service=key[0], shard=key[1])
+
     def _is_owner(self, service: str, shard: int) -> bool:
-        ranked = owners_of(service, shard, self._around.members())
-        return bool(ranked) and (ranked[0].vm == self._around.own_vm)
+        # Ranking hashes every member for every shard. At 350 members and 75
+        # shards, done at each look, that alone would cost a node more than
+        # its share of a core, so it is done again only for new members.
+        members = tuple(self._around.members())
+        if members != self._ranked_for:
+            self._ranked_for = members
+            self._owners.clear()
+        key = (service, shard)
+        if key not in self._owners:
+            ranked = owners_of(service, shard, members)
+            self._owners[key] = ranked[0].vm if ranked else ''
+        return self._owners[key] == self._around.own_vm
 
     def _own(self, service: Service, shard: int) -> None:
         key = (service.name, shard)
@@ -177,13 +195,13 @@
         return task
 
     def _hand_out(self, task: ShardTask, service: Service) -> None:
-        task.post(
-            RunnersListed(
-                tuple(
-                    vm
-                    for vm in self._around.runners()
-                    if vm.service == service.name
-                    and shard_of(vm.name, service.shards) == task.shard
-                ),
-            ),
+        runners = tuple(
+            vm
+            for vm in self._around.runners()
+            if vm.service == service.name
+            and shard_of(vm.name, service.shards) == task.shard
         )
+        key = (service.name, task.shard)
+        if self._handed.get(key) != runners:
+            self._handed[key] = runners
+            task.post(RunnersListed(runners))
