--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 from typing import Final
@@ -15,7 +16,8 @@
 from bramleybend.answers import Answer, Outcome, expired, not_run, rejected
 from bramleybend.events import EventLog
 from bramleybend.gateway.border import check_terms
-from bramleybend.gateway.dispatcher import Deps, Dispatcher, Job
+from bramleybend.gateway.dispatcher import Dispatcher
+from bramleybend.gateway.job import Deps, Job
 from bramleybend.gateway.journal import JournalWriter
 from bramleybend.gateway.run import RequestBody, Run, settle_on_fault
 from bramleybend.metrics import Metric
@@ -93,7 +95,10 @@
         terms: Terms,
         profile: Profile,
     ) -> Run | Answer:
-        run = Run(req)
+        # A profile's timeout bounds what a caller may ask for, so that a slip
+        # in a deadline does not hold a slot for a day.
+        latest = self._deps.clock.monotonic() + profile.timeout.total_seconds()
+        run = Run(replace(req, deadline=min(req.deadline, latest)))
         added = self._ids.add(request_id, run, self._deps.clock.monotonic())
         if isinstance(added, Expired):
             return expired(added.reason)
