--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,289 @@
+"""Schedulers that find each other over gRPC, with peers cut off or killed."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+import grpc
+
+from bramleybend.clock import SystemClock
+from bramleybend.models import RunnerState, Vm
+from bramleybend.scheduler.gossip import Gossip, GossipDeps
+from bramleybend.scheduler.peer_service import PeerService
+from bramleybend.scheduler.peer_wire import GrpcPeerWire
+from bramleybend.state.member import Member, MemberState
+from bramleybend.state.membership import Members
+from bramleybend.wire.bramleybend_pb2 import (
+    GossipMessage,
+    Header,
+    ShardRecord,
+    SuspectRecord,
+    TermsReply,
+    TermsRequest,
+)
+from bramleybend.wire.bramleybend_pb2_grpc import (
+    PeerStub,
+    add_PeerServicer_to_server,
+)
+from bramleybend.wire.channels import PROTOCOL
+from tests.utils.cluster import free_prefix
+from tests.utils.waiting import wait_until
+
+PORT = 7002
+NOTICED = {MemberState.SUSPECT, MemberState.DEAD}
+CLOCK = SystemClock()
+
+
+@dataclass
+class FakeNews:
+    """What one node has to tell, and what it was told."""
+
+    address: str
+    vms: list[Vm]
+    terms_version: int = 1
+    shards: list[ShardRecord] = field(default_factory=list)
+    crashes: list[SuspectRecord] = field(default_factory=list)
+    taken: dict[str, SuspectRecord] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+
+    def header(self) -> Header:
+        """Name this node."""
+        return Header(
+            protocol=PROTOCOL,
+            vm=self.address,
+            incarnation=f'{self.address}-a',
+            terms_version=self.terms_version,
+        )
+
+    def listed(self) -> Sequence[Vm]:
+        """Return every node."""
+        return self.vms
+
+    def own_shards(self) -> Iterable[ShardRecord]:
+        """Return the test's records."""
+        return self.shards
+
+    def suspects(self) -> Iterable[SuspectRecord]:
+        """Return the test's records."""
+        return self.crashes
+
+    def take_suspects(self, records: Iterable[SuspectRecord]) -> None:
+        """Keep what came."""
+        self.taken.update({record.fingerprint: record for record in records})
+
+    def heard_from(self, peer: Member, terms_version: int) -> None:
+        """Keep what came."""
+        self.versions[peer.address] = terms_version
+
+
+@dataclass
+class CutWire:
+    """A wire that loses messages to some addresses without a word."""
+
+    wire: GrpcPeerWire
+    cut: set[str] = field(default_factory=set)
+
+    async def gossip(
+        self,
+        address: str,
+        message: GossipMessage,
+        timeout_s: float,
+    ) -> GossipMessage | None:
+        """Let a message through, or let its time run out."""
+        if address in self.cut:
+            await asyncio.sleep(timeout_s)
+            return None
+        return await self.wire.gossip(address, message, timeout_s)
+
+    async def fetch_terms(
+        self,
+        address: str,
+        request: TermsRequest,
+    ) -> TermsReply | None:
+        """Pass on."""
+        return await self.wire.fetch_terms(address, request)
+
+
+class GossipNode:
+    """One scheduler's gossip, with a server of its own."""
+
+    def __init__(self, address: str, vms: list[Vm], seed: int) -> None:
+        """Know nobody yet."""
+        own = Member(address, address, 'walton', f'{address}-a', heartbeat=1)
+        rng = Random(seed)
+        self.address = address
+        self.news = FakeNews(address, vms)
+        self.wire = CutWire(GrpcPeerWire(PORT))
+        self.members = Members(own, rng, CLOCK.monotonic())
+        deps = GossipDeps(self.members, self.wire, self.news, CLOCK)
+        self.gossip = Gossip(deps, rng)
+        self.server = grpc.aio.server()
+        self._running: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Serve and probe."""
+        service = PeerService(self.gossip, self.news.header, lambda: None)
+        add_PeerServicer_to_server(service, self.server)
+        self.server.add_insecure_port(f'{self.address}:{PORT}')
+        await self.server.start()
+        self._running = asyncio.create_task(self.gossip.run())
+
+    async def stop(self) -> None:
+        """Stop without a word."""
+        if self._running is not None:
+            self._running.cancel()
+        await self.server.stop(None)
+        await self.wire.wire.close()
+
+    def state_of(self, address: str) -> MemberState | None:
+        """Return what this node believes of an address."""
+        known = self.members.known(CLOCK.monotonic())
+        states = {member.address: member.state for member in known}
+        return states.get(address)
+
+
+@asynccontextmanager
+async def _nodes(size: int) -> AsyncIterator[list[GossipNode]]:
+    prefix = free_prefix()
+    addresses = [f'{prefix}.{index + 11}' for index in range(size)]
+    vms = [
+        Vm(addr, addr, PORT, 'bramleybend', 'walton', RunnerState.LIVE)
+        for addr in addresses
+    ]
+    nodes = [GossipNode(addr, vms, seed) for seed, addr in enumerate(addresses)]
+    for node in nodes:
+        await node.start()
+    try:
+        await wait_until(_all_meet(nodes), 'all nodes know each other')
+        yield nodes
+    finally:
+        for node in nodes:
+            await node.stop()
+
+
+def _all_meet(nodes: list[GossipNode]) -> Callable[[], bool]:
+    def met() -> bool:
+        now = CLOCK.monotonic()
+        return all(len(node.members.alive(now)) == len(nodes) for node in nodes)
+
+    return met
+
+
+async def test_all_notice_a_killed_peer_within_seconds() -> None:
+    """A scheduler dies; connections to its address are refused.
+
+    Whoever probes it next asks helpers, which are refused too, so it is
+    suspected within about a period and its shards go to their fallbacks as
+    soon as the wait is over. The limit is generous for a busy machine.
+    """
+    async with _nodes(6) as nodes:
+        victim, *others = nodes
+        await victim.stop()
+
+        await wait_until(
+            lambda: all(
+                node.state_of(victim.address) in NOTICED for node in others
+            ),
+            'all notice',
+            8,
+        )
+        await wait_until(
+            lambda: all(
+                node.state_of(victim.address) is MemberState.DEAD
+                for node in others
+            ),
+            'all hold it dead',
+            8,
+        )
+
+
+async def test_a_peer_cut_off_one_way_is_reached_by_helpers() -> None:
+    """Messages from one node to one peer vanish; all other paths work.
+
+    The node's probes of the peer run out of time, helpers reach the peer for
+    it, and nobody suspects either of them for longer than a moment.
+    """
+    async with _nodes(4) as nodes:
+        first, second, *_ = nodes
+        first.wire.cut.add(second.address)
+
+        for _ in range(40):
+            await asyncio.sleep(0.2)
+            for node in nodes:
+                assert node.state_of(second.address) is not MemberState.DEAD
+
+
+async def test_a_peer_cut_off_both_ways_comes_back() -> None:
+    """One node loses all others for a while, and then hears them again.
+
+    Each side holds the other dead. The address is still listed, so it is
+    tried again; the node hears that it was held dead and takes it back.
+    """
+    async with _nodes(4) as nodes:
+        lost, *others = nodes
+        lost.wire.cut.update(node.address for node in others)
+        for node in others:
+            node.wire.cut.add(lost.address)
+        await wait_until(
+            lambda: all(
+                node.state_of(lost.address) is MemberState.DEAD
+                for node in others
+            ),
+            'the others hold it dead',
+        )
+
+        for node in nodes:
+            node.wire.cut.clear()
+
+        await wait_until(_all_meet(nodes), 'all know each other again')
+
+
+async def test_news_reaches_every_node() -> None:
+    async with _nodes(6) as nodes:
+        source, *others = nodes
+        source.news.terms_version = 7
+        source.news.crashes = [SuspectRecord(fingerprint='f', generation=1)]
+        source.news.shards = [
+            ShardRecord(
+                service='briefing-llm',
+                shard=2,
+                owner=f'{source.address}-a',
+                running=3,
+                limit=4,
+            ),
+        ]
+
+        def spread() -> bool:
+            now = CLOCK.monotonic()
+            return all(
+                node.news.versions.get(source.address) == 7
+                and 'f' in node.news.taken
+                and ('briefing-llm', 2) in node.gossip.shards.views(now)
+                for node in others
+            )
+
+        await wait_until(spread, 'all have heard')
+
+
+async def test_a_peer_of_another_protocol_is_refused_by_name() -> None:
+    async with _nodes(1) as nodes:
+        endpoint = f'{nodes[0].address}:{PORT}'
+        message = GossipMessage(header=Header(protocol=99, vm='entry-9'))
+        async with grpc.aio.insecure_channel(endpoint) as channel:
+            try:
+                await PeerStub(channel).Gossip(message, timeout=5)
+            except grpc.aio.AioRpcError as exc:
+                assert exc.code() is grpc.StatusCode.FAILED_PRECONDITION
+                assert 'entry-9 speaks protocol 99' in str(exc.details())
+            else:
+                raise AssertionError('the message was taken in')
+
+
+async def test_a_message_without_a_sender_changes_nothing() -> None:
+    async with _nodes(1) as nodes:
+        reply = await nodes[0].gossip.answer(GossipMessage())
+
+        assert not reply.members
+        assert len(nodes[0].members.known(CLOCK.monotonic())) == 1
