--- a/tests/utils/log_service.py
+++ b/tests/utils/log_service.py
@@ -59,6 +59,11 @@
         """Return the base address for clients."""
         return self.server.http.url
 
+    @property
+    def stream_names(self) -> list[str]:
+        """Return every stream that was ever appended to or read."""
+        return list(self._streams)
+
     async def start(self) -> None:
         """Listen."""
         await self.server.start()
--- a/tests/utils/membership_play.py
+++ b/tests/utils/membership_play.py
@@ -65,6 +65,7 @@
         self.net = Network(self.rng)
         self.now = float(0)
         self.on_send: Callable[[Sequence[Member]], object] = len
+        self.versions: dict[str, int] = {}  # of the terms, by address
         self._domains = domains
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count()
@@ -214,6 +215,7 @@
             self._after(PROBE_TIMEOUT_S, lambda: done(False))
             return
         sender, *records = outgoing.records
+        self._hear_version(node.address, peer.address)
         reply = peer.members.on_message(sender, records, self.now)
         self._count(peer, reply)
         if not self.net.passes(peer.address, node.address):
@@ -228,9 +230,16 @@
         done: Callable[[bool], None],
     ) -> None:
         if node.running:
+            self._hear_version(reply[0].address, node.address)
             node.members.on_records(reply, self.now)
             done(True)
 
+    def _hear_version(self, source: str, target: str) -> None:
+        # The terms are fetched by one more call, within the same call's time.
+        version = self.versions.get(source, 0)
+        if version > self.versions.get(target, 0):
+            self.versions[target] = version
+
     def _probed(self, node: Node, target: str, answered: bool) -> None:
         if not node.running:
             return
