--- a/tests/cli/test_queries.py
+++ b/tests/cli/test_queries.py
@@ -209,6 +209,31 @@
     assert err.startswith('bramleybend-ctl: ')
 
 
+@pytest.mark.parametrize(
+    'args',
+    [
+        ('history',),
+        ('diff', PARWAZ),
+        ('show',),
+        ('wait',),
+        ('restore', '1'),
+        ('recover', PARWAZ, '1'),
+    ],
+)
+async def test_a_log_that_is_down_is_told_by_every_command_that_reads_it(
+    world: World,
+    args: tuple[str, ...],
+) -> None:
+    """No command takes a log that does not answer for an empty one."""
+    for process in world.processes.values():
+        process.terms_version = 0
+    world.log.down_reads = 1
+    status, out, err = await world.run(*args)
+    assert (status, out) == (ExitStatus.UNAVAILABLE, '')
+    assert 'the log is down; wait' in err
+    assert not world.log.appends
+
+
 async def test_errors_are_json_for_scripts(world: World) -> None:
     """A script reads kind, detail and remedy."""
     _, _, err = await world.run('show', '9', '--json')
