Hedge slow idempotent calls, within a budget

Cause: profiles could declare hedge, and nothing did it. A second run starts after the 95th percentile of the profile's own calls; a budget of one in twenty keeps a stalled pool from getting its load twice. Not yet measured under load; only answers that are taken whole are hedged.

--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -131,6 +131,9 @@
         self._usage = usage_in(body) or Usage()
         if status >= HTTPStatus.BAD_REQUEST:
             return AttemptEnd(End.ANSWERED, self._usage, status)
+        if self._run.has_begun:
+            # A second run beside this one was faster; its answer stands.
+            return AttemptEnd(End.STOPPED, self._usage)
         if not self._run.add(body):
             return AttemptEnd(End.TOO_LARGE, self._usage)
         return AttemptEnd(End.WHOLE, self._usage)
--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -7,6 +7,7 @@
 from bramleybend.answers import Answer, Outcome, not_run, unknown
 from bramleybend.decisions.retries import RetryBudgets, backoff
 from bramleybend.gateway.attempt import AttemptEnd, End
+from bramleybend.gateway.hedge import Hedger
 from bramleybend.gateway.job import Deps, Job
 from bramleybend.gateway.slot_search import SlotSearch
 from bramleybend.gateway.supervisor import Supervisor
@@ -23,7 +24,7 @@
         """Take the means; hold no state between runs."""
         self._deps = deps
         self._search = SlotSearch(deps)
-        self._supervisor = Supervisor(deps)
+        self._hedger = Hedger(deps, self._search, Supervisor(deps))
         self._retries = RetryBudgets()
 
     async def dispatch(self, job: Job) -> Answer:
@@ -34,7 +35,7 @@
             slot = await self._search.find(job, excluded)
             if isinstance(slot, Answer):
                 return self._given_up(job, slot, ran)
-            end = await self._supervisor.carry(job, slot, number)
+            end = await self._hedger.carry(job, slot, str(number))
             if end.end is End.WHOLE:
                 self._retries.succeeded(
                     job.run.req.workspace,
--- /dev/null
+++ b/bramleybend/gateway/hedge.py
@@ -0,0 +1,101 @@
+"""Starts a second run beside a slow one, where the profile allows it."""
+
+import asyncio
+from typing import Final
+
+from bramleybend.decisions.hedging import Hedging
+from bramleybend.gateway.attempt import AttemptEnd, End
+from bramleybend.gateway.job import Deps, Job
+from bramleybend.gateway.slot_search import SlotSearch
+from bramleybend.gateway.slots import Slot
+from bramleybend.gateway.supervisor import Supervisor
+from bramleybend.metrics import Metric
+from bramleybend.models import Repeat
+
+SECOND: Final = 'h'
+
+
+class Hedger:
+    """Carries a try, and a second one beside it when it is slow."""
+
+    def __init__(
+        self,
+        deps: Deps,
+        search: SlotSearch,
+        supervisor: Supervisor,
+    ) -> None:
+        """Know no calls yet."""
+        self._deps = deps
+        self._search = search
+        self._supervisor = supervisor
+        self._hedging = Hedging()
+
+    async def carry(self, job: Job, slot: Slot, label: str) -> AttemptEnd:
+        """Carry a try to its end, or to that of the faster of two."""
+        if not _may_hedge(job):
+            return await self._supervisor.carry(job, slot, label)
+        key = (job.service.name, job.profile.name)
+        self._hedging.begun(*key)
+        started = self._deps.clock.monotonic()
+        first = asyncio.create_task(self._supervisor.carry(job, slot, label))
+        try:
+            end = await self._watch(job, slot, label, first)
+        finally:
+            first.cancel()
+        if end.end is End.WHOLE:
+            seconds = self._deps.clock.monotonic() - started
+            self._hedging.finished(*key, seconds)
+        return end
+
+    async def _watch(
+        self,
+        job: Job,
+        slot: Slot,
+        label: str,
+        first: asyncio.Task[AttemptEnd],
+    ) -> AttemptEnd:
+        key = (job.service.name, job.profile.name)
+        delay_s = self._hedging.delay_s(*key)
+        await asyncio.wait((first,), timeout=delay_s)
+        if first.done() or not self._hedging.allow(*key):
+            return await first
+        self._deps.note(job, 'hedged', runner=slot.runner)
+        self._deps.metrics.count(Metric.HEDGED, tier=int(job.tier))
+        second = asyncio.create_task(self._second(job, slot, label))
+        try:
+            return await _faster(first, second)
+        finally:
+            second.cancel()
+
+    async def _second(self, job: Job, slot: Slot, label: str) -> AttemptEnd:
+        found = await self._search.find(job, [slot.runner])
+        if isinstance(found, Slot):
+            return await self._supervisor.carry(job, found, label + SECOND)
+        return AttemptEnd(End.NOT_SENT)
+
+
+def _may_hedge(job: Job) -> bool:
+    # Two streams would interleave in one answer, so only answers that are
+    # taken whole are hedged.
+    return (
+        job.profile.hedge
+        and job.profile.repeat is Repeat.IDEMPOTENT
+        and not job.run.req.stream
+    )
+
+
+async def _faster(
+    first: asyncio.Task[AttemptEnd],
+    second: asyncio.Task[AttemptEnd],
+) -> AttemptEnd:
+    """Return the first whole end, else the first run's."""
+    done, _ = await asyncio.wait(
+        (first, second),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    for task in done:
+        if task.result().end is End.WHOLE:
+            return task.result()
+    other = second if first in done else first
+    end = await other
+    return end if end.end is End.WHOLE else await first
--- a/bramleybend/gateway/supervisor.py
+++ b/bramleybend/gateway/supervisor.py
@@ -1,6 +1,7 @@
 """Watches over one attempt: preemption, lost callers, the deadline."""
 
 import asyncio
+from collections.abc import Coroutine
 from typing import Any, Final
 
 from bramleybend.answers import Outcome
@@ -22,27 +23,40 @@
         self._deps = deps
         self._ending: set[asyncio.Task[None]] = set()
 
-    async def carry(self, job: Job, slot: Slot, number: int) -> AttemptEnd:
+    async def carry(self, job: Job, slot: Slot, label: str) -> AttemptEnd:
         started = self._deps.clock.monotonic()
         ask = job.ask()
         attempt = Attempt(
             job.run,
             slot,
             job.service.kind,
-            _run_id(job, number),
+            _run_id(job, label),
             ask.prompt_tokens,
         )
         self._deps.note(job, 'dispatched', runner=slot.runner)
-        end = await self._proceed(job, slot, attempt)
+        try:
+            end = await self._proceed(job, slot, attempt)
+        except asyncio.CancelledError:
+            self._leave(self._drop(slot, attempt))
+            raise
         seconds = self._deps.clock.monotonic() - started
         self._deps.note(job, 'attempt_ended', runner=slot.runner, end=end.end)
         self._count_prefill(job, end, ask.prompt_tokens)
         # The caller's answer does not wait for the owner's last word.
-        ending = asyncio.create_task(slot.end(_ended(end, seconds)))
-        self._ending.add(ending)
-        ending.add_done_callback(self._ending.discard)
+        self._leave(slot.end(_ended(end, seconds)))
         return end
 
+    def _leave(self, work: Coroutine[Any, Any, None]) -> None:
+        """Finish something that nobody waits for."""
+        task = asyncio.create_task(work)
+        self._ending.add(task)
+        task.add_done_callback(self._ending.discard)
+
+    async def _drop(self, slot: Slot, attempt: Attempt) -> None:
+        """Give up a try that another one has overtaken."""
+        await attempt.stop()
+        await slot.end(Ended(outcome=End.STOPPED))
+
     async def _proceed(
         self,
         job: Job,
@@ -128,7 +142,7 @@
         )
 
 
-def _run_id(job: Job, number: int) -> str:
+def _run_id(job: Job, label: str) -> str:
     """Return the id the runner sees.
 
     Work that may run once keeps one id over all tries, so an engine that
@@ -136,7 +150,7 @@
     """
     base = job.request_id.replace('/', '_').replace(':', '_')
     if job.profile.repeat is Repeat.IDEMPOTENT:
-        return f'{base}_{number}'
+        return f'{base}_{label}'
     return base
 
 
--- a/bramleybend/metrics.py
+++ b/bramleybend/metrics.py
@@ -97,6 +97,12 @@
         'requests tried on another runner before their first byte was sent',
         'tier',
     )
+    HEDGED = counter(
+        'hedged',
+        'requests',
+        'second runs started beside a slow first one',
+        'tier',
+    )
     RESUMED = counter(
         'resumed',
         'streams',
--- /dev/null
+++ b/tests/decisions/test_hedging.py
@@ -0,0 +1,52 @@
+"""When a second run is started beside a slow first one."""
+
+from bramleybend.decisions.hedging import BURST, FEWEST, WINDOW, Hedging
+
+CALL = ('booking-app', 'availability')
+
+
+def _learned(seconds: float) -> Hedging:
+    hedging = Hedging()
+    for _ in range(WINDOW):
+        hedging.finished(*CALL, seconds)
+    return hedging
+
+
+def test_nothing_is_hedged_before_enough_calls_are_known() -> None:
+    """A quantile of a few calls means nothing."""
+    hedging = Hedging()
+    for _ in range(FEWEST - 1):
+        hedging.finished(*CALL, 1)
+    assert hedging.delay_s(*CALL) is None
+    hedging.finished(*CALL, 1)
+    assert hedging.delay_s(*CALL) == 1
+
+
+def test_a_slow_pool_is_not_loaded_twice() -> None:
+    """All runners stall at once.
+
+    The caller sees the stall, not a worse one. Order: every call passes the
+    learned delay; the budget pays the first few second runs and then one in
+    twenty. Without it the stalled pool would get each call twice.
+    """
+    hedging = _learned(0.02)
+    allowed = 0
+    for _ in range(1000):
+        hedging.begun(*CALL)
+        allowed += hedging.allow(*CALL)
+    assert allowed <= BURST + 50
+
+
+def test_one_slow_profile_spends_its_own_budget_only() -> None:
+    """Another profile's second runs stay paid for."""
+    hedging = _learned(0.02)
+    while hedging.allow(*CALL):
+        hedging.finished(*CALL, 5)
+    assert hedging.allow('booking-app', 'other')
+
+
+def test_a_time_that_went_back_teaches_nothing() -> None:
+    """A negative duration would pull the delay to nothing."""
+    hedging = _learned(0.02)
+    hedging.finished(*CALL, -5)
+    assert hedging.delay_s(*CALL) == 0.02
