--- a/bramleybend/cli/timeline.py
+++ b/bramleybend/cli/timeline.py
@@ -1,6 +1,5 @@
 """`bramleybend-timeline`: merge event logs and show them in causal order."""
 
-import sys
 from argparse import RawDescriptionHelpFormatter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -8,6 +7,7 @@
 
 from bramleybend.cli.argtypes import tier
 from bramleybend.cli.constants import TIMELINE
+from bramleybend.cli.entry import enter
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.exceptions import fail, status_of, unwrap
 from bramleybend.cli.output import write_problem
@@ -56,7 +56,7 @@
 
 def run() -> None:
     """Enter from the console."""
-    sys.exit(main(sys.argv[1:], Environment()))
+    enter(main)
 
 
 def _show(flags: Flags, env: Environment) -> None:
@@ -81,12 +81,23 @@
     for name in paths:
         path = Path(name)
         if path.is_dir():
-            for log in sorted(path.glob('*.log')):
-                yield unwrap(read_file(log))
+            yield from _sources_in(path)
         else:
             yield unwrap(read_file(path))
 
 
+def _sources_in(directory: Path) -> Iterator[Source]:
+    logs = sorted(directory.glob('*.log'))
+    if not logs:
+        fail(
+            ErrorKind.UNKNOWN_NAME,
+            f'{directory} holds no *.log files',
+            'name the directory or the files that hold the event logs',
+        )
+    for log in logs:
+        yield unwrap(read_file(log))
+
+
 def _write_page(name: str, text: str) -> None:
     try:
         Path(name).write_text(text, encoding='utf-8')
