--- a/tests/failures/test_poison_request.py
+++ b/tests/failures/test_poison_request.py
@@ -75,6 +75,10 @@
     async with scenario(LAYOUT, tmp_path) as scene:
         poison = _poison(scene, profile)
         async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > 20,
+                'every engine has company for the poison',
+            )
             await _send_poison_until_refused(scene, poison)
             crashes = _crashes(scene, poison)
             assert 1 <= crashes <= MOST_CRASHES
