--- a/tests/utils/demo.py
+++ b/tests/utils/demo.py
@@ -2,11 +2,11 @@
 
 import argparse
 import asyncio
+import os
 import signal
 import statistics
 import sys
 from collections.abc import Sequence
-from pathlib import Path
 from typing import Final
 
 from bramleybend.answers import Outcome
@@ -24,7 +24,7 @@
 LOAD_S: Final = 12
 CALLERS: Final = 12
 SEED: Final = 7
-RUN_DIR: Final = ROOT / 'run' / 'demo'
+RUN_ROOT: Final = ROOT / 'run'
 PERCENTILE: Final = 95
 WRONG_SHOWN: Final = 10
 
@@ -47,12 +47,14 @@
 
 async def demo(linger_s: float) -> Verdict:
     """Start all, send the load, print the table."""
-    _clear(RUN_DIR)
+    run_dir = RUN_ROOT / f'demo-{os.getpid()}'  # two demos may run at once
+    run_dir.mkdir(parents=True, exist_ok=True)
     declared = Declared.load(EXAMPLE.read_text())
     ledger = Ledger()
-    async with Cluster(LAYOUT, RUN_DIR) as cluster:
+    async with Cluster(LAYOUT, run_dir) as cluster:
         took_s = await cluster.ready()
         _print(f'{len(cluster.vms)} entry VMs ready in {took_s:.1f} s')
+        _print(f'logs in {run_dir}')
         _print(f'sending a mixed load for {LOAD_S} s')
         entries = [vm.endpoint for vm in cluster.vms]
         callers = [
@@ -113,7 +115,7 @@
 
 
 async def _linger(cluster: Cluster, linger_s: float) -> None:
-    _print(f'up for {linger_s:g} s more; logs in {cluster.run_dir}')
+    _print(f'up for {linger_s:g} s more')
     _print(f'log service {cluster.log.url}  VM list {cluster.vm_list.url}')
     for vm in cluster.vms:
         _print(
@@ -124,12 +126,6 @@
     await asyncio.sleep(linger_s)
 
 
-def _clear(run_dir: Path) -> None:
-    run_dir.mkdir(parents=True, exist_ok=True)
-    for old in run_dir.glob('*.log'):
-        old.unlink()
-
-
 def _print(line: str) -> None:
     print(line, flush=True)  # noqa: WPS421
 
