--- /dev/null
+++ b/tests/failures/test_domain_lost.py
@@ -0,0 +1,63 @@
+"""A whole failure domain is lost under load, and the list does not say so.
+
+What the caller sees: connections break, the same id sent to another domain
+gets one answer from the closed set, and later requests are served there.
+Order: all entry VMs and runners of a domain die at once, while the VM list
+still shows them as live; owners of shards are lost together with the runners
+that they granted. Why: homes never move, shards find new owners among the VMs
+that still speak, and a runner that refuses connections is left alone.
+"""
+
+from pathlib import Path
+
+from bramleybend.answers import Outcome
+from tests.utils.cluster import Layout
+from tests.utils.engine import EngineConfig
+from tests.utils.load import Stream
+from tests.utils.scenario import Scenario, assert_clean, scenario
+from tests.utils.waiting import wait_until
+
+LOST = 'walton'
+LAYOUT = Layout(
+    vms=6,
+    engines=(EngineConfig(decode_tps=200),) * 3,
+    plain_latencies_ms=(20, 30, 40),
+)
+LOAD = (
+    Stream('slot-claim', 10, 8),
+    Stream('availability', 10, 5),
+    Stream('debrief', 3, 12, (100, 600), (20, 60)),
+)
+
+
+async def _lose_domain(scene: Scenario) -> None:
+    for vm in scene.cluster.vms:
+        if vm.settings.domain == LOST:
+            await vm.kill()
+    for runner in scene.cluster.by_name.values():
+        if runner.vm.domain == LOST:
+            await runner.standin.stop()
+
+
+async def test_the_other_domains_serve_on(tmp_path: Path) -> None:
+    """No answer is wrong, lost or doubled, in any profile."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > 60,
+                '60 requests done before the loss',
+            )
+            await _lose_domain(scene)
+            done = {
+                stream.profile: scene.count(Outcome.DONE, stream.profile)
+                for stream in LOAD
+            }
+            await wait_until(
+                lambda: all(
+                    scene.count(Outcome.DONE, profile) > before + 12
+                    for profile, before in done.items()
+                ),
+                '12 more requests of each profile done after the loss',
+            )
+        assert scene.broken_sends(), 'the loss was not felt by any caller'
+        assert_clean(scene.verdict())
