Read stamps back from text; do not believe one far ahead

Cause: stamps are to travel in messages; a VM whose clock is years ahead would drag those of all others along. Run: pytest tests/test_events.py tests/timeline: 16 passed.

--- a/bramleybend/events.py
+++ b/bramleybend/events.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import re
 from collections import deque
 from dataclasses import dataclass
 from itertools import count
@@ -20,6 +21,8 @@
 EVENT_LOGGER: Final = 'bramleybend.events'
 LOG_FIELDS: Final = ('at', 'level', 'logger')
 MILLISECONDS: Final = 1000
+MAX_AHEAD_MS: Final = 60_000
+STAMP_FORM: Final = re.compile(r'(\d{1,18})\.(\d{1,18})')
 
 
 @dataclass(frozen=True, order=True)
@@ -34,6 +37,12 @@
         return f'{self.wall_ms}.{self.counter}'
 
 
+def parse_stamp(text: str) -> Stamp | None:
+    """Read what `str` of a stamp wrote; nothing if it is anything else."""
+    match = STAMP_FORM.fullmatch(text)
+    return Stamp(*map(int, match.groups())) if match else None
+
+
 class HybridClock:
     """Gives stamps that only grow, also over messages from others."""
 
@@ -44,7 +53,7 @@
 
     def tick(self) -> Stamp:
         """Return a stamp later than all given or seen so far."""
-        wall_ms = int(self._clock.now().timestamp() * MILLISECONDS)
+        wall_ms = self._wall_ms()
         if wall_ms > self._last.wall_ms:
             self._last = Stamp(wall_ms, 0)
         else:
@@ -53,7 +62,15 @@
 
     def observe(self, seen: Stamp) -> None:
         """Move past a stamp that came with a message."""
-        self._last = max(self._last, seen)
+        # One VM whose clock is years ahead would drag the stamps of all
+        # others along for good, so what is far ahead is not believed; the
+        # time line then tells by how much the clocks differ.
+        limit_ms = self._wall_ms() + MAX_AHEAD_MS
+        if seen.wall_ms <= limit_ms:
+            self._last = max(self._last, seen)
+
+    def _wall_ms(self) -> int:
+        return int(self._clock.now().timestamp() * MILLISECONDS)
 
 
 class EventLog:
--- a/bramleybend/timeline/read.py
+++ b/bramleybend/timeline/read.py
@@ -15,10 +15,9 @@
 from result import Err, Ok, Result
 
 from bramleybend.errors import ErrorKind, Problem
-from bramleybend.events import EVENT_LOGGER, Stamp
+from bramleybend.events import EVENT_LOGGER, Stamp, parse_stamp
 
 PAIR: Final = re.compile(r'([\w.-]+)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?:\s+|$)')
-STAMP: Final = re.compile(r'(\d{1,18})\.(\d{1,18})')
 # A decoder puts this in place of bytes that are no text.
 REPLACED: Final = '\N{REPLACEMENT CHARACTER}'
 NUL: Final = '\0'
@@ -126,7 +125,7 @@
 
 
 def _event(source: str, pairs: Mapping[str, str]) -> Event | None:
-    stamp = _stamp(pairs.get('hlc', ''))
+    stamp = parse_stamp(pairs.get('hlc', ''))
     if stamp is None or not all(map(pairs.get, REQUIRED)):
         return None
     number = pairs.get('seq', '')
@@ -140,8 +139,3 @@
         source,
         {name: text for name, text in pairs.items() if name not in HEAD},
     )
-
-
-def _stamp(text: str) -> Stamp | None:
-    match = STAMP.fullmatch(text)
-    return Stamp(*map(int, match.groups())) if match else None
