Let a drain be given again; take only a closed port for the end

Cause: after a timeout the gateway could end by itself, and the command given again failed at its closed port and left the scheduler serving. A VM without a route to it was taken for one that has ended. Change: a program that has ended is passed over; no route counts as no answer.

--- a/bramleybend/cli/control.py
+++ b/bramleybend/cli/control.py
@@ -3,7 +3,7 @@
 import json
 import math
 from collections.abc import Awaitable
-from typing import Annotated, Any, Protocol, TypeVar
+from typing import Annotated, Any, Final, Protocol, TypeVar
 
 from grpc import StatusCode, aio
 from pydantic import (
@@ -26,6 +26,7 @@
 from bramleybend.wire.channels import CHANNEL_OPTIONS
 
 Reply = TypeVar('Reply')
+REFUSED: Final = 'Connection refused'
 
 
 def _known(age: float | None) -> float | None:
@@ -138,15 +139,27 @@
                 'it may be busy or frozen; try again',
             )
         if exc.code() is StatusCode.UNAVAILABLE:
+            return self._unreachable(exc.details() or '')
+        return Problem(
+            ErrorKind.PEER_VERSION,
+            f'{self._endpoint} refused: {exc.details()}',
+            'use the bramleybend-ctl of the release on that VM',
+        )
+
+    def _unreachable(self, details: str) -> Problem:
+        # Only a closed port proves that the process has ended; without a
+        # route to it, it may be at work. gRPC tells the two apart in words
+        # alone; should they change, a drain waits too long, never too short.
+        if REFUSED in details:
             return Problem(
                 ErrorKind.PEER_UNAVAILABLE,
-                f'nothing can be reached at {self._endpoint}',
+                f'nothing listens at {self._endpoint}',
                 'see whether the process runs and the port is right',
             )
         return Problem(
-            ErrorKind.PEER_VERSION,
-            f'{self._endpoint} refused: {exc.details()}',
-            'use the bramleybend-ctl of the release on that VM',
+            ErrorKind.TIMEOUT,
+            f'{self._endpoint} cannot be reached',
+            'see whether the network leads there; the process may be at work',
         )
 
     def _parse(self, text: str) -> Result[ProcessStatus, Problem]:
--- a/bramleybend/cli/ctl.py
+++ b/bramleybend/cli/ctl.py
@@ -5,10 +5,11 @@
 from types import MappingProxyType
 from typing import Final, TypeAlias
 
-from bramleybend.cli.commands import drain, publish, recover, restore
+from bramleybend.cli.commands import publish, recover, restore
 from bramleybend.cli.constants import CTL
 from bramleybend.cli.context import Context
 from bramleybend.cli.definition import parse_flags
+from bramleybend.cli.draining import drain
 from bramleybend.cli.entry import enter
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.exceptions import status_of
--- a/tests/cli/test_queries.py
+++ b/tests/cli/test_queries.py
@@ -144,6 +144,18 @@
     assert not world.processes['10.0.0.2:7001'].draining
 
 
+async def test_drain_can_be_given_again(world: World) -> None:
+    """The gateway has ended since; its scheduler must not be left serving."""
+    world.processes['10.0.0.1:7001'].problem = GONE
+    status, _, _ = await world.run('drain', 'entry-1')
+    assert status is ExitStatus.OK
+    assert world.processes['10.0.0.1:7002'].draining
+    world.processes['10.0.0.1:7002'].problem = GONE
+    status, _, err = await world.run('drain', 'entry-1')
+    assert status is ExitStatus.UNAVAILABLE
+    assert 'neither program of entry-1 is there' in err
+
+
 async def test_drain_takes_a_closed_port_for_the_end(world: World) -> None:
     """A drained gateway ends by itself."""
     gateway = world.processes['10.0.0.1:7001']
