Make the shortage test tell: two owners, a second tier that must be shed

Cause: with one owner and a light second tier the test passed also when a gateway shed without asking (trial on a scratch copy). Change: two shards and a second tier that alone asks for more than the engines give. Trials of mutants on scratch copies, each run of the named test: shed without asking and no preemption: test_shortage fails; either alone is held by the other and passes.

--- a/tests/failures/test_shortage.py
+++ b/tests/failures/test_shortage.py
@@ -11,9 +11,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import yaml
+
 from bramleybend.answers import Outcome
 from bramleybend.models import Tier
-from tests.utils.cluster import Layout
+from tests.utils.cluster import EXAMPLE, Layout
 from tests.utils.engine import EngineConfig
 from tests.utils.engine_batch import Run
 from tests.utils.eventlog import parse_events
@@ -26,9 +28,10 @@
     engines=(EngineConfig(slots=4, decode_tps=40),) * 2,
     plain_latencies_ms=(20,),
 )
-# Eight slots give 320 tokens a second; this asks for about 1,500.
+# Eight slots give 320 tokens a second. The second tier alone asks for 600, so
+# some of it must be shed; all tiers together ask for about 1,900.
 LOAD = (
-    Stream('logbook-check', 5, 4, (100, 400), (30, 50)),
+    Stream('logbook-check', 15, 4, (100, 400), (30, 50)),
     Stream('debrief', 10, 4, (100, 400), (50, 80)),
     Stream('syllabus-summary', 8, 4, (100, 400), (60, 100)),
 )
@@ -55,22 +58,29 @@
     return _Served(tier, run.admitted_at, run.ended_at or float('inf'))
 
 
+def _two_owners() -> str:
+    """Split the engines: no owner alone knows all that is served."""
+    document = yaml.safe_load(EXAMPLE.read_text())
+    document['services']['briefing-llm']['shards'] = 2
+    return yaml.safe_dump(document)
+
+
 async def test_no_higher_tier_is_shed_while_a_lower_one_is_served(
     tmp_path: Path,
 ) -> None:
     """Each shed event finds nothing of a lower tier on any engine."""
-    async with scenario(LAYOUT, tmp_path) as scene:
+    async with scenario(LAYOUT, tmp_path, _two_owners()) as scene:
         async with scene.load(LOAD):
             await wait_until(
-                lambda: scene.count(Outcome.NOT_RUN) >= 20,
-                '20 requests turned away',
+                lambda: scene.count(Outcome.NOT_RUN, 'logbook-check') >= 20,
+                '20 requests of the second tier turned away',
             )
         sheds = [
             event
             for event in parse_events(scene.cluster.event_lines())
             if event['event'] == 'shed'
         ]
-        assert sheds, 'the load was no shortage'
+        assert any(int(shed['tier']) == Tier.HIGH for shed in sheds)
         served = list(_served(scene))
         for shed in sheds:
             lower = [
--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -157,9 +157,13 @@
         self.log.append(TERMS_STREAM, [json.dumps(record)])
         return publish_id
 
-    async def ready(self, limit_s: float = READY_LIMIT_S) -> float:
-        """Publish the example and wait until every VM can serve."""
-        self.publish(EXAMPLE.read_text())
+    async def ready(
+        self,
+        document: str = '',
+        limit_s: float = READY_LIMIT_S,
+    ) -> float:
+        """Publish terms, the example's by default; wait for every VM."""
+        self.publish(document or EXAMPLE.read_text())
         waits = [
             wait_until(vm.is_ready, f'{vm.name} ready', limit_s)
             for vm in self.vms
--- a/tests/utils/scenario.py
+++ b/tests/utils/scenario.py
@@ -21,11 +21,11 @@
 class Scenario:
     """What one test drives and looks at."""
 
-    def __init__(self, cluster: Cluster) -> None:
-        """Stand before a cluster that is ready."""
+    def __init__(self, cluster: Cluster, document: str) -> None:
+        """Stand before a cluster that runs under these terms."""
         self.cluster = cluster
         self.ledger = Ledger()
-        self.declared = Declared.load(EXAMPLE.read_text())
+        self.declared = Declared.load(document)
         self.make = WorkMaker(self.declared)
 
     def caller(self, first: EntryVm | None = None, **options: bool) -> Caller:
@@ -106,11 +106,16 @@
 
 
 @contextlib.asynccontextmanager
-async def scenario(layout: Layout, run_dir: Path) -> AsyncIterator[Scenario]:
+async def scenario(
+    layout: Layout,
+    run_dir: Path,
+    document: str = '',
+) -> AsyncIterator[Scenario]:
     """Start a cluster and wait until every VM serves every tier."""
     async with Cluster(layout, run_dir) as cluster:
-        await cluster.ready()
-        scene = Scenario(cluster)
+        document = document or EXAMPLE.read_text()
+        await cluster.ready(document)
+        scene = Scenario(cluster, document)
         await scene.settle()
         yield scene
 
