Contain content that kills its runner again and again

A try refused by a restarting runner also cleared suspicion. Now only a whole run clears, a suspect is kept from runners it crashed, and in pools of fewer than three runners each crash counts.

--- a/bramleybend/decisions/quarantine.py
+++ b/bramleybend/decisions/quarantine.py
@@ -10,7 +10,9 @@
 `CONDEMNED` runners: the first in company, the next two alone. With two, a
 runner that dies of itself under an innocent suspect would condemn it; the
 third costs one more runner. One runner crashing twice counts once, as it may
-be the faulty part. Finishing clears, since crashes by content repeat.
+be the faulty part; so a suspect goes to a runner that it has not crashed yet,
+and in a pool of fewer than `CONDEMNED` runners each crash counts. Finishing
+clears, since crashes by content repeat.
 
 Records merge in any order: a clearance raises the generation, and of two
 records the higher generation holds; equal ones are united.
@@ -71,6 +73,10 @@
             cleared = CrashRecord(fingerprint, record.generation + 1)
             self._keep(cleared, now)
 
+    def runners(self, fingerprint: str) -> frozenset[str]:
+        """Return the runners that crashed with this content in flight."""
+        return self._record(fingerprint).runners
+
     def verdict(self, fingerprint: str, now: float) -> Verdict:
         """Return how content is to be treated now."""
         record = self._record(fingerprint)
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -149,6 +149,7 @@
         prefixes=tuple(message.prefixes),
         deadline=now + message.timeout_s,
         cancellable=message.cancellable,
+        fingerprint=message.fingerprint,
         suspect=suspect,
         excluded=frozenset(message.excluded),
     )
--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -7,8 +7,10 @@
 import asyncio
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from math import inf
 from typing import Final, assert_never
 
+from bramleybend.answers import Outcome
 from bramleybend.clock import Clock
 from bramleybend.decisions.actions import (
     Action,
@@ -20,7 +22,7 @@
 from bramleybend.decisions.owner import (
     ShardPolicy,
 )
-from bramleybend.decisions.quarantine import CrashBook
+from bramleybend.decisions.quarantine import CONDEMNED, CrashBook
 from bramleybend.events import EventLog
 from bramleybend.metrics import Metric, Metrics
 from bramleybend.models import RunnerState, Vm
@@ -45,6 +47,9 @@
 )
 
 IDLE_TICK_S: Final = 0.5
+# The gateways whose runs a crash took report it each on its own, after their
+# tries to resume, which take 0.6 s at most.
+SAME_CRASH_S: Final = 0.8
 
 
 @dataclass(frozen=True)
@@ -76,6 +81,7 @@
         self._inbox: asyncio.Queue[ShardMessage] = asyncio.Queue()
         self._runners: dict[str, Vm] = {}
         self._where: dict[str, str] = {}
+        self._crash_counts: dict[str, tuple[int, float]] = {}
 
     def post(self, message: ShardMessage) -> None:
         """Hand a message over; it is taken in order."""
@@ -144,7 +150,11 @@
 
     def _ask(self, asked: Asked, now: float) -> list[Action]:
         self._open(asked.hold)
-        ask = replace(asked.ask, request_id=asked.hold.key)
+        ask = replace(
+            asked.ask,
+            request_id=asked.hold.key,
+            excluded=asked.ask.excluded | self._crashed_by(asked),
+        )
         if asked.urgent:
             # The gateway will shed this request unless something lower
             # makes room, so nothing lower may start before it.
@@ -163,10 +173,31 @@
         hold.outbox.put_nowait(None)
         if ended.report.crashed:
             self._crashed(hold, runner, now)
-        elif hold.fingerprint:
+        elif ended.report.outcome == Outcome.DONE and hold.fingerprint:
+            # Only a whole run clears. A try that a restarting runner refused
+            # shows nothing, and cleared by it a poison would go on killing.
             self._deps.crashes.finished(hold.fingerprint, now)
         return self.policy.ended(hold.key, ended.report, now)
 
+    def _crashed_by(self, asked: Asked) -> frozenset[str]:
+        """Return runners that a suspect is kept from, if others are left.
+
+        Its prefix draws it to the runner it has just crashed. There it would
+        crash the same one again and again, which proves nothing against it,
+        and would never be refused.
+        """
+        crashed = self._deps.crashes.runners(asked.ask.fingerprint)
+        return crashed if self._runners.keys() - crashed else frozenset()
+
+    def _crash_name(self, runner: str, now: float) -> str:
+        """Name one crash; reports of the same one get the same name."""
+        number, at = self._crash_counts.get(runner, (0, -inf))
+        if now - at > SAME_CRASH_S:
+            number += 1
+        self._crash_counts[runner] = (number, now)
+        few = len(self._runners) < CONDEMNED
+        return f'{runner}#{number}' if few else runner
+
     def _crashed(self, hold: HoldChannel, runner: str, now: float) -> None:
         """Suspect all that was in flight there, whoever's fault it was."""
         in_flight = [
@@ -175,7 +206,7 @@
             if self._where.get(key) == runner and other.fingerprint
         ]
         self._deps.crashes.crashed(
-            runner,
+            self._crash_name(runner, now),
             [hold.fingerprint, *in_flight],
             now,
         )
