--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -47,14 +47,15 @@
 
 
 def _choose(shard: Shard, now: float) -> _Choice | None:
-    places = places_of(shard.pool, now) if shard.queue else []
+    places = places_of(shard, now) if shard.queue else []
     if not any(place.free for place in places):
         return None
     most = max(place.most_prefill() for place in places)
     windows = shard.queue.windows(shard.lowest_tier(now))
     for window in islice(windows, MOST_WINDOWS):
         # Enough entries for all runners will use them all; none is held.
-        hold = len(window) < min(len(places), WINDOW)
+        few = len(window) < min(len(places), WINDOW)
+        hold = few and shard.switches.holding
         choices = [
             choice
             for position, entry in enumerate(window)
@@ -80,14 +81,14 @@
     if ask.excluded:
         able = [one for one in places if one.runner.name not in ask.excluded]
     taken = [
-        _Choice(entry, place.runner, place.seconds(ask))
+        _Choice(entry, place.runner, place.cost(ask))
         for place in able
-        if place.takes(ask)
+        if place.takes(ask) and place.seconds(ask) < left
     ]
     best = min(taken, key=_by_seconds, default=None)
-    if best is None or best.seconds > left:
+    if best is None:
         return []
-    least = min(place.seconds(ask) + place.wait for place in able)
+    least = min(place.cost(ask) + place.wait for place in able)
     regret = best.seconds - least + position * PLACE_S
     return [replace(best, regret=regret)]
 
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -172,6 +172,7 @@
         pool=RunnerPool(service.slots, switches),
         queue=WaitingQueue(
             shares,
+            tiers=switches.tiers,
             fair=switches.fair,
             short_first=switches.short_first,
         ),
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -13,14 +13,16 @@
 from dataclasses import dataclass
 from math import inf
 
-from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.runs import Runner
+from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.speeds import Pace
 from bramleybend.models import Ask
 
 FILL_S = 0.5
 SHORT_TOKENS = 512
 
+OTHERS = 2.0  # seconds that the others lose by a second of prefill
+
 
 @dataclass(frozen=True)
 class Place:
@@ -31,6 +33,7 @@
     free: bool
     wait: float  # for a slot, seconds
     fill: float  # seconds until its prompts are filled
+    gate: float  # the most of these with which it takes a long prompt
 
     def prefill_tokens(self, ask: Ask) -> int:
         """Estimate the prompt tokens that are not cached here."""
@@ -46,9 +49,14 @@
         prefill = self.prefill_tokens(ask)
         return self.fill + self.pace.seconds(prefill, decode)
 
+    def cost(self, ask: Ask) -> float:
+        """Weigh a run here: prefill also takes time from the others."""
+        prefill = self.prefill_tokens(ask) / self.pace.prefill
+        return self.seconds(ask) + prefill * OTHERS
+
     def takes(self, ask: Ask) -> bool:
         """Tell whether a request may be started here."""
-        if not self.free or self.fill < FILL_S:
+        if not self.free or self.fill < self.gate:
             return self.free
         return self.prefill_tokens(ask) <= SHORT_TOKENS
 
@@ -56,20 +64,21 @@
         """Return the longest prefill that may be started here."""
         if not self.free:
             return -1
-        return inf if self.fill < FILL_S else SHORT_TOKENS
+        return inf if self.fill < self.gate else SHORT_TOKENS
 
 
-def places_of(pool: RunnerPool, now: float) -> list[Place]:
+def places_of(shard: Shard, now: float) -> list[Place]:
     """Look at the runners that may get new work."""
-    mean = pool.mean_pace()
+    mean = shard.pool.mean_pace()
+    gate = FILL_S if shard.switches.filling else inf
     return [
-        _place(runner, pool.pace_of(runner, mean), now)
-        for runner in pool
+        _place(runner, shard.pool.pace_of(runner, mean), gate, now)
+        for runner in shard.pool
         if not runner.leaving
     ]
 
 
-def _place(runner: Runner, pace: Pace, now: float) -> Place:
+def _place(runner: Runner, pace: Pace, gate: float, now: float) -> Place:
     free = runner.room(now) > 0
     wait = 0 if free else runner.wait_s()
-    return Place(runner, pace, free, wait, runner.backlog / pace.prefill)
+    return Place(runner, pace, free, wait, runner.backlog / pace.prefill, gate)
--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -17,7 +17,7 @@
 from bramleybend.decisions.queueing import Waiting
 from bramleybend.decisions.runs import Run
 from bramleybend.decisions.shard import Shard
-from bramleybend.models import Tier
+from bramleybend.models import Ask, Tier
 
 
 def choose_victim(runs: Iterable[Run], tier: int) -> Run | None:
@@ -56,37 +56,80 @@
 
 
 def _preempt_for(shard: Shard, tier: Tier, now: float) -> list[Action]:
-    actions: list[Action] = []
-    places = places_of(shard.pool, now)
-    for entry in _urgent(shard, tier, now):
-        if entry.ask.request_id in shard.victims:
-            continue
-        runners = _of_use(entry, places, now)
-        runs = [run for run in shard.runs.values() if run.runner in runners]
-        victim = choose_victim(runs, tier)
-        if victim is not None:
-            victim.yields_to = tier
-            shard.victims[entry.ask.request_id] = victim.ask.request_id
-            actions.append(Preempt(victim.ask.request_id, tier))
-    return actions
+    urgent = _urgent(shard, tier, now)
+    found = places_of(shard, now) if urgent else []
+    places = {place.runner.name: place for place in found}
+    victims = [_order_victim(shard, entry, places, now) for entry in urgent]
+    return [
+        Preempt(victim.ask.request_id, tier)
+        for victim in victims
+        if victim is not None
+    ]
 
 
-def _of_use(entry: Waiting, places: list[Place], now: float) -> set[str]:
-    """Name the full runners on which the request would end in time."""
-    able = [
-        place for place in places if place.runner.name not in entry.ask.excluded
-    ]
-    if any(place.free for place in able):
-        return set()
+def _order_victim(
+    shard: Shard,
+    entry: Waiting,
+    places: dict[str, Place],
+    now: float,
+) -> Run | None:
+    ask = entry.ask
+    if ask.request_id in shard.victims or _can_start(ask, places):
+        return None
+    if not _is_floored(shard, ask.tier) and _has_slot(ask, places):
+        return None
+    runs = _in_the_way(shard, entry, places, now)
+    victim = choose_victim(runs, ask.tier)
+    if victim is not None:
+        victim.yields_to = ask.tier
+        shard.victims[ask.request_id] = victim.ask.request_id
+    return victim
+
+
+def _in_the_way(
+    shard: Shard,
+    entry: Waiting,
+    places: dict[str, Place],
+    now: float,
+) -> list[Run]:
+    """Return the runs in whose stead the request could end in time."""
     left = entry.ask.deadline - now
-    return {
-        place.runner.name for place in able if place.seconds(entry.ask) < left
-    }
+    return [
+        run
+        for run in shard.runs.values()
+        if run.runner in places
+        and run.runner not in entry.ask.excluded
+        and _makes_way(run, entry.ask, places[run.runner], left)
+    ]
+
+
+def _has_slot(ask: Ask, places: dict[str, Place]) -> bool:
+    return any(
+        place.free for name, place in places.items() if name not in ask.excluded
+    )
+
+
+def _can_start(ask: Ask, places: dict[str, Place]) -> bool:
+    return any(
+        place.takes(ask)
+        for name, place in places.items()
+        if name not in ask.excluded
+    )
+
+
+def _makes_way(run: Run, ask: Ask, place: Place, left: float) -> bool:
+    # With slots to spare it is the prompts being filled that are in the way.
+    if place.free and not run.in_backlog:
+        return False
+    filled = run.in_backlog / place.pace.prefill
+    return place.seconds(ask) - filled < left
+
+
+def _is_floored(shard: Shard, tier: Tier) -> bool:
+    return any(tier <= floor for floor in shard.floors)
 
 
 def _urgent(shard: Shard, tier: Tier, now: float) -> list[Waiting]:
     if not shard.lower_runs(tier):
         return []
-    # Under a floor a gateway is about to shed: everything here is urgent.
-    floored = any(tier <= floor for floor in shard.floors)
-    return shard.queue.urgent(inf if floored else now, tier)
+    return shard.queue.urgent(now, tier)
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -20,7 +20,7 @@
 from sortedcontainers import SortedKeyList, SortedList
 
 from bramleybend.decisions.prefixes import prefix_tokens
-from bramleybend.models import Ask
+from bramleybend.models import Ask, Tier
 
 AGEING = 0.0005  # seconds of later arrival that one unit of cost counts as
 SURE = 0.5  # of the least seconds; only what is surely too late is given up
@@ -153,11 +153,13 @@
         self,
         weights: Mapping[str, float],
         *,
+        tiers: bool = True,
         fair: bool = True,
         short_first: bool = True,
     ) -> None:
         """Start empty; the switches exist for the ablations."""
         self._weights = weights
+        self._ranked = tiers
         self._fair = fair
         self._ageing = AGEING if short_first else 0
         self._tiers: dict[int, TierQueue] = {}
@@ -232,6 +234,8 @@
         return above + self._tier(ask.tier).cost_ahead(ask)
 
     def _tier(self, tier: int) -> TierQueue:
+        if not self._ranked:
+            tier = Tier.CRITICAL
         if tier not in self._tiers:
             self._tiers[tier] = TierQueue(self._weights, self._fair)
         return self._tiers[tier]
--- a/bramleybend/decisions/speeds.py
+++ b/bramleybend/decisions/speeds.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 
 SMOOTHING = 0.15
+FIRST_PREFILL = 2000.0
+FIRST_DECODE = 400.0
 FEWEST_TOKENS = 64  # a shorter prefill measures the waiting, not the speed
 
 
@@ -27,7 +29,9 @@
         return prefill / self.prefill + decode / self.decode
 
 
-FIRST_PACE = Pace(2000, 400)  # before any run has ended anywhere
+FIRST_PACE = Pace(
+    FIRST_PREFILL, FIRST_DECODE
+)  # before any run has ended anywhere
 
 
 class Speed:
--- a/bramleybend/decisions/switches.py
+++ b/bramleybend/decisions/switches.py
@@ -12,9 +12,9 @@
     short_first: bool = True
     expiry: bool = True
     preemption: bool = True
-    affinity: bool = True
     speeds: bool = True
     limits: bool = True
+    filling: bool = True
+    holding: bool = True
     pacing: bool = True
     admission: bool = True
-    stragglers: bool = True
--- a/tests/benchmarks/measures.py
+++ b/tests/benchmarks/measures.py
@@ -16,9 +16,12 @@
     in_time: Counter[Tier] = field(default_factory=Counter)
     demand: Counter[str] = field(default_factory=Counter)
     served: Counter[str] = field(default_factory=Counter)
-    wasted: float = 0
+    repeated: float = 0  # prefill of what another engine held
+    lost: float = 0  # prefill of runs that came to nothing
     prefilled: float = 0
-    inversions: int = 0  # shed while lower cancellable work was running
+    inversions: Counter[Tier] = field(
+        default_factory=Counter
+    )  # shed while lower cancellable work was running
     refused: int = 0
     refused_after: float = 0  # seconds between request and refusal, summed
     refused_late: int = 0  # with less than half of the time left
@@ -41,8 +44,14 @@
         """Count a run's prefill, and what of it was in vain."""
         if run.started:
             self.prefilled += run.prefilled
-            repeated = min(run.elsewhere, run.prefilled)
-            self.wasted += repeated if useful else run.prefilled
+            if useful:
+                self.repeated += min(run.elsewhere, run.prefilled)
+            else:
+                self.lost += run.prefilled
+
+    @property
+    def wasted(self) -> float:
+        return self.repeated + self.lost
 
     def goodput(self, tier: Tier) -> float:
         return self.in_time[tier] / max(self.offered[tier], 1)
--- a/tests/benchmarks/patterns.py
+++ b/tests/benchmarks/patterns.py
@@ -224,7 +224,7 @@
     mean = sum(kind.share * kind.mean_work() for kind in kinds)
     documents: dict[str, Documents] = {}
     jobs: list[Job] = []
-    now = 0.0
+    now = float(0)
     highest = 3.0
     while now < SECONDS:
         # Thinning: draw at the highest rate, keep the part that is due.
--- a/tests/benchmarks/players.py
+++ b/tests/benchmarks/players.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -76,13 +77,9 @@
         for index in fault.engines:
             engine = self.engines[index]
             if fault.slowdown:
-                slow = fault.slowdown
-                self.time.at(
-                    fault.at, lambda one=engine: one.set_slowdown(slow)
-                )
-                self.time.at(
-                    fault.until, lambda one=engine: one.set_slowdown(1)
-                )
+                slow = partial(engine.set_slowdown, fault.slowdown)
+                self.time.at(fault.at, slow)
+                self.time.at(fault.until, partial(engine.set_slowdown, 1))
             else:
                 self.time.at(fault.at, engine.crash)
                 self.time.at(fault.until, engine.restart)
@@ -238,7 +235,9 @@
         kinds: tuple[Kind, ...],
         seed: int,
         switches: Switches,
+        affinity: bool,
     ) -> None:
+        self._affinity = affinity
         self._time = fleet.time
         self._fleet = fleet
         self._scores = scores
@@ -252,7 +251,7 @@
         ]
         self._wakes = [float('inf')] * SHARDS
         self._views: list[list[ShardView]] = [[] for _ in range(ENTRY_VMS)]
-        self._heard = [0.0] * ENTRY_VMS
+        self._heard = [float(0)] * ENTRY_VMS
         self._live = {engine.name for engine in fleet.engines}
         for shard in range(SHARDS):
             self._list(shard)
@@ -268,7 +267,7 @@
             workspace=job.workspace,
             cost=expected_cost(job, self._kinds),
             prompt_tokens=job.prompt,
-            prefixes=job.prefixes(),
+            prefixes=job.prefixes() if self._affinity else (),
             deadline=job.deadline,
             cancellable=job.repeat is not Repeat.NON_IDEMPOTENT,
             excluded=frozenset(attempt.tried),
@@ -351,10 +350,15 @@
         self._fleet.by_name[attempt.engine].cancel(attempt.run)
         self._run_over(attempt, RunReport('cancelled'), useful=False)
         if attempt.job.repeat is Repeat.IDEMPOTENT:
-            self._again(attempt)
+            self._time.after(HOP_S * 4, lambda: self._resubmit(attempt))
         else:
             attempt.over = True
 
+    def _resubmit(self, attempt: Try) -> None:
+        if not attempt.over:
+            attempt.shards = set()
+            self.submit(attempt)
+
     def _refused(self, attempt: Try, refuse: Refuse) -> None:
         if attempt.over:
             return
@@ -383,7 +387,7 @@
             and other.job.tier > job.tier
             and other.job.repeat is not Repeat.NON_IDEMPOTENT
         ]
-        self._scores.inversions += bool(lower)
+        self._scores.inversions[job.tier] += bool(lower)
 
     def _first(self, attempt: Try, cached: int) -> None:
         shard = next(iter(attempt.shards))
@@ -421,11 +425,9 @@
 
     def _again(self, attempt: Try) -> None:
         attempt.tried.add(attempt.engine)
-        attempt.shards = set()
-        if attempt.over or len(attempt.tried) > TRIES:
+        if len(attempt.tried) > TRIES:
             attempt.over = True
-            return
-        self._time.after(HOP_S * 4, lambda: self.submit(attempt))
+        self._time.after(HOP_S * 4, lambda: self._resubmit(attempt))
 
     def _run_over(
         self,
@@ -506,17 +508,24 @@
     pattern: Pattern,
     seed: int,
     switches: Switches | None = None,
+    *,
+    affinity: bool = True,
 ) -> Scores:
     """Play one pattern under one scheduler and count."""
     time = VirtualTime()
     fleet = Fleet(time, pattern)
     scores = Scores()
-    player = _make_player(scheduler, fleet, scores, kinds, seed, switches)
+    player: Player
+    if scheduler == 'bramleybend':
+        on = switches or Switches()
+        player = Bramleybend(fleet, scores, kinds, seed, on, affinity)
+    else:
+        player = _make_baseline(scheduler, fleet, scores, seed)
     for job in make_jobs(kinds, pattern, seed):
         scores.offer(job)
         attempt = Try(job)
-        time.at(job.at, lambda one=attempt: player.submit(one))
-        time.at(job.deadline, lambda one=attempt: _deadline(player, one))
+        time.at(job.at, partial(player.submit, attempt))
+        time.at(job.deadline, partial(_deadline, player, attempt))
     time.run(SECONDS + END_S)
     return scores
 
@@ -527,17 +536,13 @@
         player.give_up(attempt)
 
 
-def _make_player(
+def _make_baseline(
     scheduler: str,
     fleet: Fleet,
     scores: Scores,
-    kinds: tuple[Kind, ...],
     seed: int,
-    switches: Switches | None,
-) -> Player:
+) -> Baseline:
     rng = Random(seed)
-    if scheduler == 'bramleybend':
-        return Bramleybend(fleet, scores, kinds, seed, switches or Switches())
     rules: dict[str, Rule] = {
         'FIFO + round robin': RoundRobin(),
         'least outstanding': LeastOutstanding(rng),
--- a/tests/decisions/test_owner.py
+++ b/tests/decisions/test_owner.py
@@ -159,7 +159,7 @@
     policy = make_policy('engine-1')
     for name in ('a', 'b', 'c'):
         policy.ask(make_ask(name), 0)
-    policy.ask(make_ask('booking', tier=Tier.CRITICAL), 0)
+    policy.ask(make_ask('booking', tier=Tier.CRITICAL, deadline=2.2), 0)
     assert policy.set_floor(Tier.CRITICAL, 2, 1) == 2
     assert [type(act) for act in policy.tick(1)] == [Preempt]
     assert granted(policy.ended('a', DONE, 1.2)) == ['booking']
--- a/tests/utils/queueing_fake.py
+++ b/tests/utils/queueing_fake.py
@@ -67,7 +67,7 @@
     """An event loop over virtual seconds."""
 
     def __init__(self) -> None:
-        self.now = 0.0
+        self.now = float(0)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
 
