--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -13,14 +13,16 @@
 from dataclasses import dataclass
 from math import inf
 
-from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.runs import Runner
+from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.speeds import Pace
 from bramleybend.models import Ask
 
 FILL_S = 0.5
 SHORT_TOKENS = 512
 
+OTHERS = 4.0  # seconds the others lose by a second of prefill at mean pace
+
 
 @dataclass(frozen=True)
 class Place:
@@ -28,9 +30,11 @@
 
     runner: Runner
     pace: Pace
+    mean: Pace  # over the shard's runners
     free: bool
     wait: float  # for a slot, seconds
     fill: float  # seconds until its prompts are filled
+    gate: float  # the most of these with which it takes a long prompt
 
     def prefill_tokens(self, ask: Ask) -> int:
         """Estimate the prompt tokens that are not cached here."""
@@ -46,9 +50,14 @@
         prefill = self.prefill_tokens(ask)
         return self.fill + self.pace.seconds(prefill, decode)
 
+    def cost(self, ask: Ask) -> float:
+        """Weigh a run here: prefill also takes time from the others."""
+        work = self.prefill_tokens(ask) / self.mean.prefill
+        return self.seconds(ask) + work * OTHERS
+
     def takes(self, ask: Ask) -> bool:
         """Tell whether a request may be started here."""
-        if not self.free or self.fill < FILL_S:
+        if not self.free or self.fill < self.gate:
             return self.free
         return self.prefill_tokens(ask) <= SHORT_TOKENS
 
@@ -56,20 +65,25 @@
         """Return the longest prefill that may be started here."""
         if not self.free:
             return -1
-        return inf if self.fill < FILL_S else SHORT_TOKENS
+        return inf if self.fill < self.gate else SHORT_TOKENS
 
 
-def places_of(pool: RunnerPool, now: float) -> list[Place]:
+def places_of(shard: Shard, now: float) -> list[Place]:
     """Look at the runners that may get new work."""
-    mean = pool.mean_pace()
+    mean = shard.pool.mean_pace()
+    gate = FILL_S if shard.switches.filling else inf
     return [
-        _place(runner, pool.pace_of(runner, mean), now)
-        for runner in pool
+        _place(runner, shard.pool.pace_of(runner, mean), mean, gate, now)
+        for runner in shard.pool
         if not runner.leaving
     ]
 
 
-def _place(runner: Runner, pace: Pace, now: float) -> Place:
+def _place(
+    runner: Runner, pace: Pace, mean: Pace, gate: float, now: float
+) -> Place:
     free = runner.room(now) > 0
     wait = 0 if free else runner.wait_s()
-    return Place(runner, pace, free, wait, runner.backlog / pace.prefill)
+    return Place(
+        runner, pace, mean, free, wait, runner.backlog / pace.prefill, gate
+    )
