--- a/spec/resends.py
+++ b/spec/resends.py
@@ -13,6 +13,7 @@
     Expired,
     Full,
     IdTable,
+    Known,
     New,
     TableLimits,
 )
@@ -29,10 +30,11 @@
 
 
 class State(NamedTuple):
-    """Ticks, what reached the table, what ran and what was refused."""
+    """Ticks, the table, what ran and what was refused without a run."""
 
     now: int = 0
-    seen: tuple[tuple[int, int], ...] = ()  # which id, at which reading
+    latest: float = 0  # reading of the clock that the table has seen
+    kept: tuple[int, ...] = ()
 
     ran: tuple[int, ...] = (0,) * len(SENT)
     refused: tuple[bool, ...] = (False,) * len(SENT)
@@ -82,18 +84,35 @@
 }
 
 
+class Verdict(NamedTuple):
+    """What the table said, and what it holds afterwards."""
+
+    said: Any
+    latest: float
+    kept: tuple[int, ...]
+
+
 @lru_cache(maxsize=None)
-def verdict_on(
-    seen: tuple[tuple[int, int], ...],
+def ask(
+    table: tuple[float, tuple[int, ...]],
     index: int,
     reading: int,
     mutant: str,
-) -> Any:
-    """Return what the table says after all it has seen."""
-    table = TABLES[mutant](INCARNATION, 0, LIMITS)
-    for earlier, at in seen:
-        table.add(SENT[earlier], earlier, at)
-    return table.add(SENT[index], index, reading)
+) -> Verdict:
+    """Ask a table that holds `kept` and has read the clock at `latest`."""
+    latest, kept = table
+    ids = TABLES[mutant](INCARNATION, 0, LIMITS)
+    ids._latest = latest
+    for known in kept:
+        epoch = SENT[known].ticket.epoch
+        ids._epochs.setdefault(epoch, {})[SENT[known]] = Known(known)
+    said = ids.add(SENT[index], index, reading)
+    left = [
+        known.entry
+        for epoch in ids._epochs.values()
+        for known in epoch.values()
+    ]
+    return Verdict(said, ids._latest, tuple(sorted(left)))
 
 
 def build(mutant: str) -> Transitions:
@@ -104,8 +123,11 @@
         steps: list[Step] = []
         if state.now < LAST_TICK:
             steps.append(('a tick', state._replace(now=state.now + 1)))
+        given = state._replace(latest=state.now)
+        if given != state:
+            steps.append(('a ticket is given', given))
         for index, req in enumerate(SENT):
-            if req.ticket.epoch * LIMITS.epoch_s <= state.now:
+            if req.ticket.epoch * LIMITS.epoch_s <= state.latest:
                 steps.extend(arrivals(state, index, mutant))
         return steps
 
@@ -123,15 +145,13 @@
 
 def arrival(state: State, index: int, reading: int, mutant: str) -> State:
     """Run a new id, refuse or join any other."""
-    verdict = verdict_on(state.seen, index, reading, mutant)
-    if isinstance(verdict, New):
+    verdict = ask((state.latest, state.kept), index, reading, mutant)
+    state = state._replace(latest=verdict.latest, kept=verdict.kept)
+    if isinstance(verdict.said, New):
         ran = list(state.ran)
-        ran[index] = min(2, ran[index] + 1)
-        return state._replace(
-            ran=tuple(ran),
-            seen=(*state.seen, (index, reading)),
-        )
-    if isinstance(verdict, Expired | Full):
+        ran[index] += 1
+        return state._replace(ran=tuple(ran))
+    if isinstance(verdict.said, Expired | Full) and not state.ran[index]:
         refused = list(state.refused)
         refused[index] = True
         return state._replace(refused=tuple(refused))
@@ -146,10 +166,8 @@
         'a request is dispatched at most once': lambda now: max(now['ran'])
         <= 1,
         'told not run means not run': lambda now: not any(
-            refused and ran == 1 and not _ran_before(now, index)
-            for index, (refused, ran) in enumerate(
-                zip(now['refused'], now['ran'], strict=True),
-            )
+            refused and ran
+            for refused, ran in zip(now['refused'], now['ran'], strict=True)
         ),
     },
     mutants=tuple(name for name in TABLES if name),
