--- a/bramleybend/decisions/floor.py
+++ b/bramleybend/decisions/floor.py
@@ -74,9 +74,8 @@
         shard's reports gives `taken_at`. Take the surplus over the runs known
         then, not now: a run started since would hide an unknown one.
         """
-        if self.taken_over_at is None or (
-            taken_at >= self.taken_over_at + self.times.fresh_s
-        ):
+        fence = self.times.fresh_s + self.times.margin_s
+        if self.taken_over_at is None or taken_at >= self.taken_over_at + fence:
             self._accounted = surplus <= 0
 
     def lose_run(self, now: float) -> None:
--- a/bramleybend/state/tickets.py
+++ b/bramleybend/state/tickets.py
@@ -67,7 +67,7 @@
         return f'{self.ticket}/{self.own}'
 
 
-def parse(text: str) -> Result[Ticket, Problem]:
+def parse_ticket(text: str) -> Result[Ticket, Problem]:
     """Read a ticket; each ticket has exactly one spelling."""
     form = TICKET_FORM.fullmatch(text)
     if form is None:
@@ -97,7 +97,7 @@
                 'add 1 to 128 of A-Z a-z 0-9 . _ - after <ticket>/',
             ),
         )
-    return parse(ticket_text).map(lambda ticket: RequestId(ticket, own))
+    return parse_ticket(ticket_text).map(lambda ticket: RequestId(ticket, own))
 
 
 def dispatch_mode(
--- /dev/null
+++ b/tests/test_conformance.py
@@ -0,0 +1,188 @@
+"""Traces of the models, replayed against long-lived production objects.
+
+The models rebuild small states at each step; these tests hold one object over
+a whole run, as a process does, and compare it with the model after each step.
+"""
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from result import Ok
+
+from bramleybend.clients.log_service import LogRecord
+from bramleybend.decisions.floor import (
+    FloorTimes,
+    OwnerFloor,
+    Round,
+    ShedPermits,
+)
+from bramleybend.models import Tier
+from bramleybend.state.journal_rules import HomeJournal, JournalView, NotRun
+from bramleybend.state.terms_rules import TermsLog
+from spec import dispatch, floor, terms
+from spec.checking import Model
+
+SEEDS = range(150)
+STEPS = 40
+TIMES = FloorTimes(floor.HOLD, floor.MARGIN, floor.FRESH)
+
+
+def walk(model: Model, seed: int) -> Iterator[tuple[str, Any, Any]]:
+    """Yield label, state before and state after of one random run."""
+    rng = random.Random(seed)
+    transitions = model.build('')
+    before = model.initial
+    for _ in range(STEPS):
+        steps = transitions(before)
+        if not steps:
+            return
+        label, after = rng.choice(steps)
+        yield label, before, after
+        before = after
+
+
+@pytest.mark.parametrize('marked', [True, False])
+def test_journal_follows_the_model(marked: bool) -> None:
+    req = dispatch.request(marked=marked)
+    model = dispatch.MARKED if marked else dispatch.PLAIN
+    not_run = 0
+    for seed in SEEDS:
+        home, peer = HomeJournal(), JournalView()
+        right = denied = False
+        for label, before, after in walk(model, seed):
+            if label == 'home reads its journal':
+                fresh = read(after, home.next_offset, req)
+                right = str(req) in home.read(fresh) or right
+                assert home.sealed == after.sealed
+                assert right == after.right
+            if label == 'another VM says not run':
+                whole = JournalView()
+                whole.add(read(before, 0, req))
+                assert isinstance(whole.fate(req), NotRun)
+                not_run += 1
+            peer.add(read(after, peer.next_offset, req))
+            denied = denied or isinstance(peer.fate(req), NotRun)
+            assert not (denied and after.ran)
+    assert not_run
+
+
+def read(state: dispatch.State, start: int, req: Any) -> list[LogRecord]:
+    return dispatch.records(state.log, max(start, state.first), req)
+
+
+def test_terms_follow_the_model() -> None:
+    renewed = 0
+    for seed in SEEDS:
+        vms = [TermsLog(Ok), TermsLog(Ok)]
+        for label, before, after in walk(terms.TERMS, seed):
+            index = 1 if label.startswith('VM 1') else 0
+            if label.endswith('reads'):
+                read_on(vms[index], before)
+            elif label.endswith('learns'):
+                peer = vms[1 - index]
+                vms[index].learn(peer.version, peer.position, peer.document)
+            elif label.endswith('replaced'):
+                vms[index] = TermsLog(Ok)
+            elif label.startswith('renewal'):
+                renewed += 1
+            vms.sort(key=terms.dump)
+            assert tuple(terms.dump(vm) for vm in vms) == after.vms
+    assert renewed
+
+
+def read_on(vm: TermsLog, state: terms.State) -> None:
+    vm.see_first_offset(state.forgotten)
+    for offset, record in enumerate(state.log):
+        if offset >= max(vm.position, state.forgotten):
+            vm.apply(offset, terms.encode(record))
+
+
+class FloorReplay:
+    """The owners and the caller of the floor's models, as real objects."""
+
+    def __init__(self, *, load: bool) -> None:
+        self.load = load
+        self.now = float(0)
+        self.owners = [OwnerFloor(times=TIMES) for _ in range(3)]
+        self.permits = ShedPermits(TIMES)
+        self.round: Round | None = None
+        self.old: list[Round] = []
+
+    def step(self, label: str, before: Any, after: Any) -> None:
+        if label == 'a tick':
+            self.now += 1
+        elif label == 'B takes shard 1 over':
+            # Owners' clocks are fast, by as much as the model lets them be.
+            self.owners[2] = OwnerFloor(
+                self.now - floor.DRIFT,
+                watches_load=self.load,
+                times=TIMES,
+            )
+        elif label == 'the run is registered with B':
+            self.owners[1].lose_run(self.now - floor.DRIFT)
+        elif label == 'a load report shows no surplus':
+            self.owners[2].note_load(0, self.now)
+        elif label == 'the caller opens a round':
+            self.open_round(before)
+        elif label.startswith('owner'):
+            owner = self.owners['0AB'.index(label.split()[1])]
+            owner.set_floor(Tier.HIGH, floor.HOLD - floor.DRIFT, self.now)
+        elif label.startswith('reply') and self.round:
+            shard = int(label.split()[3])
+            agrees = before.asked[shard] == 'ok'
+            self.reply(self.round, shard, lower_running=not agrees)
+        elif label.startswith('old reply'):
+            for old in self.old:
+                self.reply(old, int(label.split()[3]), lower_running=False)
+        self.compare(after)
+
+    def open_round(self, before: floor.State) -> None:
+        stale = before.taken and not (before.fresh or before.caller_knows)
+        if self.round:
+            self.old.append(self.round)
+        self.round = self.permits.begin(
+            'bend-lm',
+            Tier.HIGH,
+            frozenset({0, 1}),
+            self.now,
+            view_age=TIMES.fresh_s if stale else 0,
+        )
+
+    def reply(self, opened: Round, shard: int, *, lower_running: bool) -> None:
+        self.permits.reply(
+            opened,
+            shard,
+            self.now,
+            settled=True,
+            lower_running=int(lower_running),
+        )
+
+    def compare(self, state: floor.State) -> None:
+        zero, first, second = self.owners
+        permit = self.permits.permit('bend-lm', Tier.HIGH, self.now)
+        assert permit == bool(state.permit)
+        assert zero.blocks(Tier.NORMAL, self.now) == bool(state.floors[0])
+        assert first.blocks(Tier.NORMAL, self.now) == bool(state.floors[1])
+        assert first.settled(self.now) == (not state.lost_run)
+        if state.taken:
+            blocked = bool(state.grace or state.floors[2])
+            assert second.blocks(Tier.NORMAL, self.now) == blocked
+            known = state.load_clear if self.load else not state.grace
+            assert second.settled(self.now) == known
+
+
+@pytest.mark.parametrize(
+    'model',
+    [floor.FLOOR, floor.TAKEOVER, floor.PLAIN_TAKEOVER],
+    ids=lambda model: model.name,
+)
+def test_floor_follows_the_model(model: Model) -> None:
+    permits = 0
+    for seed in SEEDS:
+        replay = FloorReplay(load=model is not floor.PLAIN_TAKEOVER)
+        for label, before, after in walk(model, seed):
+            replay.step(label, before, after)
+            permits += after.permit > 0
+    assert permits
--- /dev/null
+++ b/tests/test_state_machines.py
@@ -0,0 +1,173 @@
+"""State machines over the id table and the terms, with fixed seeds."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+from result import Err, Ok, Result
+
+from bramleybend.errors import ErrorKind, Problem
+from bramleybend.state.id_table import (
+    OPEN_EPOCHS,
+    IdTable,
+    Known,
+    New,
+    TableLimits,
+)
+from bramleybend.state.terms_records import encode_publish
+from bramleybend.state.terms_rules import (
+    Accepted,
+    Applied,
+    Lost,
+    Refused,
+    TermsLog,
+    Unseen,
+)
+from bramleybend.state.tickets import RequestId, Ticket
+
+LIMITS = TableLimits(epoch_s=10, grace_s=15, capacity=3)
+FIXED = settings(derandomize=True, max_examples=200, deadline=None)
+INVALID = Problem(ErrorKind.BAD_DECLARATION, 'no such profile', 'add it')
+
+
+class IdTableMachine(RuleBasedStateMachine):
+    """Callers, some late and some with clocks gone back, at one table."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = IdTable[str]('a1', 100, LIMITS)
+        self.now = float(100)
+        self.ran: set[RequestId] = set()
+        self.refused: set[RequestId] = set()
+
+    @rule(seconds=st.floats(0, 12))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(
+        back=st.integers(0, 3),
+        own=st.sampled_from('abcd'),
+        skew=st.sampled_from([0, 0, -40]),
+    )
+    def send(self, back: int, own: str, skew: int) -> None:
+        epoch = max(0, self.table.current_epoch(self.now) - back)
+        req = RequestId(Ticket('10.0.0.1', 80, 'a1', epoch), own)
+        verdict = self.table.add(req, str(req), self.now + skew)
+        if isinstance(verdict, New):
+            assert req not in self.ran | self.refused
+            self.ran.add(req)
+        elif isinstance(verdict, Known):
+            assert verdict.entry == str(req)
+        elif req not in self.ran:
+            self.refused.add(req)
+
+    @rule(own=st.sampled_from('ab'))
+    def send_foreign(self, own: str) -> None:
+        for incarnation, epoch in (('b2', 0), ('a1', 10**6)):
+            ticket = Ticket('10.0.0.1', 80, incarnation, epoch)
+            verdict = self.table.add(RequestId(ticket, own), '', self.now)
+            assert not isinstance(verdict, New | Known)
+
+    @invariant()
+    def memory_is_bounded(self) -> None:
+        epochs = OPEN_EPOCHS + LIMITS.grace_s // LIMITS.epoch_s + 2
+        assert len(self.table) <= epochs * LIMITS.capacity
+
+
+def validate(document: str) -> Result[str, Problem]:
+    return Err(INVALID) if document == 'invalid' else Ok(document)
+
+
+class TermsMachine(RuleBasedStateMachine):
+    """Several VMs read one log that doubles, delays and forgets records."""
+
+    publishes = Bundle('publishes')
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log: list[str] = []
+        self.forgotten = 0
+        self.count = 0
+        self.whole = TermsLog(validate)  # has read every record
+        self.vms = [TermsLog(validate) for _ in range(3)]
+        self.history = {0: (0, '')}  # terms in force before each offset
+
+    @rule(target=publishes, document=st.sampled_from(['a', 'b', 'invalid']))
+    def publish(self, document: str) -> tuple[str, str]:
+        self.count += 1
+        name = f'publish-{self.count}'
+        text = encode_publish(name, self.whole.version, document, 'ana')
+        return name, text
+
+    @rule(published=publishes)
+    def land(self, published: tuple[str, str]) -> None:
+        self.append(published[1])
+
+    @rule(text=st.sampled_from(['', '{', '{"v":2}', '{"v":1,"kind":"x"}']))
+    def land_bad_record(self, text: str) -> None:
+        before = self.whole.version
+        self.append(text)
+        assert self.whole.version == before
+
+    @rule(index=st.integers(0, 2))
+    def renew(self, index: int) -> None:
+        text = self.vms[index].renewal()
+        if text is not None:
+            self.append(text)
+
+    @rule(index=st.integers(0, 2), limit=st.integers(1, 5))
+    def read(self, index: int, limit: int) -> None:
+        vm = self.vms[index]
+        before = vm.version
+        start = max(vm.position, self.forgotten)
+        vm.see_first_offset(self.forgotten)
+        for offset, text in enumerate(self.log[start : start + limit], start):
+            vm.apply(offset, text)
+        assert vm.version >= before
+
+    @rule(index=st.integers(0, 2), other=st.integers(0, 2))
+    def learn(self, index: int, other: int) -> None:
+        peer = self.vms[other]
+        before = self.vms[index].version
+        self.vms[index].learn(peer.version, peer.position, peer.document)
+        assert self.vms[index].version >= before
+
+    @rule(index=st.integers(0, 2))
+    def replace(self, index: int) -> None:
+        self.vms[index] = TermsLog(validate)
+
+    @rule(count=st.integers(1, 2))
+    def forget(self, count: int) -> None:
+        self.forgotten = min(len(self.log), self.forgotten + count)
+
+    @rule(published=publishes)
+    def ask(self, published: tuple[str, str]) -> None:
+        truth = self.whole.outcome_of(published[0])
+        for vm in self.vms:
+            told = vm.outcome_of(published[0])
+            if isinstance(told, Accepted | Lost):
+                assert type(told) is type(truth)
+            assert isinstance(told, Accepted | Lost | Refused | Unseen)
+
+    @invariant()
+    def every_vm_holds_what_the_log_says(self) -> None:
+        for vm in self.vms:
+            assert (vm.version, vm.document) == self.history[vm.position]
+
+    def append(self, text: str) -> None:
+        version = self.whole.version
+        verdict = self.whole.apply(len(self.log), text)
+        assert self.whole.version == version + isinstance(verdict, Applied)
+        self.log.append(text)
+        state = (self.whole.version, self.whole.document)
+        self.history[len(self.log)] = state
+
+
+TestIdTable = IdTableMachine.TestCase
+TestIdTable.settings = FIXED
+TestTerms = TermsMachine.TestCase
+TestTerms.settings = FIXED
