--- a/spec/dispatch.py
+++ b/spec/dispatch.py
@@ -333,7 +333,7 @@
         'another VM says not run of a home that died': lambda now: (
             now['told_not_run'] and not now['alive'] and now['home'] == 'asked'
         ),
-        'a paused home dispatches after the seal': lambda now: (
+        'what stood before the seal still runs': lambda now: (
             now['ran'] and now['sealed']
         ),
     },
--- a/tests/cli/test_queries.py
+++ b/tests/cli/test_queries.py
@@ -144,6 +144,18 @@
     assert not world.processes['10.0.0.2:7001'].draining
 
 
+async def test_drain_can_be_given_again(world: World) -> None:
+    """The gateway has ended since; its scheduler must not be left serving."""
+    world.processes['10.0.0.1:7001'].problem = GONE
+    status, _, _ = await world.run('drain', 'entry-1')
+    assert status is ExitStatus.OK
+    assert world.processes['10.0.0.1:7002'].draining
+    world.processes['10.0.0.1:7002'].problem = GONE
+    status, _, err = await world.run('drain', 'entry-1')
+    assert status is ExitStatus.UNAVAILABLE
+    assert 'neither program of entry-1 is there' in err
+
+
 async def test_drain_takes_a_closed_port_for_the_end(world: World) -> None:
     """A drained gateway ends by itself."""
     gateway = world.processes['10.0.0.1:7001']
@@ -209,6 +221,31 @@
     assert err.startswith('bramleybend-ctl: ')
 
 
+@pytest.mark.parametrize(
+    'args',
+    [
+        ('history',),
+        ('diff', PARWAZ),
+        ('show',),
+        ('wait',),
+        ('restore', '1'),
+        ('recover', PARWAZ, '1'),
+    ],
+)
+async def test_a_log_that_is_down_is_told_by_every_command_that_reads_it(
+    world: World,
+    args: tuple[str, ...],
+) -> None:
+    """No command takes a log that does not answer for an empty one."""
+    for process in world.processes.values():
+        process.terms_version = 0
+    world.log.down_reads = 1
+    status, out, err = await world.run(*args)
+    assert (status, out) == (ExitStatus.UNAVAILABLE, '')
+    assert 'the log is down; wait' in err
+    assert not world.log.appends
+
+
 async def test_errors_are_json_for_scripts(world: World) -> None:
     """A script reads kind, detail and remedy."""
     _, _, err = await world.run('show', '9', '--json')
