--- a/tests/benchmarks/capacity_processes.py
+++ b/tests/benchmarks/capacity_processes.py
@@ -77,7 +77,7 @@
     layout = Layout(vms=size)
     with tempfile.TemporaryDirectory() as run_dir:
         async with Cluster(layout, Path(run_dir)) as cluster:
-            await cluster.ready(60)
+            await cluster.ready(limit_s=60)
             await asyncio.sleep(2 * WARM_S)
             return await _measured(cluster, lambda: (0, 0))
 
