Probe two nodes a period, so that six notice a dead one sooner

Cause: with one probe a node and six nodes, a third of the periods pass with nobody probing the dead one.

The price is four messages a second in place of two, at any size.

--- a/bramleybend/state/membership.py
+++ b/bramleybend/state/membership.py
@@ -20,10 +20,11 @@
 PAUSE_S: Final = 3.0
 HELPERS: Final = 3
 MAX_DOUBTS: Final = 3  # suspects asked again in a period
-# With one message a period, news of a death would take seven periods to reach
-# 350 nodes; a few more, only while there is news, take three.
-PROBES: Final = 1
-PROBES_WITH_NEWS: Final = 3
+# With one probe a period and six nodes, a third of all periods would pass
+# without anyone probing a dead one. While there is news a few more go out:
+# news of a death would else take seven periods to reach 350 nodes.
+PROBES: Final = 2
+PROBES_WITH_NEWS: Final = 4
 
 
 @dataclass(frozen=True)
