--- a/tests/benchmarks/capacity_processes.py
+++ b/tests/benchmarks/capacity_processes.py
@@ -39,6 +39,7 @@
     scheduler_ms: float = 0
     gateway_mb: float = 0  # the largest of them
     scheduler_mb: float = 0
+    node_mb: float = 0  # both of a VM, without shared pages
     appends: float = 0  # a second, at the log
     log_bytes: float = 0
     done: float = 0  # requests a second
@@ -69,6 +70,11 @@
             'MB',
             [(size, use.scheduler_mb) for size, use in rows],
         ),
+        (
+            'idle node: memory of both that no other process shares',
+            'MB',
+            [(size, use.node_mb) for size, use in rows],
+        ),
     ):
         yield Series(title, 'entry VMs', unit, tuple(points), 350)
 
@@ -177,6 +183,10 @@
         tokens=rates[5],
         gateway_mb=max(_memory_mb(pid) for pid in gateways),
         scheduler_mb=max(_memory_mb(pid) for pid in schedulers),
+        node_mb=max(
+            _private_mb(gateway) + _private_mb(scheduler)
+            for gateway, scheduler in zip(gateways, schedulers, strict=True)
+        ),
     )
 
 
@@ -211,3 +221,13 @@
 def _memory_mb(pid: int) -> float:
     statm = Path(f'/proc/{pid}/statm').read_text().split()
     return int(statm[1]) * PAGE_KB / 1024
+
+
+def _private_mb(pid: int) -> float:
+    """Return what the process alone holds, without shared libraries."""
+    lines = Path(f'/proc/{pid}/smaps_rollup').read_text().splitlines()
+    return sum(
+        int(line.split()[1]) / 1024
+        for line in lines
+        if line.startswith('Private_')
+    )
