--- a/tests/benchmarks/capacity.py
+++ b/tests/benchmarks/capacity.py
@@ -29,6 +29,7 @@
         'views': (control.views,),
         'list': (control.vm_list,),
         'policy': (control.policy,),
+        'events': (control.events,),
         'requests': (processes.plain, processes.before_dispatch),
         'streams': (processes.streams,),
         'idle': (processes.idle,),
--- a/tests/benchmarks/capacity_control.py
+++ b/tests/benchmarks/capacity_control.py
@@ -1,7 +1,9 @@
 """What a scheduler's own work costs, by the size of what it works on."""
 
 import asyncio
+import gc
 import json
+import logging
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator
@@ -17,7 +19,7 @@
 from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
 from bramleybend.decisions.ownership import owners_of
 from bramleybend.decisions.quarantine import CrashBook
-from bramleybend.events import EventLog
+from bramleybend.events import KEPT_EVENTS, EventLog
 from bramleybend.gateway.view import ViewFollower
 from bramleybend.identity import Identity
 from bramleybend.metrics import make_metrics
@@ -46,6 +48,7 @@
 POOLS = (4, 8, 16, 32)
 DEPTH = 50
 MOST_ASKED = 5000
+EVENTS = (2500, 5000, 10_000, 20_000)
 MODELS = 18
 SHARDS = 4  # of a model's 67 runners: about 16 each
 RUNNERS_A_NODE = 1200 / 350
@@ -56,16 +59,19 @@
 
 def terms() -> Iterator[Series]:
     """The whole document, as it is published and fetched today."""
-    sizes, parse, memory = [], [], []
+    sizes, parse, memory, peaks = [], [], [], []
     for count in WORKSPACES:
         text = _document(count)
         sizes.append((count, len(text) / 1024))
         parse.append((count, _spent(partial(parse_terms, text, 1))))
-        memory.append((count, _memory_kb(text)))
+        held, peak = _memory_kb(text)
+        memory.append((count, held))
+        peaks.append((count, peak))
     for title, unit, points in (
         ('terms: the document', 'KB', sizes),
         ('terms: parse and validate', 'ms', parse),
         ('terms: memory of the text and the parsed terms', 'KB', memory),
+        ('terms: most memory during a parse', 'KB', peaks),
     ):
         yield Series(title, 'workspaces', unit, tuple(points), 4300)
 
@@ -104,13 +110,40 @@
     return yaml.safe_dump(declared, sort_keys=False)
 
 
-def _memory_kb(text: str) -> float:
+def _memory_kb(text: str) -> tuple[float, float]:
+    """Return what stays after a parse, and the most during it."""
     tracemalloc.start()
     kept = parse_terms(text, 1).unwrap()
+    _, peak = tracemalloc.get_traced_memory()
+    gc.collect()
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert kept.workspaces
-    return (held + len(text)) / 1024
+    assert kept.services
+    return (held + len(text)) / 1024, peak / 1024
+
+
+def events() -> Iterator[Series]:
+    """The events that a process keeps for questions about a request."""
+    points = tuple((count, _events_mb(count)) for count in EVENTS)
+    yield Series('events kept: memory', 'events', 'MB', points, KEPT_EVENTS)
+
+
+def _events_mb(count: int) -> float:
+    log = EventLog('gateway', 'a' * 16, SystemClock())
+    logging.disable(logging.CRITICAL)
+    tracemalloc.start()
+    for idx in range(count):
+        log.record(
+            'granted',
+            req=f'10.0.0.1:7001:{"a" * 16}:0i/{idx:032x}',
+            tier=3,
+            service='model-1',
+            runner='runner-domain-1-123',
+        )
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    logging.disable(logging.NOTSET)
+    return held / 1024 / 1024
 
 
 def ownership() -> Iterator[Series]:
