Let only a shard's owner start work below the highest tier

Cause: reading the spec's floor model beside the code: a VM asked in place of an unreachable owner could start lower work while that owner still told others that nothing lower runs.

--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -159,6 +159,7 @@
                 self._channels,
                 self._cfg.scheduler_port,
                 asker.ranked,
+                lambda: self.views.view_age_s,
                 self._header,
             ),
             self._clock,
--- a/bramleybend/gateway/floor_round.py
+++ b/bramleybend/gateway/floor_round.py
@@ -33,6 +33,7 @@
     channels: Channels
     port: int
     ranked: Ranked
+    view_age_s: Callable[[], float]
     header: Callable[[], Header]
 
 
@@ -68,6 +69,7 @@
             tier,
             frozenset(range(shards)),
             self._clock.monotonic(),
+            view_age=self._port.view_age_s(),
         )
         replies = await asyncio.gather(
             *(self._ask(service, tier, shard) for shard in range(shards))
--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from bramleybend.answers import Answer, not_run, quarantined
+from bramleybend.decisions.floor import grant_usable
 from bramleybend.decisions.routing import rank_shards
 from bramleybend.errors import Problem
 from bramleybend.gateway.ask import ask_message
@@ -14,7 +15,7 @@
 from bramleybend.gateway.job import Deps, Job
 from bramleybend.gateway.slots import Slot
 from bramleybend.metrics import Metric
-from bramleybend.models import Ask
+from bramleybend.models import Ask, Tier
 from bramleybend.wire.bramleybend_pb2 import AskMessage, Ended, Refused
 
 RETRY_AFTER: Final = timedelta(seconds=1)
@@ -55,19 +56,25 @@
 
     async def _usable(self, job: Job, slot: Slot) -> bool:
         """Whether the grant is still its shard owner's; else give it back."""
-        if self._deps.views.is_fresh:
+        # The highest tier is never below a floor, so for it any VM that
+        # grants will do, and bookings don't wait for an owner's succession.
+        if job.tier is min(Tier) or grant_usable(
+            granted_by=slot.owner,
+            owner=self._deps.asker.owner_of(slot.service, slot.shard),
+            view_age=self._deps.views.view_age_s,
+        ):
             self._deps.note(job, 'granted', runner=slot.runner)
             return True
         await slot.end(Ended(outcome=End.NOT_SENT))
+        await asyncio.sleep(SHED_PAUSE_S)
         return False
 
     async def _may_shed(self, job: Job) -> bool:
-        permitted = await self._deps.floors.may_shed(
+        return await self._deps.floors.may_shed(
             job.service.name,
             job.tier,
             job.service.shards,
         )
-        return permitted and self._deps.views.is_fresh
 
     async def _acquire(
         self,
--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -56,6 +56,14 @@
     header: Callable[[], Header]
 
 
+@dataclass(frozen=True)
+class Opened:
+    """A stream that its owner has answered."""
+
+    call: Hold
+    owner: Member
+
+
 class Slot:
     """A granted slot; held until `end`, through the loss of its owner."""
 
@@ -64,15 +72,18 @@
         asker: 'SlotAsker',
         ask: AskMessage,
         granted: Granted,
-        call: Hold,
+        opened: Opened,
     ) -> None:
         """Take over the stream on which the grant came."""
         self.runner = granted.runner
         self.endpoint = granted.endpoint
+        self.owner = opened.owner.incarnation
+        self.service = ask.service
+        self.shard = ask.shard
         self.preempted = asyncio.Event()
         self._asker = asker
         self._ask = ask
-        self._call = call
+        self._call = opened.call
         self._ending = False
         self._watch = asyncio.create_task(self._watch_owner())
 
@@ -119,12 +130,12 @@
         adopt = Adopt(ask=self._ask, runner=self.runner)
         while True:
             await asyncio.sleep(ADOPT_RETRY_S)
-            call = await self._asker.open(
+            opened = await self._asker.open(
                 self._ask,
                 HoldRequest(adopt=adopt),
             )
-            if call is not None:
-                self._call = call
+            if opened is not None:
+                self._call = opened.call
                 return
 
 
@@ -154,31 +165,40 @@
         could be reached.
         """
         while self._clock.monotonic() < deadline:
-            call = await self.open(ask, HoldRequest(ask=ask))
-            if call is None:
+            opened = await self.open(ask, HoldRequest(ask=ask))
+            if opened is None:
                 return Err(_no_owner(ask))
-            reply = await self._decided(call, deadline)
+            reply = await self._decided(opened.call, deadline)
             if reply is None:
                 continue
             if reply.HasField('granted'):
-                return Ok(Slot(self, ask, reply.granted, call))
+                return Ok(Slot(self, ask, reply.granted, opened))
             return Err(reply.refused)
         return Err(_out_of_time())
 
-    async def open(self, ask: AskMessage, first: HoldRequest) -> Hold | None:
+    async def open(
+        self,
+        ask: AskMessage,
+        first: HoldRequest,
+    ) -> Opened | None:
         """Open a stream with the owner that answers first in rank."""
         for owner in self.ranked(ask.service, ask.shard):
             call = await self._opened(owner, first)
             if call is not None:
-                return call
+                return Opened(call, owner)
             self._events.record(
                 'owner_unreachable',
                 ask.request_id,
                 owner=owner.vm,
             )
-            self._avoid[owner.incarnation] = self._clock.monotonic() + AVOID_S
+            self._note_unreachable(owner)
         return None
 
+    def owner_of(self, service: str, shard: int) -> str:
+        """Return the incarnation that the present view makes the owner."""
+        ranked = owners_of(service, shard, self._port.members())
+        return ranked[0].incarnation if ranked else ''
+
     def ranked(self, service: str, shard: int) -> list[Member]:
         """Return owners in rank order, those just found dead last."""
         now = self._clock.monotonic()
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -15,7 +15,6 @@
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.actions import ShardView
-from bramleybend.decisions.floor import FRESH_S
 from bramleybend.declarations import parse_terms
 from bramleybend.events import EventLog
 from bramleybend.identity import Identity
@@ -75,13 +74,13 @@
         return self._clock.monotonic() - self.view.heard_at
 
     @property
-    def is_fresh(self) -> bool:
-        """Whether the owners seen here can still be the owners.
+    def view_age_s(self) -> float:
+        """Seconds since the last view was asked for.
 
-        A grant or a floor of an owner that was replaced meanwhile would be
-        used beside those of its successor; see `decisions.floor`.
+        Owners seen in an old view may have been replaced since; see
+        `decisions.floor`.
         """
-        return self._clock.monotonic() - self._asked_at <= FRESH_S
+        return self._clock.monotonic() - self._asked_at
 
     async def follow(self) -> None:
         """Ask for views until cancelled."""
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -72,22 +72,7 @@
     async def start(self) -> None:
         """Listen, and follow list, terms and peers."""
         self._grpc = grpc.aio.server(options=SERVER_OPTIONS)
-        add_OwnerServicer_to_server(
-            OwnerService(self.shards, self._clock),
-            self._grpc,
-        )
-        add_LocalServicer_to_server(
-            ViewService(self._view_sources()),
-            self._grpc,
-        )
-        add_ControlServicer_to_server(
-            ControlService(SchedulerProcess(self), self.events),
-            self._grpc,
-        )
-        self.peers.serve(self._grpc)
-        self._grpc.add_insecure_port(
-            f'{self._cfg.address}:{self._cfg.scheduler_port}',
-        )
+        self._add_services()
         await self._grpc.start()
         self._spawn_all()
         self.events.record('started', vm=self._cfg.vm)
@@ -96,9 +81,7 @@
         """Hand every shard on, then leave."""
         self.events.record('draining')
         self.peers.leave()
-        deadline = self._clock.monotonic() + LEAVE_S
-        while self._clock.monotonic() < deadline:
-            await asyncio.sleep(LEAVE_POLL_S)
+        await asyncio.sleep(LEAVE_S)
         self.shards.release()
         await asyncio.sleep(LEAVE_POLL_S)
         for task in self._tasks:
@@ -123,6 +106,24 @@
             for shard in range(service.shards)
         ]
 
+    def _add_services(self) -> None:
+        add_OwnerServicer_to_server(
+            OwnerService(self.shards, self._clock),
+            self._grpc,
+        )
+        add_LocalServicer_to_server(
+            ViewService(self._view_sources()),
+            self._grpc,
+        )
+        add_ControlServicer_to_server(
+            ControlService(SchedulerProcess(self), self.events),
+            self._grpc,
+        )
+        self.peers.serve(self._grpc)
+        self._grpc.add_insecure_port(
+            f'{self._cfg.address}:{self._cfg.scheduler_port}',
+        )
+
     def _spawn_all(self) -> None:
         for work in (
             self.listed.watch(),
--- a/bramleybend/scheduler/messages.py
+++ b/bramleybend/scheduler/messages.py
@@ -73,18 +73,34 @@
     runners: tuple[Vm, ...]
 
 
+@dataclass(frozen=True)
+class OwnershipTaken:
+    """This VM owns the shard from now on."""
+
+
 @dataclass(frozen=True)
 class OwnershipMoved:
     """Another VM owns the shard now; every hold must move there."""
 
 
+@dataclass(frozen=True)
+class FloorState:
+    """What an owner knows of the runs below a tier.
+
+    Unless `settled`, there may be others that it has not heard of yet.
+    """
+
+    settled: bool
+    lower_running: int
+
+
 @dataclass(frozen=True)
 class FloorAsked:
     """A gateway wants to shed and asks what runs below its tier."""
 
     tier: Tier
     hold_s: float
-    reply: asyncio.Future[int]
+    reply: asyncio.Future[FloorState]
 
 
 ShardMessage = (
@@ -94,6 +110,7 @@
     | RunEnded
     | HoldLost
     | RunnersListed
+    | OwnershipTaken
     | OwnershipMoved
     | FloorAsked
 )
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -15,6 +15,7 @@
     Asked,
     FirstTokenSeen,
     FloorAsked,
+    FloorState,
     HoldChannel,
     HoldLost,
     RunEnded,
@@ -77,11 +78,15 @@
         """Start nothing lower for a while and say what runs below."""
         await refuse_other_protocol(request.header, context)
         shard = self._shards.get(request.service, request.shard)
-        if shard is None or not self._shards.settled(shard):
+        if shard is None:
             return FloorReply(settled=False)
-        reply: asyncio.Future[int] = asyncio.Future()
+        reply: asyncio.Future[FloorState] = asyncio.Future()
         shard.post(FloorAsked(Tier(request.tier), request.hold_s, reply))
-        return FloorReply(settled=True, lower_running=await reply)
+        state = await reply
+        return FloorReply(
+            settled=state.settled,
+            lower_running=state.lower_running,
+        )
 
     def _hold(self, ask: AskMessage) -> HoldChannel:
         # The same request may ask twice, after a reply was lost, so the
--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -7,7 +7,6 @@
 import asyncio
 from dataclasses import dataclass, replace
 from datetime import timedelta
-from math import inf
 from typing import Final, assert_never
 
 from bramleybend.answers import Outcome
@@ -19,21 +18,25 @@
     Refuse,
     RunnerInfo,
 )
+from bramleybend.decisions.floor import OwnerFloor
 from bramleybend.decisions.owner import (
     ShardPolicy,
 )
 from bramleybend.decisions.quarantine import CONDEMNED, CrashBook
 from bramleybend.events import EventLog
 from bramleybend.metrics import Metric, Metrics
-from bramleybend.models import RunnerState, Vm
+from bramleybend.models import RunnerState, Tier, Vm
+from bramleybend.scheduler.crash_watch import CrashWatch
 from bramleybend.scheduler.messages import (
     Adopted,
     Asked,
     FirstTokenSeen,
     FloorAsked,
+    FloorState,
     HoldChannel,
     HoldLost,
     OwnershipMoved,
+    OwnershipTaken,
     RunEnded,
     RunnersListed,
     ShardMessage,
@@ -47,9 +50,6 @@
 )
 
 IDLE_TICK_S: Final = 0.5
-# The gateways whose runs a crash took report it each on its own, after their
-# tries to resume, which take 0.6 s at most.
-SAME_CRASH_S: Final = 0.8
 
 
 @dataclass(frozen=True)
@@ -81,7 +81,9 @@
         self._inbox: asyncio.Queue[ShardMessage] = asyncio.Queue()
         self._runners: dict[str, Vm] = {}
         self._where: dict[str, str] = {}
-        self._crash_counts: dict[str, tuple[int, float]] = {}
+        self._is_owner = False
+        self._floor_promises = OwnerFloor()
+        self._crashes = CrashWatch(deps.crashes)
 
     def post(self, message: ShardMessage) -> None:
         """Hand a message over; it is taken in order."""
@@ -137,23 +139,37 @@
                 return self._lost(hold, now)
             case RunnersListed(runners):
                 return self._listed(runners, now)
+        return self._handle_ownership(message, now)
+
+    def _handle_ownership(
+        self,
+        message: OwnershipTaken | OwnershipMoved | FloorAsked,
+        now: float,
+    ) -> list[Action]:
+        match message:
+            case OwnershipTaken():
+                return self._taken(now)
             case OwnershipMoved():
                 return self._moved(now)
-            case FloorAsked(tier, hold_s, reply):
-                lower = self.policy.set_floor(tier, hold_s, now)
-                if not reply.done():
-                    reply.set_result(lower)
-                return []
+            case FloorAsked():
+                return self._floor(message, now)
         assert_never(message)
 
     # What happened
 
     def _ask(self, asked: Asked, now: float) -> list[Action]:
         self._open(asked.hold)
+        if not self._is_owner:
+            # Some gateway can't reach the owner. Two VMs that both start
+            # lower work would break the owner's floor, so this one starts
+            # only the highest tier, which is below no floor.
+            grace_s = self._floor_promises.times.grace_s
+            self.policy.set_floor(min(Tier), grace_s, now)
         ask = replace(
             asked.ask,
             request_id=asked.hold.key,
-            excluded=asked.ask.excluded | self._crashed_by(asked),
+            excluded=asked.ask.excluded
+            | self._crashes.kept_from(asked.ask.fingerprint, self._runners),
         )
         if asked.urgent:
             # The gateway will shed this request unless something lower
@@ -172,55 +188,25 @@
         runner = self._where.pop(hold.key, '')
         hold.outbox.put_nowait(None)
         if ended.report.crashed:
-            self._crashed(hold, runner, now)
-        elif ended.report.outcome == Outcome.DONE and hold.fingerprint:
-            # Only a whole run clears. A try that a restarting runner refused
-            # shows nothing, and cleared by it a poison would go on killing.
-            self._deps.crashes.finished(hold.fingerprint, now)
+            company = [
+                other.fingerprint
+                for key, other in self.holds.items()
+                if self._where.get(key) == runner
+            ]
+            few = len(self._runners) < CONDEMNED
+            self._crashes.crashed(
+                runner, [hold.fingerprint, *company], few, now
+            )
+            self._note('runner_crashed', hold, runner=runner)
+        elif ended.report.outcome == Outcome.DONE:
+            self._crashes.finished(hold.fingerprint, now)
         return self.policy.ended(hold.key, ended.report, now)
 
-    def _crashed_by(self, asked: Asked) -> frozenset[str]:
-        """Return runners that a suspect is kept from, if others are left.
-
-        Its prefix draws it to the runner it has just crashed. There it would
-        crash the same one again and again, which proves nothing against it,
-        and would never be refused.
-        """
-        crashed = self._deps.crashes.runners(asked.ask.fingerprint)
-        return crashed if self._runners.keys() - crashed else frozenset()
-
-    def _crash_name(self, runner: str, now: float) -> str:
-        """Name one crash; reports of the same one get the same name."""
-        number, at = self._crash_counts.get(runner, (0, -inf))
-        if now - at > SAME_CRASH_S:
-            number += 1
-        self._crash_counts[runner] = (number, now)
-        few = len(self._runners) < CONDEMNED
-        return f'{runner}#{number}' if few else runner
-
-    def _crashed(self, hold: HoldChannel, runner: str, now: float) -> None:
-        """Suspect all that was in flight there, whoever's fault it was."""
-        in_flight = [
-            other.fingerprint
-            for key, other in self.holds.items()
-            if self._where.get(key) == runner and other.fingerprint
-        ]
-        self._deps.crashes.crashed(
-            self._crash_name(runner, now),
-            [hold.fingerprint, *in_flight],
-            now,
-        )
-        self._deps.events.record(
-            'runner_crashed',
-            hold.request_id,
-            runner=runner,
-            in_flight=len(in_flight) + 1,
-        )
-
     def _lost(self, hold: HoldChannel, now: float) -> list[Action]:
         if self.holds.pop(hold.key, None) is None:
             return []
-        self._where.pop(hold.key, None)
+        if self._where.pop(hold.key, None) is not None:
+            self._floor_promises.lose_run(now)
         return self.policy.withdraw(hold.key, now)
 
     def _listed(self, runners: tuple[Vm, ...], now: float) -> list[Action]:
@@ -233,10 +219,26 @@
             now,
         )
 
+    def _taken(self, now: float) -> list[Action]:
+        """Begin as owner, with nothing known of the floors before."""
+        self._is_owner = True
+        self._floor_promises.taken_over_at = now
+        grace_s = self._floor_promises.times.grace_s
+        self.policy.set_floor(min(Tier), grace_s, now)
+        return []
+
+    def _floor(self, asked: FloorAsked, now: float) -> list[Action]:
+        lower = self.policy.set_floor(asked.tier, asked.hold_s, now)
+        settled = self._is_owner and self._floor_promises.settled(now)
+        if not asked.reply.done():
+            asked.reply.set_result(FloorState(settled, lower))
+        return []
+
     def _moved(self, now: float) -> list[Action]:
         """Close every stream; the gateways go to the new owner."""
         # Runs go on meanwhile. Kept here, they would be unknown to the new
         # owner, which then might say that nothing lower is being served.
+        self._is_owner = False
         actions: list[Action] = []
         for hold in tuple(self.holds.values()):
             hold.outbox.put_nowait(None)
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -7,14 +7,13 @@
 from typing import Final
 
 from bramleybend.decisions.actions import ShardView
-from bramleybend.decisions.floor import DEFAULT_TIMES
 from bramleybend.decisions.owner import make_shard_policy
 from bramleybend.decisions.ownership import owners_of, shard_of
 from bramleybend.decisions.quarantine import Verdict
-from bramleybend.models import Service, Terms, Tier, Vm
+from bramleybend.models import Service, Terms, Vm
 from bramleybend.scheduler.messages import (
-    FloorAsked,
     OwnershipMoved,
+    OwnershipTaken,
     RunnersListed,
 )
 from bramleybend.scheduler.shard_task import ShardDeps, ShardTask
@@ -70,18 +69,6 @@
             return None
         return self._create(named, shard)
 
-    def settled(self, task: ShardTask) -> bool:
-        """Whether every run of the shard must be known here by now.
-
-        After a takeover the gateways register their runs anew. Until the
-        grace is over, "nothing lower runs" might only mean "not yet heard
-        of", and a higher tier would be shed beside a lower one.
-        """
-        since = self._owned_since.get((task.service, task.shard))
-        if since is None:
-            return False
-        return self._deps.clock.monotonic() - since >= DEFAULT_TIMES.grace_s
-
     def verdict(self, fingerprint: str) -> Verdict:
         """Whether this content was in flight when runners crashed."""
         now = self._deps.clock.monotonic()
@@ -173,12 +160,7 @@
         if key not in self._tasks:
             self._create(service, shard)
         self._owned_since[key] = self._deps.clock.monotonic()
-        # The last owner's floors are not known here, so for as long as they
-        # may stand nothing but the highest tier is started.
-        unread: asyncio.Future[int] = asyncio.Future()
-        self._tasks[key].post(
-            FloorAsked(min(Tier), DEFAULT_TIMES.grace_s, unread),
-        )
+        self._tasks[key].post(OwnershipTaken())
         self._deps.events.record(
             'shard_owned',
             service=service.name,
--- a/tests/decisions/test_floor.py
+++ b/tests/decisions/test_floor.py
@@ -12,6 +12,7 @@
 from bramleybend.state.terms_rules import RENEW_EVERY_S, RenewalTimer
 
 POOL = 'bend-lm'
+SOON = HOLD_S / 2
 
 
 def permits_after(*replies: tuple[bool, int], view_age: float = 0) -> bool:
@@ -20,8 +21,8 @@
         POOL, Tier.HIGH, frozenset(range(2)), 0, view_age=view_age
     )
     for shard, (settled, lower) in enumerate(replies):
-        permits.reply(opened, shard, 1, settled=settled, lower_running=lower)
-    return permits.permit(POOL, Tier.HIGH, 1)
+        permits.reply(opened, shard, SOON, settled=settled, lower_running=lower)
+    return permits.permit(POOL, Tier.HIGH, SOON)
 
 
 def test_floor_blocks_lower_tiers_only_until_it_ends() -> None:
@@ -38,7 +39,7 @@
     owner.set_floor(Tier.HIGH, 10**6, 10)
     owner.set_floor(Tier.HIGH, 0, 10)
 
-    assert owner.blocks(Tier.BULK, 11)
+    assert owner.blocks(Tier.BULK, 10 + SOON)
     assert not owner.blocks(Tier.BULK, 10 + HOLD_S)
 
 
@@ -53,11 +54,11 @@
 def test_permit_covers_lower_tiers_of_its_service_until_its_end() -> None:
     permits = ShedPermits()
     opened = permits.begin(POOL, Tier.HIGH, frozenset({0}), 0, view_age=0)
-    permits.reply(opened, 0, 1, settled=True, lower_running=0)
+    permits.reply(opened, 0, SOON, settled=True, lower_running=0)
 
-    assert permits.permit(POOL, Tier.BULK, 1)
-    assert not permits.permit(POOL, Tier.CRITICAL, 1)
-    assert not permits.permit('briefing-llm', Tier.BULK, 1)
+    assert permits.permit(POOL, Tier.BULK, SOON)
+    assert not permits.permit(POOL, Tier.CRITICAL, SOON)
+    assert not permits.permit('briefing-llm', Tier.BULK, SOON)
     assert not permits.permit(POOL, Tier.HIGH, HOLD_S - MARGIN_S)
 
 
