--- a/tests/utils/engine_batch.py
+++ b/tests/utils/engine_batch.py
@@ -47,6 +47,7 @@
     cached_tokens: int = 0
     prefill_left: float = 0
     decoded: float = 0
+    cuts: int = 0  # how often its stream was broken off as a fault
     admitted_at: float = field(default_factory=time.time)
     started_at: float = 0  # wall time, to hold against logged events
     ended_at: float = 0
