--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from bramleybend.decisions.actions import ShardView
-from bramleybend.decisions.floor import ADOPTION_GRACE_S
+from bramleybend.decisions.floor import DEFAULT_TIMES
 from bramleybend.decisions.owner import make_shard_policy
 from bramleybend.decisions.ownership import owners_of, shard_of
 from bramleybend.decisions.quarantine import Verdict
@@ -80,7 +80,7 @@
         since = self._owned_since.get((task.service, task.shard))
         if since is None:
             return False
-        return self._deps.clock.monotonic() - since >= ADOPTION_GRACE_S
+        return self._deps.clock.monotonic() - since >= DEFAULT_TIMES.grace_s
 
     def verdict(self, fingerprint: str) -> Verdict:
         """Whether this content was in flight when runners crashed."""
@@ -177,7 +177,7 @@
         # may stand nothing but the highest tier is started.
         unread: asyncio.Future[int] = asyncio.Future()
         self._tasks[key].post(
-            FloorAsked(min(Tier), ADOPTION_GRACE_S, unread),
+            FloorAsked(min(Tier), DEFAULT_TIMES.grace_s, unread),
         )
         self._deps.events.record(
             'shard_owned',
