--- a/tests/utils/cluster.py
+++ b/tests/utils/cluster.py
@@ -50,6 +50,7 @@
     plain_latencies_ms: Sequence[float] = (20, 20)
     seed: int = 0
     log_level: str = 'INFO'
+    flags: Sequence[str] = ()  # more of the programs' own flags
 
 
 @dataclass(frozen=True)
@@ -253,5 +254,6 @@
             vm_list=list_relay.url,
             statsd=f'{self.ip(STATSD_HOST)}:8125',
             log_level=self.layout.log_level,
+            more_flags=self.layout.flags,
         )
         return EntryVm(settings, self.run_dir, log_relay, list_relay)
--- a/tests/utils/entry_vm.py
+++ b/tests/utils/entry_vm.py
@@ -1,6 +1,7 @@
 """One entry VM: a gateway and a scheduler process at one address."""
 
 import signal
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
@@ -29,6 +30,7 @@
     vm_list: str
     statsd: str
     log_level: str = 'INFO'
+    more_flags: Sequence[str] = ()
 
     def flags(self) -> list[str]:
         """Return the flags that both programs take."""
@@ -43,7 +45,8 @@
             '--statsd': self.statsd,
             '--log-level': self.log_level,
         }
-        return [word for pair in pairs.items() for word in pair]
+        words = [word for pair in pairs.items() for word in pair]
+        return [*words, *self.more_flags]
 
 
 class EntryVm:
