Tell the floor's round how old the view is; count runs that left

Change: the gateway passes the age of the owners it sees; a shard's task notes runs that left without an end and its owner is not settled for a grace; SetFloor reads 'settled' after the count, not before. OwnerFloor is now Settling: its floors stood twice, ShardPolicy holds them, and the conformance test replays against ShardPolicy.

--- a/bramleybend/decisions/floor.py
+++ b/bramleybend/decisions/floor.py
@@ -12,7 +12,7 @@
 rate by up to 4 per cent over hold and grace; real ones by far less.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from bramleybend.models import Tier
@@ -46,11 +46,14 @@
 
 
 @dataclass
-class OwnerFloor:
-    """An owner's promises about one shard, on its own monotonic clock.
+class Settling:
+    """Whether an owner knows all that runs on its shard, by its own clock.
 
     `taken_over_at` is None for the owner that a new service starts with.
-    `watches_load` is for shards whose runners report their load.
+    `watches_load` is for shards whose runners report their load. What the
+    owner may start is told by the floors of its `ShardPolicy`; a new owner,
+    which doesn't know the floors that were set before, sets one of the
+    highest tier for `grace_s`.
     """
 
     taken_over_at: float | None = None
@@ -58,12 +61,6 @@
     times: FloorTimes = DEFAULT_TIMES
     _accounted: bool = False
     _lost_until: float | None = None
-    _until: dict[Tier, float] = field(default_factory=dict)
-
-    def set_floor(self, tier: Tier, hold_s: float, now: float) -> None:
-        """Start nothing below `tier` until `hold_s` from receipt."""
-        until = now + min(hold_s, self.times.hold_s)
-        self._until[tier] = max(until, self._until.get(tier, until))
 
     def note_load(self, surplus: int, taken_at: float) -> None:
         """Note how many runs the shard's runners report that are unknown.
@@ -87,18 +84,6 @@
         """
         self._lost_until = now + self.times.grace_s
 
-    def blocks(self, tier: Tier, now: float) -> bool:
-        """Whether a request of `tier` may not be started now.
-
-        A new owner doesn't know the floors that its predecessor set, so it
-        starts nothing but the highest tier until all of them have run out.
-        """
-        if self._is_new(now):
-            return tier > min(Tier)
-        return any(
-            floor < tier and now < until for floor, until in self._until.items()
-        )
-
     def settled(self, now: float) -> bool:
         """Whether this owner knows all that runs on the shard."""
         if self._lost_until is not None and now < self._lost_until:
@@ -107,13 +92,7 @@
             return True
         if self.watches_load:
             return self._accounted
-        return not self._is_new(now)
-
-    def _is_new(self, now: float) -> bool:
-        return (
-            self.taken_over_at is not None
-            and now < self.taken_over_at + self.times.grace_s
-        )
+        return now >= self.taken_over_at + self.times.grace_s
 
 
 def grant_usable(
--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -160,6 +160,7 @@
                 self._cfg.scheduler_port,
                 asker.ranked,
                 self._header,
+                lambda: self.views.owners_age_s,
             ),
             self._clock,
         )
--- a/bramleybend/gateway/floor_round.py
+++ b/bramleybend/gateway/floor_round.py
@@ -34,6 +34,7 @@
     port: int
     ranked: Ranked
     header: Callable[[], Header]
+    view_age: Callable[[], float]
 
 
 class FloorRounds:
@@ -68,6 +69,7 @@
             tier,
             frozenset(range(shards)),
             self._clock.monotonic(),
+            view_age=self._port.view_age(),
         )
         replies = await asyncio.gather(
             *(self._ask(service, tier, shard) for shard in range(shards))
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -74,6 +74,11 @@
         """Seconds since the system was last heard of."""
         return self._clock.monotonic() - self.view.heard_at
 
+    @property
+    def owners_age_s(self) -> float:
+        """Seconds since the owners seen here were asked for."""
+        return self._clock.monotonic() - self._asked_at
+
     @property
     def is_fresh(self) -> bool:
         """Whether the owners seen here can still be the owners.
@@ -81,7 +86,7 @@
         A grant or a floor of an owner that was replaced meanwhile would be
         used beside those of its successor; see `decisions.floor`.
         """
-        return self._clock.monotonic() - self._asked_at <= FRESH_S
+        return self.owners_age_s < FRESH_S
 
     async def follow(self) -> None:
         """Ask for views until cancelled."""
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -81,7 +81,11 @@
             return FloorReply(settled=False)
         reply: asyncio.Future[int] = asyncio.Future()
         shard.post(FloorAsked(Tier(request.tier), request.hold_s, reply))
-        return FloorReply(settled=True, lower_running=await reply)
+        lower = await reply
+        # A run may have left while the question was in the queue: then it is
+        # neither counted here nor, perhaps, known to the next owner yet.
+        settled = self._shards.settled(shard)
+        return FloorReply(settled=settled, lower_running=lower)
 
     def _hold(self, ask: AskMessage) -> HoldChannel:
         # The same request may ask twice, after a reply was lost, so the
--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -19,6 +19,7 @@
     Refuse,
     RunnerInfo,
 )
+from bramleybend.decisions.floor import Settling
 from bramleybend.decisions.owner import (
     ShardPolicy,
 )
@@ -77,6 +78,7 @@
         self.shard = shard
         self.policy = policy
         self.holds: dict[str, HoldChannel] = {}
+        self.settling = Settling()
         self._deps = deps
         self._inbox: asyncio.Queue[ShardMessage] = asyncio.Queue()
         self._runners: dict[str, Vm] = {}
@@ -220,7 +222,8 @@
     def _lost(self, hold: HoldChannel, now: float) -> list[Action]:
         if self.holds.pop(hold.key, None) is None:
             return []
-        self._where.pop(hold.key, None)
+        if self._where.pop(hold.key, None) is not None:
+            self.settling.lose_run(now)
         return self.policy.withdraw(hold.key, now)
 
     def _listed(self, runners: tuple[Vm, ...], now: float) -> list[Action]:
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -77,10 +77,8 @@
         grace is over, "nothing lower runs" might only mean "not yet heard
         of", and a higher tier would be shed beside a lower one.
         """
-        since = self._owned_since.get((task.service, task.shard))
-        if since is None:
-            return False
-        return self._deps.clock.monotonic() - since >= DEFAULT_TIMES.grace_s
+        owned = (task.service, task.shard) in self._owned_since
+        return owned and task.settling.settled(self._deps.clock.monotonic())
 
     def verdict(self, fingerprint: str) -> Verdict:
         """Whether this content was in flight when runners crashed."""
@@ -173,6 +171,7 @@
         if key not in self._tasks:
             self._create(service, shard)
         self._owned_since[key] = self._deps.clock.monotonic()
+        self._tasks[key].settling.taken_over_at = self._owned_since[key]
         # The last owner's floors are not known here, so for as long as they
         # may stand nothing but the highest tier is started.
         unread: asyncio.Future[int] = asyncio.Future()
--- a/tests/decisions/test_floor.py
+++ b/tests/decisions/test_floor.py
@@ -4,7 +4,7 @@
     FRESH_S,
     HOLD_S,
     MARGIN_S,
-    OwnerFloor,
+    Settling,
     ShedPermits,
     grant_usable,
 )
@@ -12,6 +12,7 @@
 from bramleybend.state.terms_rules import RENEW_EVERY_S, RenewalTimer
 
 POOL = 'bend-lm'
+SOON = (HOLD_S - MARGIN_S) / 2
 
 
 def permits_after(*replies: tuple[bool, int], view_age: float = 0) -> bool:
@@ -20,26 +21,8 @@
         POOL, Tier.HIGH, frozenset(range(2)), 0, view_age=view_age
     )
     for shard, (settled, lower) in enumerate(replies):
-        permits.reply(opened, shard, 1, settled=settled, lower_running=lower)
-    return permits.permit(POOL, Tier.HIGH, 1)
-
-
-def test_floor_blocks_lower_tiers_only_until_it_ends() -> None:
-    owner = OwnerFloor()
-    owner.set_floor(Tier.HIGH, HOLD_S, 10)
-
-    assert owner.blocks(Tier.NORMAL, 10 + HOLD_S - MARGIN_S)
-    assert not owner.blocks(Tier.HIGH, 10)
-    assert not owner.blocks(Tier.BULK, 10 + HOLD_S)
-
-
-def test_shorter_or_absurd_hold_neither_shortens_nor_wedges_a_floor() -> None:
-    owner = OwnerFloor()
-    owner.set_floor(Tier.HIGH, 10**6, 10)
-    owner.set_floor(Tier.HIGH, 0, 10)
-
-    assert owner.blocks(Tier.BULK, 11)
-    assert not owner.blocks(Tier.BULK, 10 + HOLD_S)
+        permits.reply(opened, shard, SOON, settled=settled, lower_running=lower)
+    return permits.permit(POOL, Tier.HIGH, SOON)
 
 
 def test_every_owner_must_agree() -> None:
@@ -53,11 +36,11 @@
 def test_permit_covers_lower_tiers_of_its_service_until_its_end() -> None:
     permits = ShedPermits()
     opened = permits.begin(POOL, Tier.HIGH, frozenset({0}), 0, view_age=0)
-    permits.reply(opened, 0, 1, settled=True, lower_running=0)
+    permits.reply(opened, 0, SOON, settled=True, lower_running=0)
 
-    assert permits.permit(POOL, Tier.BULK, 1)
-    assert not permits.permit(POOL, Tier.CRITICAL, 1)
-    assert not permits.permit('briefing-llm', Tier.BULK, 1)
+    assert permits.permit(POOL, Tier.BULK, SOON)
+    assert not permits.permit(POOL, Tier.CRITICAL, SOON)
+    assert not permits.permit('briefing-llm', Tier.BULK, SOON)
     assert not permits.permit(POOL, Tier.HIGH, HOLD_S - MARGIN_S)
 
 
@@ -69,16 +52,15 @@
     assert not permits.permit(POOL, Tier.HIGH, HOLD_S)
 
 
-def test_new_owner_starts_the_highest_tier_only() -> None:
-    owner = OwnerFloor(taken_over_at=5)
+def test_new_owner_settles_after_the_grace() -> None:
+    owner = Settling(taken_over_at=5)
 
-    assert owner.blocks(Tier.HIGH, 6)
-    assert not owner.blocks(Tier.CRITICAL, 6)
-    assert not owner.blocks(Tier.BULK, 5 + owner.times.grace_s)
+    assert not owner.settled(5 + owner.times.fresh_s)
+    assert owner.settled(5 + owner.times.grace_s)
 
 
 def test_owner_of_engines_settles_by_a_load_report_after_the_fence() -> None:
-    owner = OwnerFloor(taken_over_at=0, watches_load=True)
+    owner = Settling(taken_over_at=0, watches_load=True)
     owner.note_load(0, FRESH_S)
     assert not owner.settled(100)
     owner.note_load(1, FRESH_S + MARGIN_S)
@@ -89,7 +71,7 @@
 
 
 def test_run_that_left_without_end_unsettles_its_owner() -> None:
-    owner = OwnerFloor()
+    owner = Settling()
     owner.lose_run(10)
 
     assert not owner.settled(10)
--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -12,13 +12,15 @@
 from result import Ok
 
 from bramleybend.clients.log_service import LogRecord
+from bramleybend.decisions.actions import Grant, RunnerInfo
 from bramleybend.decisions.floor import (
     FloorTimes,
-    OwnerFloor,
     Round,
+    Settling,
     ShedPermits,
 )
-from bramleybend.models import Tier
+from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
+from bramleybend.models import Ask, Service, ServiceKind, Tier
 from bramleybend.state.journal_rules import HomeJournal, JournalView, NotRun
 from bramleybend.state.terms_rules import TermsLog
 from spec import dispatch, floor, terms
@@ -27,6 +29,18 @@
 SEEDS = range(150)
 STEPS = 40
 TIMES = FloorTimes(floor.HOLD, floor.MARGIN, floor.FRESH)
+POOL = Service('bend-lm', ServiceKind.ENGINE, slots=2, shards=2)
+LOWER = Ask(
+    request_id='draft',
+    service=POOL.name,
+    tier=Tier.NORMAL,
+    workspace='sofia',
+    cost=1,
+    prompt_tokens=1,
+    prefixes=(),
+    deadline=10**6,
+    cancellable=True,
+)
 
 
 def walk(model: Model, seed: int) -> Iterator[tuple[str, Any, Any]]:
@@ -105,7 +119,8 @@
     def __init__(self, *, load: bool) -> None:
         self.load = load
         self.now = float(0)
-        self.owners = [OwnerFloor(times=TIMES) for _ in range(3)]
+        self.owners = [Settling(times=TIMES) for _ in range(3)]
+        self.policies = [make_policy() for _ in range(3)]
         self.permits = ShedPermits(TIMES)
         self.round: Round | None = None
         self.old: list[Round] = []
@@ -115,11 +130,13 @@
             self.now += 1
         elif label == 'B takes shard 1 over':
             # Owners' clocks are fast, by as much as the model lets them be.
-            self.owners[2] = OwnerFloor(
+            self.owners[2] = Settling(
                 self.now - floor.DRIFT,
                 watches_load=self.load,
                 times=TIMES,
             )
+            hold_s = TIMES.grace_s - floor.DRIFT
+            self.policies[2].set_floor(min(Tier), hold_s, self.now)
         elif label == 'the run is registered with B':
             self.owners[1].lose_run(self.now - floor.DRIFT)
         elif label == 'a load report shows no surplus':
@@ -127,8 +144,8 @@
         elif label == 'the caller opens a round':
             self.open_round(before)
         elif label.startswith('owner'):
-            owner = self.owners['0AB'.index(label.split()[1])]
-            owner.set_floor(Tier.HIGH, floor.HOLD - floor.DRIFT, self.now)
+            policy = self.policies['0AB'.index(label.split()[1])]
+            policy.set_floor(Tier.HIGH, floor.HOLD - floor.DRIFT, self.now)
         elif label.startswith('reply') and self.round:
             shard = int(label.split()[3])
             agrees = before.asked[shard] == 'ok'
@@ -143,7 +160,7 @@
         if self.round:
             self.old.append(self.round)
         self.round = self.permits.begin(
-            'bend-lm',
+            POOL.name,
             Tier.HIGH,
             frozenset({0, 1}),
             self.now,
@@ -160,18 +177,31 @@
         )
 
     def compare(self, state: floor.State) -> None:
-        zero, first, second = self.owners
-        permit = self.permits.permit('bend-lm', Tier.HIGH, self.now)
+        _, first, second = self.owners
+        permit = self.permits.permit(POOL.name, Tier.HIGH, self.now)
         assert permit == bool(state.permit)
-        assert zero.blocks(Tier.NORMAL, self.now) == bool(state.floors[0])
-        assert first.blocks(Tier.NORMAL, self.now) == bool(state.floors[1])
+        assert self.starts(0) == (not state.floors[0])
+        assert self.starts(1) == (not state.floors[1])
         assert first.settled(self.now) == (not state.lost_run)
         if state.taken:
-            blocked = bool(state.grace or state.floors[2])
-            assert second.blocks(Tier.NORMAL, self.now) == blocked
+            assert self.starts(2) == (not (state.grace or state.floors[2]))
             known = state.load_clear if self.load else not state.grace
             assert second.settled(self.now) == known
 
+    def starts(self, owner: int) -> bool:
+        """Whether the owner would start a request of the lower tier."""
+        policy = self.policies[owner]
+        actions = policy.ask(LOWER, self.now)
+        policy.withdraw(LOWER.request_id, self.now)
+        return any(isinstance(action, Grant) for action in actions)
+
+
+def make_policy() -> ShardPolicy:
+    policy = make_shard_policy(POOL, random.Random(1))
+    # Listed long before the first ask, so that slow start is over.
+    policy.runners([RunnerInfo('engine-1')], -100)
+    return policy
+
 
 @pytest.mark.parametrize(
     'model',
