--- a/examples/caller.py
+++ b/examples/caller.py
@@ -28,9 +28,7 @@
     return [], ''
 
 
-def post(
-    addresses: list[str], headers: dict[str, str], body: bytes
-) -> tuple[str, bytes]:
+def post(addresses: list[str], headers: dict[str, str], body: bytes) -> Told:
     """Send one id until an answer comes whole, to whichever address."""
     for address in addresses * 3:
         req = Request(f'http://{address}/v1/requests', body, headers)
