--- a/tests/benchmarks/capacity.py
+++ b/tests/benchmarks/capacity.py
@@ -15,6 +15,7 @@
 from tests.benchmarks import capacity_control as control
 from tests.benchmarks import capacity_gossip as gossip
 from tests.benchmarks import capacity_processes as processes
+from tests.benchmarks.capacity_many import many
 from tests.benchmarks.slopes import Series
 
 Measure = Callable[[], Iterator[Series]]
@@ -33,6 +34,7 @@
         'requests': (processes.plain, processes.before_dispatch),
         'streams': (processes.streams,),
         'idle': (processes.idle,),
+        'many': (many,),
     },
 )
 
--- /dev/null
+++ b/tests/benchmarks/capacity_many.py
@@ -0,0 +1,164 @@
+"""Many real schedulers on loopback: what an idle one costs among n.
+
+The rest of the system is left out: no gateways, no requests. So the slopes are
+those of gossip, the VM list and ownership alone.
+"""
+
+import asyncio
+import json
+import tempfile
+import time
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import grpc
+
+from bramleybend.clients.log_service import TERMS_STREAM
+from bramleybend.clients.vm_list import ENTRY_SERVICE
+from bramleybend.models import RunnerState, Vm
+from bramleybend.wire.bramleybend_pb2 import StatusRequest
+from bramleybend.wire.bramleybend_pb2_grpc import ControlStub
+from tests.benchmarks.capacity_processes import (
+    memory_mb,
+    private_mb,
+    spent_ms,
+)
+from tests.benchmarks.slopes import Series
+from tests.utils.cluster import EXAMPLE, PLATFORM_PORT, free_prefix
+from tests.utils.entry_vm import SCHEDULER, SCHEDULER_PORT, VmSettings
+from tests.utils.log_service import LogService
+from tests.utils.processes import Process
+from tests.utils.vm_list import VmListService
+from tests.utils.waiting import wait_until
+
+SIZES = (12, 25, 50, 100)
+FIRST_HOST = 11
+BATCH = 10  # processes started at once
+WARM_S = 30  # past the first ten seconds, in which the list counts too
+MEASURED_S = 10
+ASKED = 5  # nodes that are asked what they hold of the killed one
+LIMIT_S = 60
+
+
+def many() -> Iterator[Series]:
+    """Processor time, memory and detection by the number of schedulers."""
+    rows = [(size, *asyncio.run(_measured(size))) for size in SIZES]
+    titles = (
+        ('real idle schedulers: processor time of one', 'ms/s'),
+        ('real idle schedulers: resident memory of one', 'MB'),
+        ('real idle schedulers: private memory of one', 'MB'),
+        (f'real schedulers: {ASKED} others hold a killed one dead', 's'),
+    )
+    for column, (title, unit) in enumerate(titles, start=1):
+        points = tuple((row[0], row[column]) for row in rows)
+        yield Series(title, 'schedulers', unit, points, 350)
+
+
+async def _measured(size: int) -> tuple[float, float, float, float]:
+    async with _schedulers(size) as (addresses, processes):
+        await asyncio.sleep(WARM_S)
+        pids = [process.pid for process in processes]
+        before = sum(spent_ms(pid) for pid in pids)
+        await asyncio.sleep(MEASURED_S)
+        spent = sum(spent_ms(pid) for pid in pids) - before
+        resident = max(memory_mb(pid) for pid in pids)
+        private = max(private_mb(pid) for pid in pids)
+        noticed = await _noticed_s(addresses, processes)
+        return spent / MEASURED_S / size, resident, private, noticed
+
+
+async def _noticed_s(addresses: list[str], processes: list[Process]) -> float:
+    await processes[0].kill()
+    killed = time.monotonic()
+    for address in addresses[1 : ASKED + 1]:
+        await wait_until(
+            lambda: _holds_dead(address, addresses[0]),  # noqa: B023
+            f'{address} holds the killed one dead',
+            LIMIT_S,
+        )
+    return time.monotonic() - killed
+
+
+async def _holds_dead(address: str, victim: str) -> bool:
+    endpoint = f'{address}:{SCHEDULER_PORT}'
+    async with grpc.aio.insecure_channel(endpoint) as channel:
+        reply = await ControlStub(channel).Status(StatusRequest(), timeout=5)
+    states = {
+        member['address']: member['state']
+        for member in json.loads(reply.json)['members']
+    }
+    return states.get(victim) == 'dead'
+
+
+@asynccontextmanager
+async def _schedulers(
+    size: int,
+) -> AsyncIterator[tuple[list[str], list[Process]]]:
+    prefix = free_prefix()
+    log = LogService(f'{prefix}.2', PLATFORM_PORT)
+    vm_list = VmListService(f'{prefix}.3', PLATFORM_PORT)
+    addresses = [f'{prefix}.{FIRST_HOST + index}' for index in range(size)]
+    await log.start()
+    await vm_list.start()
+    vm_list.put([_vm(addr, idx) for idx, addr in enumerate(addresses)])
+    log.append(TERMS_STREAM, [_publish()])
+    processes: list[Process] = []
+    with tempfile.TemporaryDirectory() as run_dir:
+        try:
+            for index, address in enumerate(addresses):
+                settings = VmSettings(
+                    f'entry-{index}',
+                    f'domain-{index % 7}',
+                    address,
+                    log.url,
+                    vm_list.url,
+                    f'{prefix}.4:8125',
+                )
+                process = Process(
+                    f'scheduler-{index}',
+                    [SCHEDULER, *settings.flags()],
+                    Path(run_dir) / f'{index}.log',
+                )
+                processes.append(process)
+                await process.start()
+                if index % BATCH == BATCH - 1:
+                    await _started(processes[-1])
+            yield addresses, processes
+        finally:
+            for process in processes:
+                await process.kill()
+            await log.stop()
+            await vm_list.stop()
+
+
+async def _started(process: Process) -> None:
+    await wait_until(
+        lambda: 'event=started' in process.log_text(),
+        f'{process.name} started',
+        LIMIT_S,
+    )
+
+
+def _vm(address: str, index: int) -> Vm:
+    return Vm(
+        f'entry-{index}',
+        address,
+        SCHEDULER_PORT,
+        ENTRY_SERVICE,
+        f'domain-{index % 7}',
+        RunnerState.LIVE,
+    )
+
+
+def _publish() -> str:
+    return json.dumps(
+        {
+            'v': 1,
+            'kind': 'publish',
+            'publish_id': 'capacity',
+            'base': 0,
+            'document': EXAMPLE.read_text(),
+            'by': 'capacity',
+        },
+    )
--- a/tests/benchmarks/capacity_processes.py
+++ b/tests/benchmarks/capacity_processes.py
@@ -181,10 +181,10 @@
         log_bytes=rates[3],
         done=rates[4],
         tokens=rates[5],
-        gateway_mb=max(_memory_mb(pid) for pid in gateways),
-        scheduler_mb=max(_memory_mb(pid) for pid in schedulers),
+        gateway_mb=max(memory_mb(pid) for pid in gateways),
+        scheduler_mb=max(memory_mb(pid) for pid in schedulers),
         node_mb=max(
-            _private_mb(gateway) + _private_mb(scheduler)
+            private_mb(gateway) + private_mb(scheduler)
             for gateway, scheduler in zip(gateways, schedulers, strict=True)
         ),
     )
@@ -203,27 +203,27 @@
         for record in cluster.log.records(name)
     )
     return (
-        sum(_spent_ms(pid) for pid in gateways),
-        sum(_spent_ms(pid) for pid in schedulers),
+        sum(spent_ms(pid) for pid in gateways),
+        sum(spent_ms(pid) for pid in schedulers),
         cluster.log.appends,
         written,
         *served(),
     )
 
 
-def _spent_ms(pid: int) -> float:
+def spent_ms(pid: int) -> float:
     stat = Path(f'/proc/{pid}/stat').read_text()
     # Fields 14 and 15, counted after the name, which may hold spaces.
     fields = stat.rpartition(')')[2].split()
     return 1000 * (int(fields[11]) + int(fields[12])) / TICKS
 
 
-def _memory_mb(pid: int) -> float:
+def memory_mb(pid: int) -> float:
     statm = Path(f'/proc/{pid}/statm').read_text().split()
     return int(statm[1]) * PAGE_KB / 1024
 
 
-def _private_mb(pid: int) -> float:
+def private_mb(pid: int) -> float:
     """Return what the process alone holds, without shared libraries."""
     lines = Path(f'/proc/{pid}/smaps_rollup').read_text().splitlines()
     return sum(
