--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -32,12 +32,12 @@
 from bramleybend.settings import Settings
 from bramleybend.state.id_table import IdTable
 from bramleybend.state.tickets import Ticket
-from bramleybend.wire.bramleybend_pb2 import Header
 from bramleybend.wire.bramleybend_pb2_grpc import (
     add_ControlServicer_to_server,
     add_HomeServicer_to_server,
 )
-from bramleybend.wire.channels import PROTOCOL, SERVER_OPTIONS, Channels
+from bramleybend.wire.channels import SERVER_OPTIONS, Channels
+from bramleybend.wire.headers import Headers
 
 DRAIN_POLL_S: Final = 0.05
 
@@ -50,14 +50,20 @@
         self.stopping = asyncio.Event()
         self.events = EventLog('gateway', identity.incarnation, clock)
         self._cfg = cfg
-        self._identity = identity
+        self.identity = identity
         self._clock = clock
         self._tasks: list[asyncio.Task[Any]] = []
         self._channels = Channels()
         self._log = make_http_log(cfg.log_service)
         self._metrics = make_metrics(cfg.statsd, cfg.vm)
-        self.views = ViewFollower(
+        self._headers = Headers(
             identity,
+            self.events,
+            lambda: self.views.terms_version,
+        )
+        self.views = ViewFollower(
+            self._headers,
+            str(cfg.address),
             cfg.scheduler_port,
             self._channels,
             clock,
@@ -78,7 +84,11 @@
         )
         self._grpc = grpc.aio.server(options=SERVER_OPTIONS)
         add_HomeServicer_to_server(
-            HomeService(self.intake.take_forwarded, self._clock),
+            HomeService(
+                self.intake.take_forwarded,
+                self._clock,
+                self._headers,
+            ),
             self._grpc,
         )
         add_ControlServicer_to_server(
@@ -116,15 +126,6 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
-    def _header(self) -> Header:
-        terms = self.views.view.terms
-        return Header(
-            protocol=PROTOCOL,
-            vm=self._identity.vm,
-            incarnation=self._identity.incarnation,
-            terms_version=terms.version if terms else 0,
-        )
-
     def _addresses(self) -> list[str]:
         others = [
             member.address
@@ -148,7 +149,7 @@
                 self._channels,
                 self._cfg.scheduler_port,
                 lambda: self.views.view.members,
-                self._header,
+                self._headers,
             ),
             self._clock,
             self.events,
@@ -160,7 +161,7 @@
                 self._cfg.scheduler_port,
                 asker.ranked,
                 lambda: self.views.view_age_s,
-                self._header,
+                self._headers,
             ),
             self._clock,
         )
@@ -176,7 +177,7 @@
 
     def _make_intake(self) -> Intake:
         forwarder = Forwarder(
-            ForwardPort(self._channels, self._header, self._is_member),
+            ForwardPort(self._channels, self._headers, self._is_member),
             LostHomes(self._log, self._cfg.vm, self.events),
             self._clock,
             self.events,
@@ -229,10 +230,12 @@
     def status(self) -> dict[str, object]:
         """Return the fields of docs/operators/CTL.md."""
         gateway = self._gateway
-        terms = gateway.views.view.terms
         return {
             'process': 'gateway',
-            'terms_version': terms.version if terms else 0,
+            'vm': gateway.identity.vm,
+            'incarnation': gateway.identity.incarnation,
+            'domain': gateway.identity.domain,
+            'terms_version': gateway.views.terms_version,
             'terms_age_s': gateway.views.age_s,
             'draining': gateway.intake.draining,
             'in_flight': gateway.intake.in_flight,
--- a/bramleybend/gateway/floor_round.py
+++ b/bramleybend/gateway/floor_round.py
@@ -17,9 +17,10 @@
 from bramleybend.decisions.floor import HOLD_S, ShedPermits
 from bramleybend.models import Tier
 from bramleybend.state.member import Member
-from bramleybend.wire.bramleybend_pb2 import FloorReply, FloorRequest, Header
+from bramleybend.wire.bramleybend_pb2 import FloorReply, FloorRequest
 from bramleybend.wire.bramleybend_pb2_grpc import OwnerStub
 from bramleybend.wire.channels import Channels
+from bramleybend.wire.headers import Headers
 
 FLOOR_TIMEOUT_S: Final = 1.0
 
@@ -34,7 +35,7 @@
     port: int
     ranked: Ranked
     view_age_s: Callable[[], float]
-    header: Callable[[], Header]
+    headers: Headers
 
 
 class FloorRounds:
@@ -95,7 +96,7 @@
             return None
         endpoint = f'{owners[0].address}:{self._port.port}'
         request = FloorRequest(
-            header=self._port.header(),
+            header=self._port.headers.make(),
             service=service,
             tier=tier,
             shard=shard,
@@ -109,4 +110,5 @@
             )
         except grpc.aio.AioRpcError:
             return None
+        self._port.headers.observe(reply.header)
         return reply
--- a/bramleybend/gateway/forwarding.py
+++ b/bramleybend/gateway/forwarding.py
@@ -24,11 +24,11 @@
     ForwardHead,
     ForwardReply,
     ForwardRequest,
-    Header,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import HomeServicer, HomeStub
 from bramleybend.wire.channels import Channels
-from bramleybend.wire.check import Context, refuse_other_protocol
+from bramleybend.wire.check import Context
+from bramleybend.wire.headers import Headers
 
 FIRST_WORD_S: Final = 2.0
 STRANGER: Final = grpc.StatusCode.NOT_FOUND
@@ -41,7 +41,7 @@
     """What is needed to speak to other homes."""
 
     channels: Channels
-    header: Callable[[], Header]
+    headers: Headers
     is_member: Callable[[str], bool]
 
 
@@ -93,6 +93,7 @@
         while isinstance(reply, ForwardReply):
             kind = reply.WhichOneof('body')
             if kind == 'head':
+                self._port.headers.observe(reply.head.header)
                 run.content_type = reply.head.content_type
             elif kind == 'data':
                 run.add(reply.data)
@@ -112,7 +113,7 @@
 
     def _message(self, req: RequestBody) -> ForwardRequest:
         return ForwardRequest(
-            header=self._port.header(),
+            header=self._port.headers.make(),
             request_id=req.request_id,
             workspace=req.workspace,
             service=req.service,
@@ -125,8 +126,14 @@
 class HomeService(HomeServicer):
     """The home's end: answers as if the caller had come here."""
 
-    def __init__(self, submit: Submit, clock: Clock) -> None:
+    def __init__(
+        self,
+        submit: Submit,
+        clock: Clock,
+        headers: Headers,
+    ) -> None:
         """Take requests in by `submit`, which knows this VM's homes."""
+        self._headers = headers
         self._submit = submit
         self._clock = clock
 
@@ -136,7 +143,7 @@
         context: Context,
     ) -> AsyncIterator[ForwardReply]:
         """Run or join a request and pass its answer on as it grows."""
-        await refuse_other_protocol(request.header, context)
+        await self._headers.accept(request.header, context)
         submitted = self._submit(self._request(request))
         if submitted is None:
             await context.abort(
@@ -146,15 +153,34 @@
             )
             return
         if isinstance(submitted, Answer):
+            yield ForwardReply(head=ForwardHead(header=self._headers.make()))
             yield ForwardReply(end=_head_of(submitted))
             return
         with submitted.followed():
             try:
-                async for reply in _replies(submitted):
+                async for reply in self._replies(submitted):
                     yield reply
             except TornError:
                 return
 
+    async def _replies(self, run: Run) -> AsyncIterator[ForwardReply]:
+        # The head goes first and at once: a home that stays silent is frozen or
+        # cut off, and the forwarding VM would wait on it for nothing.
+        yield ForwardReply(head=ForwardHead(header=self._headers.make()))
+        await run.begun()
+        yield ForwardReply(
+            head=ForwardHead(
+                header=self._headers.make(),
+                content_type=run.content_type,
+            ),
+        )
+        async for chunk in run.follow():
+            yield ForwardReply(data=chunk)
+        answer = await run.settled()
+        head = _head_of(answer)
+        head.content_type = run.content_type
+        yield ForwardReply(end=head)
+
     def _request(self, request: ForwardRequest) -> RequestBody:
         return RequestBody(
             request_id=request.request_id,
@@ -168,20 +194,6 @@
         )
 
 
-async def _replies(run: Run) -> AsyncIterator[ForwardReply]:
-    # The head goes first and at once: a home that stays silent is frozen or
-    # cut off, and the forwarding VM would wait on it for nothing.
-    yield ForwardReply(head=ForwardHead())
-    await run.begun()
-    yield ForwardReply(head=ForwardHead(content_type=run.content_type))
-    async for chunk in run.follow():
-        yield ForwardReply(data=chunk)
-    answer = await run.settled()
-    head = _head_of(answer)
-    head.content_type = run.content_type
-    yield ForwardReply(end=head)
-
-
 def _head_of(answer: Answer) -> ForwardHead:
     after = answer.retry_after
     return ForwardHead(
--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -26,13 +26,13 @@
     Ended,
     FirstToken,
     Granted,
-    Header,
     HoldReply,
     HoldRequest,
     Refused,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import OwnerStub
 from bramleybend.wire.channels import Channels
+from bramleybend.wire.headers import Headers
 
 # An owner answers `queued` at once. One that does not is frozen or cut off;
 # waiting longer would spend the caller's deadline on it.
@@ -53,7 +53,7 @@
     channels: Channels
     port: int
     members: Members
-    header: Callable[[], Header]
+    headers: Headers
 
 
 @dataclass(frozen=True)
@@ -171,6 +171,7 @@
             reply = await self._decided(opened.call, deadline)
             if reply is None:
                 continue
+            self._port.headers.observe(reply.header)
             if reply.HasField('granted'):
                 return Ok(Slot(self, ask, reply.granted, opened))
             return Err(reply.refused)
@@ -221,7 +222,7 @@
         endpoint = f'{owner.address}:{self._port.port}'
         stub = OwnerStub(self._port.channels.get(endpoint))
         call: Hold = stub.Hold()
-        first.header.CopyFrom(self._port.header())
+        first.header.CopyFrom(self._port.headers.make())
         try:
             async with asyncio.timeout(ACK_TIMEOUT_S):
                 await call.write(first)
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -17,17 +17,16 @@
 from bramleybend.decisions.actions import ShardView
 from bramleybend.declarations import parse_terms
 from bramleybend.events import EventLog
-from bramleybend.identity import Identity
 from bramleybend.models import Terms
 from bramleybend.state.member import Member, MemberState
 from bramleybend.wire.bramleybend_pb2 import (
-    Header,
     MemberRecord,
     ViewReply,
     ViewRequest,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import LocalStub
-from bramleybend.wire.channels import PROTOCOL, Channels
+from bramleybend.wire.channels import Channels
+from bramleybend.wire.headers import Headers
 
 VIEW_WAIT_S: Final = 0.4
 VIEW_TIMEOUT_S: Final = 0.9
@@ -52,7 +51,8 @@
 
     def __init__(
         self,
-        identity: Identity,
+        headers: Headers,
+        own_address: str,
         scheduler_port: int,
         channels: Channels,
         clock: Clock,
@@ -60,7 +60,8 @@
     ) -> None:
         """Start with an empty view, which is too old to serve on."""
         self.view = View()
-        self._identity = identity
+        self._headers = headers
+        self._own_address = own_address
         self._port = scheduler_port
         self._channels = channels
         self._clock = clock
@@ -68,6 +69,11 @@
         self._turn = 0
         self._asked_at = -inf
 
+    @property
+    def terms_version(self) -> int:
+        """The version in force here; 0 before any."""
+        return self.view.terms.version if self.view.terms else 0
+
     @property
     def age_s(self) -> float:
         """Seconds since the system was last heard of."""
@@ -101,22 +107,16 @@
         others = [
             member.address
             for member in self.view.members
-            if member.address != self._identity.address
+            if member.address != self._own_address
         ]
-        addresses = [self._identity.address, *others]
+        addresses = [self._own_address, *others]
         return addresses[self._turn % len(addresses)]
 
     async def _ask(self, address: str) -> ViewReply:
         channel = self._channels.get(f'{address}:{self._port}')
-        known = self.view.terms.version if self.view.terms else 0
         request = ViewRequest(
-            header=Header(
-                protocol=PROTOCOL,
-                vm=self._identity.vm,
-                incarnation=self._identity.incarnation,
-                terms_version=known,
-            ),
-            known_version=known,
+            header=self._headers.make(),
+            known_version=self.terms_version,
             wait_s=VIEW_WAIT_S,
         )
         stub = LocalStub(channel)
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -32,6 +32,7 @@
     add_LocalServicer_to_server,
     add_OwnerServicer_to_server,
 )
+from bramleybend.wire.headers import Headers
 from bramleybend.wire.channels import SERVER_OPTIONS, Channels
 
 # Gateways hear of the leaving owner within one view, 0.5 s; asks that come
@@ -55,6 +56,11 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._channels = Channels()
         self._metrics = make_metrics(cfg.statsd, cfg.vm)
+        self._headers = Headers(
+            identity,
+            self.events,
+            lambda: self.terms.version,
+        )
         self.crashes = CrashBook()
         self.listed = ListWatch(
             make_http_vm_list(cfg.vm_list),
@@ -108,11 +114,11 @@
 
     def _add_services(self) -> None:
         add_OwnerServicer_to_server(
-            OwnerService(self.shards, self._clock),
+            OwnerService(self.shards, self._clock, self._headers),
             self._grpc,
         )
         add_LocalServicer_to_server(
-            ViewService(self._view_sources()),
+            ViewService(self._view_sources(), self._headers),
             self._grpc,
         )
         add_ControlServicer_to_server(
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -32,14 +32,21 @@
     Refused,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import OwnerServicer
-from bramleybend.wire.check import Context, refuse_other_protocol
+from bramleybend.wire.check import Context
+from bramleybend.wire.headers import Headers
 
 
 class OwnerService(OwnerServicer):
     """Turns streams into messages for the shards' tasks."""
 
-    def __init__(self, shards: ShardTable, clock: Clock) -> None:
+    def __init__(
+        self,
+        shards: ShardTable,
+        clock: Clock,
+        headers: Headers,
+    ) -> None:
         """Serve the shards of one scheduler."""
+        self._headers = headers
         self._shards = shards
         self._clock = clock
         self._numbers = count()
@@ -51,7 +58,7 @@
     ) -> AsyncIterator[HoldReply]:
         """Serve one request's stream, from its ask to its end."""
         first = await anext(aiter(request_iterator))
-        await refuse_other_protocol(first.header, context)
+        await self._headers.accept(first.header, context)
         ask = first.ask if first.HasField('ask') else first.adopt.ask
         shard = self._shards.get(ask.service, ask.shard)
         if shard is None:
@@ -65,6 +72,7 @@
         reading = asyncio.create_task(_read(request_iterator, shard, hold))
         try:
             while (reply := await hold.outbox.get()) is not None:
+                reply.header.CopyFrom(self._headers.make())
                 yield reply
         finally:
             reading.cancel()
@@ -76,7 +84,7 @@
         context: Context,
     ) -> FloorReply:
         """Start nothing lower for a while and say what runs below."""
-        await refuse_other_protocol(request.header, context)
+        await self._headers.accept(request.header, context)
         shard = self._shards.get(request.service, request.shard)
         if shard is None:
             return FloorReply(settled=False)
@@ -84,6 +92,7 @@
         shard.post(FloorAsked(Tier(request.tier), request.hold_s, reply))
         state = await reply
         return FloorReply(
+            header=self._headers.make(),
             settled=state.settled,
             lower_running=state.lower_running,
         )
--- a/bramleybend/scheduler/view_service.py
+++ b/bramleybend/scheduler/view_service.py
@@ -17,7 +17,8 @@
     ViewRequest,
 )
 from bramleybend.wire.bramleybend_pb2_grpc import LocalServicer
-from bramleybend.wire.check import Context, refuse_other_protocol
+from bramleybend.wire.check import Context
+from bramleybend.wire.headers import Headers
 
 
 @dataclass(frozen=True)
@@ -35,8 +36,9 @@
 class ViewService(LocalServicer):
     """Holds a question back until there are newer terms, for a while."""
 
-    def __init__(self, sources: ViewSources) -> None:
+    def __init__(self, sources: ViewSources, headers: Headers) -> None:
         """Answer from these sources."""
+        self._headers = headers
         self._sources = sources
 
     async def View(  # noqa: N802
@@ -45,7 +47,7 @@
         context: Context,
     ) -> ViewReply:
         """Return the view, with the document only if it is news."""
-        await refuse_other_protocol(request.header, context)
+        await self._headers.accept(request.header, context)
         terms = self._sources.terms
         if terms.version <= request.known_version:
             await self._wait_for_news(request.wait_s)
--- a/bramleybend/state/terms_follower.py
+++ b/bramleybend/state/terms_follower.py
@@ -34,6 +34,9 @@
 
 READ_WAIT: Final = timedelta(seconds=1)
 DOWN_PAUSE_S: Final = 0.5
+# A document of 4,300 workspaces has 385 KB; a read of the log's usual 500
+# records would pass the client's limit, and the log would seem down.
+READ_AT_ONCE: Final = 8
 # A log whose reads return at once would be asked in a tight loop.
 READ_PAUSE_S: Final = 0.02
 
@@ -127,10 +130,15 @@
     async def follow(self) -> None:
         """Read the log until cancelled; while it fails, ask peers."""
         while True:
+            if not self._log.anchored or self.terms is None:
+                # A peer's state spares a new VM the stream's whole history,
+                # each document of which it would have to check again.
+                await self.learn_from_peer()
             batch = await self._port.log.read(
                 TERMS_STREAM,
                 self._cursor,
-                wait=READ_WAIT,
+                READ_AT_ONCE,
+                READ_WAIT,
             )
             match batch:
                 case Ok(read):
@@ -140,8 +148,6 @@
                 case Err():
                     self._note_down()
                     await asyncio.sleep(DOWN_PAUSE_S)
-            if not self._log.anchored or self.terms is None:
-                await self.learn_from_peer()
 
     async def learn_from_peer(self) -> None:
         """Take over the state of a peer that has read further."""
--- a/tests/benchmarks/capacity_control.py
+++ b/tests/benchmarks/capacity_control.py
@@ -38,6 +38,7 @@
 )
 from bramleybend.wire.bramleybend_pb2 import ViewReply
 from bramleybend.wire.channels import Channels
+from bramleybend.wire.headers import Headers
 from tests.benchmarks.capacity_gossip import make_members
 from tests.benchmarks.slopes import Series
 
@@ -216,12 +217,15 @@
 
 def _follower() -> ViewFollower:
     clock = SystemClock()
+    own = Identity('a', 'walton', '10.0.0.1', 'a')
+    events = EventLog('gateway', 'a', clock)
     return ViewFollower(
-        Identity('a', 'walton', '10.0.0.1', 'a'),
+        Headers(own, events, lambda: 0),
+        own.address,
         1,
         Channels(),
         clock,
-        EventLog('gateway', 'a', clock),
+        events,
     )
 
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,7 +3,9 @@
 from datetime import UTC, datetime
 
 from bramleybend.clock import ManualClock
-from bramleybend.events import HybridClock, Stamp, parse_stamp
+from bramleybend.events import EventLog, HybridClock, Stamp, parse_stamp
+from bramleybend.identity import Identity
+from bramleybend.wire.headers import Headers
 
 
 def test_a_stamp_seen_from_a_faster_clock_is_passed() -> None:
@@ -28,3 +30,25 @@
     assert parse_stamp(str(stamp)) == stamp
     for text in ('', '1', '1.2.3', '-1.0', 'x.y'):
         assert parse_stamp(text) is None
+
+
+def test_a_header_carries_its_senders_stamp_past_a_slower_clock() -> None:
+    """The owner's wall clock is 3 s behind that of the gateway that asks.
+
+    Without the stamp in the header its grant would stand before the ask on
+    the time line.
+    """
+    start = datetime(2026, 1, 1, tzinfo=UTC)
+    ahead, behind = ManualClock(start), ManualClock(start)
+    ahead.advance(3)
+    gateway = EventLog('gateway', 'a', ahead)
+    owner = EventLog('scheduler', 'b', behind)
+    asked = _headers(gateway).make()
+    _headers(owner).observe(asked)
+    stamp = parse_stamp(asked.hlc)
+    assert stamp
+    assert owner.hybrid.tick() > stamp
+
+
+def _headers(events: EventLog) -> Headers:
+    return Headers(Identity('vm', 'walton', '10.0.0.1', 'x'), events, lambda: 1)
