--- a/tests/failures/test_shortage.py
+++ b/tests/failures/test_shortage.py
@@ -3,8 +3,8 @@
 What the caller sees: bulk work is turned away or stopped, high tiers are
 served. Order: queues fill, deadlines near, lower tiers give their slots up,
 and only then may a higher tier be shed. Why: a request is shed only once no
-owner serves anything lower, so each shed event is held against what the
-engines were running at that moment.
+owner serves anything lower, so each `not_run` (a deadline that ran out in a
+queue counts) is held against what the engines were running at that moment.
 """
 
 from collections.abc import Iterator
@@ -68,7 +68,7 @@
 async def test_no_higher_tier_is_shed_while_a_lower_one_is_served(
     tmp_path: Path,
 ) -> None:
-    """Each shed event finds nothing of a lower tier on any engine."""
+    """Each request turned away finds nothing lower on any engine."""
     async with scenario(LAYOUT, tmp_path, _two_owners()) as scene:
         async with scene.load(LOAD):
             await wait_until(
@@ -78,7 +78,7 @@
         sheds = [
             event
             for event in parse_events(scene.cluster.event_lines())
-            if event['event'] == 'shed'
+            if event['event'] == 'settled' and event['outcome'] == 'not_run'
         ]
         assert any(int(shed['tier']) == Tier.HIGH for shed in sheds)
         served = list(_served(scene))
--- a/tests/failures/test_terms_kept.py
+++ b/tests/failures/test_terms_kept.py
@@ -6,6 +6,7 @@
 none asks its peers, and whoever has heard nothing for long admits nothing.
 """
 
+import signal
 import time
 from collections.abc import Sequence
 from pathlib import Path
@@ -92,10 +93,12 @@
             SECONDS,
         )
         await _sleep_until_stale()
-        sleeper.thaw()
+        # The gateway wakes first: it can't have heard of the change yet.
+        sleeper.gateway.send_signal(signal.SIGCONT)
         for _ in range(ASKS_AFTER_WAKING):
             reading = await ask_under(sleeper, 'winner')
             assert reading is None or reading.outcome is not Outcome.DONE
+        sleeper.thaw()
         await wait_until(
             lambda: in_force(scene, 'successor'),
             'the sleeper serves under the new terms',
