--- /dev/null
+++ b/tests/failures/test_one_process.py
@@ -0,0 +1,85 @@
+"""Only one of a VM's two processes dies, or is paused.
+
+What the caller sees: answers go on. Order: a scheduler that owns queues stops
+and its asks time out, or a gateway with streams under way dies; the other
+process of the VM lives and must not pretend that all is well. Why: an owner
+that is gone is replaced by the next in rank, and a grant is only the stream
+that carries it.
+"""
+
+import signal
+from pathlib import Path
+
+import pytest
+
+from bramleybend.answers import Outcome
+from tests.utils.cluster import Layout
+from tests.utils.engine import EngineConfig
+from tests.utils.entry_vm import EntryVm
+from tests.utils.eventlog import parse_events
+from tests.utils.load import Stream
+from tests.utils.processes import Process
+from tests.utils.scenario import Scenario, assert_clean, scenario
+from tests.utils.waiting import wait_until
+
+LAYOUT = Layout(
+    vms=3,
+    engines=(EngineConfig(decode_tps=100),) * 2,
+    plain_latencies_ms=(30, 60),
+)
+LOAD = (
+    Stream('slot-claim', 12, 8),
+    Stream('availability', 8, 8),
+    Stream('debrief', 5, 12, (200, 600), (40, 80)),
+)
+SERVICE = 'briefing-llm'
+
+
+def _owner(scene: Scenario) -> EntryVm:
+    """Return the VM whose scheduler owns the engines' queue."""
+    for vm in scene.cluster.vms:
+        lines = vm.scheduler.log_text().splitlines()
+        for event in parse_events(lines):
+            owned = event['event'] == 'shard_owned'
+            if owned and event['service'] == SERVICE:
+                return vm
+    raise AssertionError(f'nobody owns {SERVICE}')
+
+
+async def _done_more(scene: Scenario, count: int, what: str) -> None:
+    for profile in ('slot-claim', 'debrief'):
+        goal = scene.count(Outcome.DONE, profile) + count
+        await wait_until(
+            lambda: scene.count(Outcome.DONE, profile) >= goal,  # noqa: B023
+            f'{profile}: {what}',
+        )
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+async def test_the_owner_of_a_queue_is_replaced(
+    tmp_path: Path,
+    number: signal.Signals,
+) -> None:
+    """Its gateway and the others find the next owner."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        async with scene.load(LOAD):
+            await _done_more(scene, 10, 'served before')
+            _owner(scene).scheduler.send_signal(number)
+            await _done_more(scene, 15, 'served after')
+        assert_clean(scene.verdict())
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+async def test_a_gateway_alone_is_lost(
+    tmp_path: Path,
+    number: signal.Signals,
+) -> None:
+    """Its callers go elsewhere, its grants are given to others."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        victim: Process = scene.cluster.vms[0].gateway
+        async with scene.load(LOAD):
+            await _done_more(scene, 10, 'served before')
+            victim.send_signal(number)
+            await _done_more(scene, 15, 'served after')
+            victim.send_signal(signal.SIGCONT)
+        assert_clean(scene.verdict())
--- a/tests/failures/test_runner_leaving.py
+++ b/tests/failures/test_runner_leaving.py
@@ -6,6 +6,7 @@
 """
 
 import time
+from dataclasses import replace
 from pathlib import Path
 
 from bramleybend.answers import Outcome
@@ -94,3 +95,24 @@
             assert _last_work_at(each.standin) < refused_from
         assert_clean(scene.verdict())
         assert scene.verdict().is_clean, scene.verdict().reasons
+
+
+async def test_a_new_runner_at_a_reused_address_gets_work(
+    tmp_path: Path,
+) -> None:
+    """What was told of the old one does not stick to its address."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        old = scene.cluster.by_name[LEAVING[PLAIN_SERVICE]]
+        async with scene.load(LOAD):
+            await _done_more(scene, 20, 'the load is served')
+            scene.cluster.vm_list.mark_leaving(old.vm.name)
+            limit = time.time() + FEW_SECONDS
+            await wait_until(lambda: time.time() > limit, 'a few seconds')
+            scene.cluster.vm_list.remove(old.vm.name)
+            assert _last_work_at(old.standin) < limit
+            scene.cluster.vm_list.add(replace(old.vm, name='new-runner'))
+            await wait_until(
+                lambda: _last_work_at(old.standin) > limit,
+                'the new runner at the old address gets work',
+            )
+        assert_clean(scene.verdict())
