--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -18,7 +18,7 @@
     Refuse,
     RunnerInfo,
 )
-from bramleybend.decisions.floor import OwnerFloor
+from bramleybend.decisions.floor import DEFAULT_TIMES, Settling
 from bramleybend.decisions.owner import (
     ShardPolicy,
 )
@@ -82,7 +82,7 @@
         self._runners: dict[str, Vm] = {}
         self._where: dict[str, str] = {}
         self._is_owner = False
-        self._floor_promises = OwnerFloor()
+        self._settling = Settling()
         self._crashes = CrashWatch(deps.crashes)
 
     def post(self, message: ShardMessage) -> None:
@@ -163,7 +163,7 @@
             # Some gateway can't reach the owner. Two VMs that both start
             # lower work would break the owner's floor, so this one starts
             # only the highest tier, which is below no floor.
-            grace_s = self._floor_promises.times.grace_s
+            grace_s = DEFAULT_TIMES.grace_s
             self.policy.set_floor(min(Tier), grace_s, now)
         ask = replace(
             asked.ask,
@@ -206,7 +206,7 @@
         if self.holds.pop(hold.key, None) is None:
             return []
         if self._where.pop(hold.key, None) is not None:
-            self._floor_promises.lose_run(now)
+            self._settling.lose_run(now)
         return self.policy.withdraw(hold.key, now)
 
     def _listed(self, runners: tuple[Vm, ...], now: float) -> list[Action]:
@@ -222,14 +222,14 @@
     def _taken(self, now: float) -> list[Action]:
         """Begin as owner, with nothing known of the floors before."""
         self._is_owner = True
-        self._floor_promises.taken_over_at = now
-        grace_s = self._floor_promises.times.grace_s
+        self._settling.taken_over_at = now
+        grace_s = DEFAULT_TIMES.grace_s
         self.policy.set_floor(min(Tier), grace_s, now)
         return []
 
     def _floor(self, asked: FloorAsked, now: float) -> list[Action]:
         lower = self.policy.set_floor(asked.tier, asked.hold_s, now)
-        settled = self._is_owner and self._floor_promises.settled(now)
+        settled = self._is_owner and self._settling.settled(now)
         if not asked.reply.done():
             asked.reply.set_result(FloorState(settled, lower))
         return []
--- a/examples/caller.py
+++ b/examples/caller.py
@@ -13,6 +13,9 @@
 BROKEN = (OSError, HTTPException)  # also no answer in time, or half of one
 
 
+Told = tuple[str, str, float]  # outcome, answer, when to come back
+
+
 def ask(entries: list[str], profile: str) -> tuple[list[str], str]:
     """Return addresses and a ticket from the first entry VM that serves."""
     for entry in entries:
@@ -25,7 +28,7 @@
     return [], ''
 
 
-def post(addresses: list[str], headers: dict[str, str], body: bytes) -> tuple:
+def post(addresses: list[str], headers: dict[str, str], body: bytes) -> Told:
     """Send one id until an answer comes whole, to whichever address."""
     for address in addresses * 3:
         req = Request(f'http://{address}/v1/requests', body, headers)
