--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -15,7 +15,6 @@
     Asked,
     FirstTokenSeen,
     FloorAsked,
-    FloorState,
     HoldChannel,
     HoldLost,
     RunEnded,
@@ -88,13 +87,15 @@
         shard = self._shards.get(request.service, request.shard)
         if shard is None:
             return FloorReply(settled=False)
-        reply: asyncio.Future[FloorState] = asyncio.Future()
+        reply: asyncio.Future[int] = asyncio.Future()
         shard.post(FloorAsked(Tier(request.tier), request.hold_s, reply))
-        state = await reply
+        lower = await reply
+        # A run may have left while the question was in the queue: then it is
+        # neither counted here nor, perhaps, known to the next owner yet.
         return FloorReply(
             header=self._headers.make(),
-            settled=state.settled,
-            lower_running=state.lower_running,
+            settled=self._shards.settled(shard),
+            lower_running=lower,
         )
 
     def _hold(self, ask: AskMessage) -> HoldChannel:
--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from dataclasses import dataclass, replace
-from datetime import timedelta
 from typing import Final, assert_never
 
 from bramleybend.answers import Outcome
@@ -24,7 +23,7 @@
 )
 from bramleybend.decisions.quarantine import CONDEMNED, CrashBook
 from bramleybend.events import EventLog
-from bramleybend.metrics import Metric, Metrics
+from bramleybend.metrics import Metrics
 from bramleybend.models import RunnerState, Tier, Vm
 from bramleybend.scheduler.crash_watch import CrashWatch
 from bramleybend.scheduler.messages import (
@@ -32,22 +31,14 @@
     Asked,
     FirstTokenSeen,
     FloorAsked,
-    FloorState,
     HoldChannel,
     HoldLost,
     OwnershipMoved,
-    OwnershipTaken,
     RunEnded,
     RunnersListed,
     ShardMessage,
 )
-from bramleybend.wire.bramleybend_pb2 import (
-    Granted,
-    HoldReply,
-    Preempted,
-    Queued,
-    Refused,
-)
+from bramleybend.scheduler.replies import Replies
 
 IDLE_TICK_S: Final = 0.5
 
@@ -84,11 +75,25 @@
         self._is_owner = False
         self._settling = Settling()
         self._crashes = CrashWatch(deps.crashes)
+        self._replies = Replies(service, shard, deps.events, deps.metrics)
 
     def post(self, message: ShardMessage) -> None:
         """Hand a message over; it is taken in order."""
         self._inbox.put_nowait(message)
 
+    def begin_ownership(self, now: float) -> None:
+        """Begin as owner, with nothing known of the floors before.
+
+        For as long as they may stand, nothing but the highest tier starts.
+        """
+        self._is_owner = True
+        self._settling.taken_over_at = now
+        self.policy.set_floor(min(Tier), DEFAULT_TIMES.grace_s, now)
+
+    def is_settled(self, now: float) -> bool:
+        """Whether every run of the shard must be known here by now."""
+        return self._is_owner and self._settling.settled(now)
+
     def waiting(self) -> list[HoldChannel]:
         """Return the holds that have no runner yet."""
         return [
@@ -143,12 +148,10 @@
 
     def _handle_ownership(
         self,
-        message: OwnershipTaken | OwnershipMoved | FloorAsked,
+        message: OwnershipMoved | FloorAsked,
         now: float,
     ) -> list[Action]:
         match message:
-            case OwnershipTaken():
-                return self._taken(now)
             case OwnershipMoved():
                 return self._moved(now)
             case FloorAsked():
@@ -179,7 +182,7 @@
 
     def _open(self, hold: HoldChannel) -> None:
         self.holds[hold.key] = hold
-        hold.outbox.put_nowait(HoldReply(queued=Queued()))
+        self._replies.queued(hold)
 
     def _ended(self, ended: RunEnded, now: float) -> list[Action]:
         hold = ended.hold
@@ -197,7 +200,7 @@
             self._crashes.crashed(
                 runner, [hold.fingerprint, *company], few, now
             )
-            self._note('runner_crashed', hold, runner=runner)
+            self._replies.note('runner_crashed', hold, runner=runner)
         elif ended.report.outcome == Outcome.DONE:
             self._crashes.finished(hold.fingerprint, now)
         return self.policy.ended(hold.key, ended.report, now)
@@ -219,19 +222,10 @@
             now,
         )
 
-    def _taken(self, now: float) -> list[Action]:
-        """Begin as owner, with nothing known of the floors before."""
-        self._is_owner = True
-        self._settling.taken_over_at = now
-        grace_s = DEFAULT_TIMES.grace_s
-        self.policy.set_floor(min(Tier), grace_s, now)
-        return []
-
     def _floor(self, asked: FloorAsked, now: float) -> list[Action]:
         lower = self.policy.set_floor(asked.tier, asked.hold_s, now)
-        settled = self._is_owner and self._settling.settled(now)
         if not asked.reply.done():
-            asked.reply.set_result(FloorState(settled, lower))
+            asked.reply.set_result(lower)
         return []
 
     def _moved(self, now: float) -> list[Action]:
@@ -256,55 +250,10 @@
     def _carry_out(self, action: Action, hold: HoldChannel) -> None:
         match action:
             case Grant(_, runner):
-                self._grant(hold, runner)
-            case Refuse(_, reason, retry_after, shed):
-                self._refuse(hold, reason, retry_after, shed=shed)
+                self._where[hold.key] = runner
+                self._replies.granted(hold, self._runners[runner])
+            case Refuse():
+                self.holds.pop(hold.key, None)
+                self._replies.refused(hold, action)
             case Preempt(_, for_tier):
-                hold.outbox.put_nowait(
-                    HoldReply(preempted=Preempted(for_tier=for_tier)),
-                )
-                self._note('preempt', hold, for_tier=int(for_tier))
-
-    def _grant(self, hold: HoldChannel, runner: str) -> None:
-        self._where[hold.key] = runner
-        endpoint = self._runners[runner].endpoint
-        hold.outbox.put_nowait(
-            HoldReply(granted=Granted(runner=runner, endpoint=endpoint)),
-        )
-        self._note('grant', hold, runner=runner)
-
-    def _refuse(
-        self,
-        hold: HoldChannel,
-        reason: str,
-        retry_after: timedelta,
-        *,
-        shed: bool,
-    ) -> None:
-        hold.outbox.put_nowait(
-            HoldReply(
-                refused=Refused(
-                    reason=reason,
-                    retry_after_s=retry_after.total_seconds(),
-                    shed=shed,
-                ),
-            ),
-        )
-        hold.outbox.put_nowait(None)
-        self.holds.pop(hold.key, None)
-        self._deps.metrics.count(
-            Metric.REFUSED,
-            reason=reason,
-            tier=int(hold.tier),
-        )
-        self._note('refuse', hold, reason=reason)
-
-    def _note(self, event: str, hold: HoldChannel, **fields: object) -> None:
-        self._deps.events.record(
-            event,
-            hold.request_id,
-            service=self.service,
-            shard=self.shard,
-            tier=int(hold.tier),
-            **fields,
-        )
+                self._replies.preempted(hold, for_tier)
