See an overtaken plain call to its end, so that its runner's stall is learned

Cause: test_hedge showed a read of 4.0 s in spite of hedging: each second run gave the stalled runner's slot back at once, the next read was drawn into the same stall, and the budget ran out. The overtaken call now keeps its slot and reports its time. With hedge off in the declaration the test fails as well.

--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -42,6 +42,7 @@
     TORN = 'torn'  # it ran, the rest of the answer is lost
     UNHEARD = 'unheard'  # it was sent and nothing came back
     STOPPED = 'stopped'  # we stopped it, and the runner said so
+    OVERTAKEN = 'overtaken'  # whole, after a second run had answered
     TOO_LARGE = 'too_large'  # the answer outgrew what a home keeps
 
 
@@ -132,8 +133,7 @@
         if status >= HTTPStatus.BAD_REQUEST:
             return AttemptEnd(End.ANSWERED, self._usage, status)
         if self._run.has_begun:
-            # A second run beside this one was faster; its answer stands.
-            return AttemptEnd(End.STOPPED, self._usage)
+            return AttemptEnd(End.OVERTAKEN, self._usage)
         if not self._run.add(body):
             return AttemptEnd(End.TOO_LARGE, self._usage)
         return AttemptEnd(End.WHOLE, self._usage)
--- a/bramleybend/gateway/hedge.py
+++ b/bramleybend/gateway/hedge.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final
 
+from bramleybend.answers import Answer
 from bramleybend.decisions.hedging import Hedging
 from bramleybend.gateway.attempt import AttemptEnd, End
 from bramleybend.gateway.job import Deps, Job
@@ -10,7 +11,8 @@
 from bramleybend.gateway.slots import Slot
 from bramleybend.gateway.supervisor import Supervisor
 from bramleybend.metrics import Metric
-from bramleybend.models import Repeat
+from bramleybend.models import Repeat, ServiceKind
+from bramleybend.wire.bramleybend_pb2 import Ended
 
 SECOND: Final = 'h'
 
@@ -41,7 +43,7 @@
         try:
             end = await self._watch(job, slot, label, first)
         finally:
-            first.cancel()
+            self._let_go(job, first)
         if end.end is End.WHOLE:
             seconds = self._deps.clock.monotonic() - started
             self._hedging.finished(*key, seconds)
@@ -65,13 +67,27 @@
         try:
             return await _faster(first, second)
         finally:
-            second.cancel()
+            self._let_go(job, second)
+
+    def _let_go(self, job: Job, run: asyncio.Task[AttemptEnd]) -> None:
+        """Leave a run that another one has overtaken."""
+        # A plain service can't be told to stop. Given back at once, its slot
+        # would draw the next call into the same stall, and the owner would
+        # never learn how slow the runner is; so the run is seen to its end.
+        if job.service.kind is ServiceKind.ENGINE:
+            run.cancel()
+        elif not run.done():
+            self._supervisor.leave(_ended(run))
 
     async def _second(self, job: Job, slot: Slot, label: str) -> AttemptEnd:
         found = await self._search.find(job, [slot.runner])
-        if isinstance(found, Slot):
-            return await self._supervisor.carry(job, found, label + SECOND)
-        return AttemptEnd(End.NOT_SENT)
+        if isinstance(found, Answer):
+            return AttemptEnd(End.NOT_SENT)
+        if job.run.has_begun:
+            # The first run answered while this one waited for its slot.
+            await found.end(Ended(outcome=End.NOT_SENT))
+            return AttemptEnd(End.NOT_SENT)
+        return await self._supervisor.carry(job, found, label + SECOND)
 
 
 def _may_hedge(job: Job) -> bool:
@@ -84,6 +100,10 @@
     )
 
 
+async def _ended(run: asyncio.Task[AttemptEnd]) -> None:
+    await asyncio.wait((run,))
+
+
 async def _faster(
     first: asyncio.Task[AttemptEnd],
     second: asyncio.Task[AttemptEnd],
--- a/bramleybend/gateway/supervisor.py
+++ b/bramleybend/gateway/supervisor.py
@@ -13,6 +13,7 @@
 from bramleybend.wire.bramleybend_pb2 import Ended
 
 LAST_EVENTS_S: Final = 0.2
+RAN_WHOLE: Final = frozenset((End.WHOLE, End.OVERTAKEN))
 
 
 class Supervisor:
@@ -37,16 +38,16 @@
         try:
             end = await self._proceed(job, slot, attempt)
         except asyncio.CancelledError:
-            self._leave(self._drop(slot, attempt))
+            self.leave(self._drop(slot, attempt))
             raise
         seconds = self._deps.clock.monotonic() - started
         self._deps.note(job, 'attempt_ended', runner=slot.runner, end=end.end)
         self._count_prefill(job, end, ask.prompt_tokens)
         # The caller's answer does not wait for the owner's last word.
-        self._leave(slot.end(_ended(end, seconds)))
+        self.leave(slot.end(_ended(end, seconds)))
         return end
 
-    def _leave(self, work: Coroutine[Any, Any, None]) -> None:
+    def leave(self, work: Coroutine[Any, Any, Any]) -> None:
         """Finish something that nobody waits for."""
         task = asyncio.create_task(work)
         self._ending.add(task)
@@ -156,7 +157,7 @@
 
 def _ended(end: AttemptEnd, seconds: float) -> Ended:
     return Ended(
-        outcome=Outcome.DONE if end.end is End.WHOLE else end.end,
+        outcome=Outcome.DONE if end.end in RAN_WHOLE else end.end,
         runner_crashed=end.crashed,
         refused=end.end is End.NOT_SENT,
         prompt_tokens=end.usage.prompt_tokens,
