--- a/tests/benchmarks/patterns.py
+++ b/tests/benchmarks/patterns.py
@@ -13,6 +13,7 @@
 SHARES = (0.35, 0.3, 0.2, 0.1, 0.05)
 SKEWED = (0.8, 0.05, 0.05, 0.05, 0.05)
 ACTIVE_DOCUMENTS = 6  # of a workspace and kind, in use at one time
+LONG_ANSWER = (1200, 2000)  # tokens, 20 to 30 s
 NEW_DOCUMENT = 0.12  # chance that a request opens another one
 SEEDS = (11, 23, 37, 41, 59)
 
@@ -172,6 +173,7 @@
     shares: tuple[float, ...] = SHARES
     faults: tuple[Fault, ...] = ()
     long_share: float = 0  # of requests: a prompt of 30,000 tokens
+    prelude: float = 0  # until then only the lowest tier, with long answers
 
 
 PATTERNS = (
@@ -185,6 +187,7 @@
     ),
     Pattern('long among short', _flat(1.3), long_share=0.04),
     Pattern('saturation', _flat(2.0)),
+    Pattern('bulk first', _flat(1.0), prelude=10),
     Pattern(
         'crash',
         _flat(0.7),
@@ -235,6 +238,8 @@
         kept = rng.random() * highest < pattern.load(now)
         if kept and now < seconds:
             kind = rng.choices(kinds, [each.share for each in kinds])[0]
+            if now < pattern.prelude:
+                kind = replace(kinds[-1], completion=LONG_ANSWER)
             job = _make_job(kind, pattern, rng, documents, now, len(jobs))
             jobs.append(job)
     return jobs
--- /dev/null
+++ b/tests/decisions/test_patterns.py
@@ -0,0 +1,88 @@
+"""What callers get under the load patterns, against the queueing fake.
+
+Each plays one pattern over 50 engines and 6 entry VMs in virtual time; the
+seed makes it the same run every time.
+"""
+
+from functools import cache
+
+import pytest
+
+from bramleybend.decisions.switches import Switches
+from bramleybend.models import Tier
+from tests.benchmarks.measures import Scores
+from tests.benchmarks.patterns import DEPLOYMENTS, SEEDS
+from tests.benchmarks.players import PATTERN_BY_NAME, play
+
+SECONDS = 20.0
+
+
+@cache
+def scores_of(
+    pattern: str, deployment: str = 'parwaz', off: str = ''
+) -> Scores:
+    switches = Switches(**({off: False} if off else {}))
+    return play(
+        'bramleybend',
+        DEPLOYMENTS[deployment],
+        PATTERN_BY_NAME[pattern],
+        SEEDS[0],
+        switches,
+        seconds=SECONDS,
+    )
+
+
+@pytest.mark.parametrize('deployment', list(DEPLOYMENTS))
+def test_burst_costs_the_lower_tiers_only(deployment: str) -> None:
+    """From second 10 to 18 three times the capacity is asked for.
+
+    Callers of the top tier notice nothing; what can't be done in time is
+    refused from the lower tiers.
+    """
+    scores = scores_of('burst', deployment)
+    assert scores.goodput(Tier.CRITICAL) >= 0.99
+    assert scores.goodput(Tier.CRITICAL) >= scores.goodput(Tier.NORMAL)
+
+
+def test_few_callers_that_take_most_do_not_harm_the_others() -> None:
+    """One workspace sends 80 % of 1.3 times the capacity.
+
+    The other four get what they ask for, up to an equal share.
+    """
+    assert scores_of('skew').fairness() >= 0.97
+
+
+def test_long_prompts_do_not_block_bookings() -> None:
+    """Every 25th request below the top tier has 30,000 tokens, at 1.3 load.
+
+    Bookings wait behind one prompt at most, so they end within 4 seconds.
+    """
+    scores = scores_of('long among short')
+    assert scores.goodput(Tier.CRITICAL) >= 0.99
+
+
+def test_slow_upstream_takes_little_down_with_it() -> None:
+    """Six of 50 engines become ten times slower at second 10.
+
+    What runs there is late; what comes after goes elsewhere.
+    """
+    scores = scores_of('slow upstream')
+    assert scores.goodput(Tier.CRITICAL) >= 0.98
+    assert scores.total() >= 0.97
+
+
+def test_crash_loses_only_what_ran_there() -> None:
+    """13 of 50 engines die at second 12, the VM list learns it 2 s later.
+
+    Runs in flight there fail; new ones are not sent there again and again.
+    """
+    scores = scores_of('crash')
+    assert scores.goodput(Tier.CRITICAL) >= 0.98
+    assert scores.total() >= 0.96
+
+
+def test_saturation_without_tiers_would_fail_bookings() -> None:
+    with_tiers = scores_of('saturation').goodput(Tier.CRITICAL)
+    without = scores_of('saturation', off='tiers').goodput(Tier.CRITICAL)
+    assert with_tiers >= 0.99
+    assert without < 0.99
