Try an idle runner whatever its estimate; wake for held requests that get urgent

Cause: a runner believed too slow got nothing that could prove otherwise, so a shard of one runner would have refused for good (test added).

--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -19,6 +19,7 @@
 from bramleybend.decisions.queueing import WINDOW, Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
+from bramleybend.models import Tier
 
 PLACE_S = 0.05
 HOLD_S = 0.25
@@ -86,7 +87,7 @@
     taken = [
         _Choice(entry, place.runner, place.cost(ask))
         for place in able
-        if place.takes(ask) and (place.seconds(ask) < left or not in_time)
+        if place.takes(ask) and (not in_time or place.in_time(ask, left))
     ]
     best = min(taken, key=_by_seconds, default=None)
     if best is None:
@@ -138,10 +139,14 @@
 
 
 def next_start(shard: Shard, now: float) -> float:
-    """Return when a slot may open without any event: ramps and floors."""
-    if not shard.queue:
+    """Return when something may start without any event.
+
+    Ramps and floors end, and what is held for a better runner gets urgent.
+    """
+    if not shard.queue and not shard.suspects:
         return inf
     times = list(shard.floors.values())
+    times.extend(shard.queue.next_urgent(tier) for tier in Tier)
     times.extend(
         runner.ramp.next_step(runner.limit.value, now) for runner in shard.pool
     )
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from math import inf
 from random import Random
 
@@ -22,11 +23,11 @@
 from bramleybend.decisions.learning import learn, learn_first_token
 from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.preemption import next_preemption, preempt
-from bramleybend.decisions.queueing import SURE, WaitingQueue
+from bramleybend.decisions.queueing import WaitingQueue
 from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.switches import Switches
 from bramleybend.decisions.turnaway import DrainRate
-from bramleybend.models import Ask, Service, Tier
+from bramleybend.models import Ask, Service, ServiceKind, Tier
 
 FIRST_DRAIN = 4000.0  # cost a second, until completions were measured
 
@@ -49,12 +50,12 @@
         if ask.request_id in self._shard.line(ask):
             return []
         ask = cleaned(ask)
-        seconds = self._shard.pool.least_seconds(ask)
-        if ask.deadline - seconds * SURE <= moment:
+        if ask.deadline <= moment:
             return [refuse(self._shard, ask, 'deadline_past', shed=False)]
         reason = refusal(self._shard, ask, moment) if self._listed else None
         if reason is not None:
             return [refuse(self._shard, ask, reason, shed=True)]
+        seconds = self._shard.pool.least_seconds(ask)
         self._shard.line(ask).add(ask, moment, seconds)
         return self._act(moment)
 
@@ -167,6 +168,9 @@
 ) -> ShardPolicy:
     """Make the policy of an empty shard; weights are the workspaces'."""
     switches = switches or Switches()
+    if service.kind is ServiceKind.PLAIN:
+        # Without first tokens nothing tells when a prompt is filled.
+        switches = replace(switches, filling=False)
     shares = weights or {}
     shard = Shard(
         pool=RunnerPool(service.slots, switches),
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -55,6 +55,14 @@
         work = self.prefill_tokens(ask) / self.mean.prefill
         return self.seconds(ask) + work * OTHERS
 
+    def in_time(self, ask: Ask, left: float) -> bool:
+        """Tell whether a request would end in the time left.
+
+        An idle runner always gets a try: were it believed too slow for ever,
+        nothing would run there that could prove otherwise.
+        """
+        return self.seconds(ask) < left or not self.runner.in_flight
+
     def takes(self, ask: Ask) -> bool:
         """Tell whether a request may be started here."""
         if not self.free or self.fill < self.gate:
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -176,6 +176,8 @@
 
     def add(self, ask: Ask, now: float, seconds: float) -> None:
         """Queue a request that takes so many seconds at least."""
+        # An estimate that is wrong leaves at least half of the time to try.
+        seconds = min(seconds, max(ask.deadline - now, 0) / 2)
         entry = Waiting(
             ask,
             now,
--- a/tests/decisions/test_owner.py
+++ b/tests/decisions/test_owner.py
@@ -236,3 +236,25 @@
     assert not policy.ended('b', crash, 1.1)
     assert granted(policy.tick(2.0)) == ['c']
     assert granted(policy.tick(7.0)) == ['d']
+
+
+def test_runner_once_slow_is_tried_again_when_idle() -> None:
+    """A runner took 50 s for a short run, then recovered.
+
+    By the estimate nothing ends there in time any more. Requests still start
+    when it is idle, or all callers would be refused for good.
+    """
+    policy = make_policy('engine-1')
+    policy.ask(make_ask('slow', deadline=90), 0)
+    policy.first_token('slow', 100, 0, 49)
+    policy.ended('slow', replace(DONE, seconds=50), 50)
+    assert granted(policy.ask(make_ask('next', deadline=55), 51)) == ['next']
+
+
+def test_plain_service_without_first_tokens_uses_all_its_slots() -> None:
+    service = replace(SERVICE, kind=ServiceKind.PLAIN)
+    policy = make_shard_policy(service, Random(1))
+    policy.runners([RunnerInfo('desk-1')], -100)
+    for name in ('a', 'b'):
+        ask = make_ask(name, prompt_tokens=9000, cost=9000)
+        assert granted(policy.ask(ask, 0)) == [name]
