--- a/bramleybend/decisions/cache_view.py
+++ b/bramleybend/decisions/cache_view.py
@@ -17,6 +17,8 @@
 from bramleybend.decisions.prefixes import prefix_tokens
 
 KEPT_PREFIXES = 512
+STORED = 'stored'
+EVICTED = 'evicted'
 EVENT_LAG_S = 5.0
 MISSED = 0.5  # of the tokens expected cached; below it the view was wrong
 
@@ -33,8 +35,7 @@
         for prefix in prefixes:
             self._sent[prefix] = now
             self._sent.move_to_end(prefix)
-        while len(self._sent) > KEPT_PREFIXES:
-            self._sent.popitem(last=False)
+        self._trim()
 
     def cached_tokens(self, prefixes: Sequence[str], tokens: int) -> int:
         """Estimate the prompt tokens that need no prefill."""
@@ -56,11 +57,20 @@
             for prefix in prefixes[1:]:
                 self._sent.pop(prefix, None)
 
-    def evicted(self, prefix: str, now: float) -> None:
-        """Take in an eviction event, unless it may be outdated."""
-        if self._sent.get(prefix, now) + EVENT_LAG_S <= now:
-            self._sent.pop(prefix, None)
+    def event(self, kind: str, prefix: str, now: float) -> None:
+        """Take in an event, unless it may be older than what was sent."""
+        if kind == STORED:
+            self._sent.setdefault(prefix, now)
+        elif (
+            kind == EVICTED and self._sent.get(prefix, now) <= now - EVENT_LAG_S
+        ):
+            self._sent.pop(prefix)
+        self._trim()
 
     def clear(self) -> None:
         """Forget everything; the runner lost its memory."""
         self._sent.clear()
+
+    def _trim(self) -> None:
+        while len(self._sent) > KEPT_PREFIXES:
+            self._sent.popitem(last=False)
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -116,6 +116,20 @@
         self._shard.pool.update(names, self._shard.runs.values(), moment)
         return self._act(moment)
 
+    def cache_event(
+        self,
+        runner_name: str,
+        kind: str,
+        prefix: str,
+        now: float,
+    ) -> list[Action]:
+        """Take in a runner's cache event; they come late and with gaps."""
+        moment = self._advance(now)
+        runner = self._shard.pool.get(runner_name)
+        if runner is not None:
+            runner.cache.event(kind, prefix, moment)
+        return self._act(moment)
+
     def tick(self, now: float) -> list[Action]:
         """Do what has become due."""
         return self._act(self._advance(now))
--- /dev/null
+++ b/tests/decisions/test_parts.py
@@ -0,0 +1,123 @@
+"""The parts of a shard's policy, each by itself."""
+
+from datetime import timedelta
+from math import inf
+from random import Random
+
+import pytest
+
+from bramleybend.decisions.cache_view import EVENT_LAG_S, CacheView
+from bramleybend.decisions.limits import ROUND, ConcurrencyLimit
+from bramleybend.decisions.pacing import RAMP_S, Ramp
+from bramleybend.decisions.preemption import choose_victim
+from bramleybend.decisions.runs import Run
+from bramleybend.decisions.speeds import Speed
+from bramleybend.decisions.turnaway import DrainRate, retry_after
+from bramleybend.models import Tier
+from tests.decisions.test_owner import make_ask
+
+
+def play_round(limit: ConcurrencyLimit, streams: int) -> None:
+    for _ in range(ROUND):
+        limit.streaming(streams, limit.value)
+        limit.completed(limit.value)
+
+
+def test_limit_falls_to_what_the_runner_really_batches() -> None:
+    limit = ConcurrencyLimit(16)
+    for _ in range(20):
+        play_round(limit, min(4, limit.value))
+    assert limit.value == 5
+
+
+def test_limit_grows_while_all_runs_stream() -> None:
+    limit = ConcurrencyLimit(4)
+    for _ in range(8):
+        play_round(limit, limit.value)
+    assert limit.value == 12
+
+
+def test_limit_that_was_not_reached_stays() -> None:
+    limit = ConcurrencyLimit(8)
+    for _ in range(ROUND * 3):
+        limit.streaming(1, 1)
+        limit.completed(1)
+    assert limit.value == 8
+
+
+def test_refusals_lower_a_limit_to_one_at_least() -> None:
+    limit = ConcurrencyLimit(4)
+    for _ in range(50):
+        limit.refused()
+    assert limit.value == 1
+
+
+def test_late_eviction_does_not_undo_what_was_sent_since() -> None:
+    """An engine evicts a prefix, a new run stores it, then the event comes.
+
+    Taken at its word, the next request would be sent elsewhere and filled
+    again.
+    """
+    view = CacheView()
+    view.sent(['p'], 100)
+    view.event('evicted', 'p', 101)
+    assert view.cached_tokens(['p'], 1000) == 256
+    view.event('evicted', 'p', 100 + EVENT_LAG_S)
+    assert view.cached_tokens(['p'], 1000) == 0
+
+
+def test_missed_events_are_made_up_for_by_what_a_run_found() -> None:
+    view = CacheView()
+    view.sent(['p', 'q', 'r'], 0)
+    view.found(['p', 'q', 'r'], expected=1024, cached=0)
+    assert view.cached_tokens(['p', 'q', 'r'], 2000) == 256
+
+
+def test_unknown_event_kind_changes_nothing() -> None:
+    view = CacheView()
+    view.event('moved', 'p', 0)
+    assert not view.cached_tokens(['p'], 1000)
+
+
+def test_ramp_opens_slowly_and_longer_after_each_crash() -> None:
+    ramp = Ramp(0)
+    assert ramp.share(0) < ramp.share(RAMP_S / 2) < ramp.share(RAMP_S) == 1
+    ramp.crashed(started=5, now=10)
+    assert ramp.share(10.5) == 0
+    assert ramp.share(11.1) > 0
+    ramp.crashed(started=11.2, now=11.5)
+    assert ramp.share(13) == 0
+
+
+def test_victim_is_the_lowest_tier_then_the_least_prefill() -> None:
+    runs = [
+        Run(make_ask('a', tier=Tier.NORMAL), 'e', 0, 10),
+        Run(make_ask('b', tier=Tier.BULK), 'e', 0, 900),
+        Run(make_ask('c', tier=Tier.BULK), 'e', 0, 100),
+        Run(make_ask('d', tier=Tier.BULK, cancellable=False), 'e', 0, 1),
+    ]
+    victim = choose_victim(runs, Tier.CRITICAL)
+    assert victim is runs[2]
+    assert choose_victim(runs, Tier.BULK) is None
+
+
+def test_callers_turned_away_together_return_apart() -> None:
+    rng = Random(5)
+    waits = [retry_after(40_000, 2000, rng) for _ in range(300)]
+    assert max(waits) - min(waits) > timedelta(seconds=15)
+    assert min(waits) >= timedelta(seconds=15)
+
+
+def test_drain_rate_follows_what_is_finished() -> None:
+    drain = DrainRate(10)
+    for second in range(60):
+        drain.finished(500, second)
+    assert 400 < drain.value < 600
+
+
+@pytest.mark.parametrize('seconds', [0, -1, -inf])
+def test_speed_learns_nothing_from_nonsense(seconds: float) -> None:
+    speed = Speed()
+    speed.ended(100, seconds)
+    speed.decoded(-5, 1)
+    assert speed.pace is None
