--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 from math import isfinite
 
+from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
 from bramleybend.models import Ask, Tier
 
@@ -39,7 +40,7 @@
 
 def refusal(shard: Shard, ask: Ask, now: float) -> str | None:
     """Return why a request can't be queued, `None` if it can."""
-    if not any(not runner.leaving for runner in shard.pool):
+    if all(_is_out(runner, ask) for runner in shard.pool):
         return 'no_live_runner'
     if len(shard.queue) >= MOST_WAITING:
         return 'queue_full'
@@ -48,6 +49,10 @@
     return None
 
 
+def _is_out(runner: Runner, ask: Ask) -> bool:
+    return runner.leaving or runner.name in ask.excluded
+
+
 def _waits_too_long(shard: Shard, ask: Ask, now: float) -> bool:
     if not shard.switches.admission or shard.lower_runs(ask.tier):
         return False
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -22,7 +22,7 @@
 from bramleybend.decisions.expiry import expire, refuse
 from bramleybend.decisions.learning import learn, learn_first_token
 from bramleybend.decisions.pool import RunnerPool
-from bramleybend.decisions.preemption import next_preemption, preempt
+from bramleybend.decisions.preemption import preempt
 from bramleybend.decisions.queueing import WaitingQueue
 from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.switches import Switches
@@ -138,7 +138,7 @@
         """Return when `tick` has something to do, if nothing else happens."""
         moment = self._advance(now)
         shard = self._shard
-        times = [next_start(shard, moment), next_preemption(shard, moment)]
+        times = [next_start(shard, moment)]
         for line in (shard.queue, shard.suspects):
             times.extend(line.next_due(tier) for tier in Tier)
         earliest = min(times)
--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Iterable
-from math import inf
 
 from bramleybend.decisions.actions import Action, Preempt
 from bramleybend.decisions.places import Place, places_of
@@ -47,16 +46,6 @@
     return actions
 
 
-def next_preemption(shard: Shard, now: float) -> float:
-    """Return when the next entry becomes urgent."""
-    if not shard.switches.preemption or not shard.queue:
-        return inf
-    times = [
-        shard.queue.next_urgent(tier) for tier in Tier if shard.lower_runs(tier)
-    ]
-    return min((time for time in times if time > now), default=inf)
-
-
 def _preempt_for(shard: Shard, tier: Tier, now: float) -> list[Action]:
     urgent = _urgent(shard, tier, now)
     found = places_of(shard, now) if urgent else []
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -27,6 +27,7 @@
 SURE = 0.5  # of the least seconds; only what is surely too late is given up
 LIKELY = 1.0  # times the least seconds: what a run takes
 LEAD_S = 1.0  # before that: a preemption takes a round trip and a cleanup
+LAST_ID = '\U0010ffff'  # sorts after every id, so a time's own entries count
 WINDOW = 12  # entries a free runner may choose its best prefix match from
 
 
@@ -209,14 +210,14 @@
         """Return the tier's entries whose latest start is before a time."""
         if tier not in self._tiers:
             return []
-        ids = self._tiers[tier].expiry.irange(maximum=(before, ''))
+        ids = self._tiers[tier].expiry.irange(maximum=(before, LAST_ID))
         return [self._entries[request_id] for _, request_id in ids]
 
     def urgent(self, now: float, tier: int, most: int) -> list[Waiting]:
         """Return the tier's entries that are most at risk."""
         if tier not in self._tiers:
             return []
-        ids = self._tiers[tier].urgent.irange(maximum=(now, ''))
+        ids = self._tiers[tier].urgent.irange(maximum=(now, LAST_ID))
         return [
             self._entries[request_id] for _, request_id in islice(ids, most)
         ]
--- a/tests/decisions/test_owner.py
+++ b/tests/decisions/test_owner.py
@@ -120,9 +120,16 @@
         policy.ask(make_ask(name), 0)
     policy.ask(make_ask('late', deadline=5), 0)
     wake = policy.next_wake(0)
-    assert wake is not None
-    assert wake <= 5
-    refused = policy.tick(5)[0]
+    actions: list[Action] = []
+    while not actions:
+        assert wake is not None
+        assert wake <= 5
+        actions = policy.tick(wake)
+        following = policy.next_wake(wake)
+        # Each wake leads to a later one, or the owner's task would spin.
+        assert following is None or following > wake
+        wake = following
+    refused = actions[0]
     assert isinstance(refused, Refuse)
     assert refused.shed
     assert policy.load().waiting == 0
@@ -258,3 +265,11 @@
     for name in ('a', 'b'):
         ask = make_ask(name, prompt_tokens=9000, cost=9000)
         assert granted(policy.ask(ask, 0)) == [name]
+
+
+def test_request_that_every_runner_failed_is_shed_at_once() -> None:
+    policy = make_policy('engine-1')
+    ask = make_ask('a', excluded=frozenset({'engine-1'}))
+    action = policy.ask(ask, 0)[0]
+    assert isinstance(action, Refuse)
+    assert action.shed
