--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -6,8 +6,9 @@
 (negative costs, unknown tiers) upsets the order of the queue.
 
 A request is refused at once if the cost ahead of it takes longer than it can
-wait by `SURE_WAIT`: the rate is an estimate, and a wrong refusal costs more
-than a late one. A workspace waits behind its own cost times the workspaces
+wait by `SURE_WAIT` (judgement, not tuned): the rate is an estimate, and a
+wrong refusal costs more than a late one. While lower work runs here nothing
+is refused for that reason, as it would have to yield first. A workspace waits behind its own cost times the workspaces
 it shares the shard with, not behind all that a large one has queued.
 """
 
--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -7,7 +7,11 @@
 A freed slot goes to the tier and workspace whose turn it is; of that
 workspace's next `WINDOW` entries the one is taken that costs the runner
 least, each place down the line counting as `PLACE_S`, so an entry is passed
-over a bounded number of times.
+over a bounded number of times. An entry is held for a busy runner that would
+serve it `HOLD_S` sooner, prefill weighed in (`places.OTHERS`), unless it is
+urgent or there are entries enough for all runners. `MOST_WINDOWS` bounds the
+time of one decision. The three were set by judgement; the ablation `holding`
+in docs/BENCHMARKS.md shows what holding is worth.
 """
 
 from dataclasses import dataclass, replace
--- a/bramleybend/decisions/expiry.py
+++ b/bramleybend/decisions/expiry.py
@@ -2,7 +2,8 @@
 
 Load pattern: a queue longer than the deadlines of what stands in it.
 Without it: slots go to requests whose callers have given up, and their whole
-prefill is wasted just when capacity is short.
+prefill is wasted just when capacity is short. The ablation `expiry` switches
+this off together with `places.Place.in_time`.
 """
 
 from bramleybend.decisions.actions import Action, Refuse
--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -6,7 +6,9 @@
 
 The victim has the lowest tier of all, and of these loses least prefill: the
 tokens computed so far, counting a started prompt as computed. Work that can't
-be cancelled is never a victim.
+be cancelled is never a victim. Where slots are to spare, only a floor makes
+victims of prompts being filled: doing so for every urgent request cost total
+goodput (docs/design/decisions.md). The ablation is `preemption`.
 """
 
 from collections.abc import Iterable
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -9,7 +9,12 @@
 served per weight is next (start-time fair queueing). Within a workspace an
 entry is ordered by arrival plus `AGEING` seconds for each unit of cost, so a
 short one overtakes a long one only if it came soon after; the key never
-changes, so a long one is passed over for a bounded time.
+changes, so a long one is passed over for a bounded time. Trials with four
+times the ageing changed nothing beyond noise; the ablation is `short_first`.
+
+`SURE`, `LIKELY` and `LEAD_S` say when an entry is too late and when at risk,
+from the least time it needs; `LIKELY` was 2 and cost goodput at saturation,
+see docs/design/decisions.md.
 """
 
 from collections import defaultdict
--- a/bramleybend/decisions/routing.py
+++ b/bramleybend/decisions/routing.py
@@ -8,7 +8,8 @@
 Shards are ranked by rendezvous hash on the prefix, so that all gateways agree
 without talking. The first choice is left only when it looks overcommitted by
 `MOST_LOAD` times the mean; the next is the less loaded of two by random, as
-stale loads make the least loaded one a target for all.
+stale loads make the least loaded one a target for all. `MOST_LOAD` is the
+usual bound of bounded-load hashing, not tuned by a run here.
 """
 
 from collections.abc import Sequence
