--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -7,7 +7,8 @@
 
 A runner takes a prompt while what it still has to fill lasts less than
 `FILL_S`, or if the prompt is so short (`SHORT_TOKENS`) that it hardly delays
-the others.
+the others; both by judgement, the ablation is `filling`. `OTHERS` was chosen
+by trials at 0 to 7, see docs/design/decisions.md.
 """
 
 from dataclasses import dataclass
@@ -55,6 +56,14 @@
         work = self.prefill_tokens(ask) / self.mean.prefill
         return self.seconds(ask) + work * OTHERS
 
+    def in_time(self, ask: Ask, left: float) -> bool:
+        """Tell whether a request would end in the time left.
+
+        An idle runner always gets a try: were it believed too slow for ever,
+        nothing would run there that could prove otherwise.
+        """
+        return self.seconds(ask) < left or not self.runner.in_flight
+
     def takes(self, ask: Ask) -> bool:
         """Tell whether a request may be started here."""
         if not self.free or self.fill < self.gate:
