--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -159,8 +159,8 @@
                 self._channels,
                 self._cfg.scheduler_port,
                 asker.ranked,
+                lambda: self.views.view_age_s,
                 self._header,
-                lambda: self.views.owners_age_s,
             ),
             self._clock,
         )
--- a/bramleybend/gateway/floor_round.py
+++ b/bramleybend/gateway/floor_round.py
@@ -33,8 +33,8 @@
     channels: Channels
     port: int
     ranked: Ranked
+    view_age_s: Callable[[], float]
     header: Callable[[], Header]
-    view_age: Callable[[], float]
 
 
 class FloorRounds:
@@ -69,7 +69,7 @@
             tier,
             frozenset(range(shards)),
             self._clock.monotonic(),
-            view_age=self._port.view_age(),
+            view_age=self._port.view_age_s(),
         )
         replies = await asyncio.gather(
             *(self._ask(service, tier, shard) for shard in range(shards))
