--- a/bramleybend/state/terms_rules.py
+++ b/bramleybend/state/terms_rules.py
@@ -167,7 +167,10 @@
                 'the renewal was overtaken by another record',
                 'renew again from the terms now in force',
             )
-        if not self.anchored:
+        # A VM's renewal has the version in force. A higher one is an operator's
+        # who found no terms on the log; were it taken by new VMs alone, they
+        # and a VM that still holds terms would part for good.
+        if not self.anchored or record.version > self.version:
             self._adopt(record.version, offset, record.document)
         return Renewed(record.version)
 
--- a/tests/test_state_machines.py
+++ b/tests/test_state_machines.py
@@ -18,7 +18,11 @@
     New,
     TableLimits,
 )
-from bramleybend.state.terms_records import PublishRecord, encode_publish
+from bramleybend.state.terms_records import (
+    PublishRecord,
+    encode_publish,
+    encode_renew,
+)
 from bramleybend.state.terms_rules import (
     Accepted,
     Applied,
@@ -201,6 +205,15 @@
     assert (fresh.version, fresh.document, fresh.anchored) == (2, 'b', True)
 
 
+def test_terms_put_back_by_an_operator_hold_for_old_and_new_vms() -> None:
+    old, fresh = TermsLog(validate), TermsLog(validate)
+    old.apply(0, encode_publish('p', 0, 'a', 'ana'))
+    fresh.see_first_offset(1)
+    for vm in (old, fresh):
+        vm.apply(1, encode_renew(7, 'b', 1))
+        assert (vm.version, vm.document, vm.anchored) == (7, 'b', True)
+
+
 TestIdTable = IdTableMachine.TestCase
 TestIdTable.settings = FIXED
 TestTerms = TermsMachine.TestCase
