--- a/tests/test_shard_table.py
+++ b/tests/test_shard_table.py
@@ -44,10 +44,10 @@
 class World:
     """One scheduler's shards on a clock that the test moves."""
 
-    def __init__(self) -> None:
+    def __init__(self, owner: Member = OWN) -> None:
         self.clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
         self.shards = ShardTable(
-            Surroundings(lambda: TERMS, tuple, lambda: (OWN,), OWN.vm),
+            Surroundings(lambda: TERMS, tuple, lambda: (owner,), OWN.vm),
             ShardDeps(
                 self.clock,
                 EventLog('scheduler', 'a1', self.clock),
@@ -113,3 +113,10 @@
     world.run_for(DEFAULT_TIMES.grace_s)
 
     assert world.settled
+
+
+async def test_who_is_no_owner_is_never_settled() -> None:
+    world = World(Member('entry-2', '10.0.0.2', 'sof-b', 'b2'))
+    world.run_for(DEFAULT_TIMES.grace_s)
+
+    assert not world.settled
