--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -7,7 +7,11 @@
 A freed slot goes to the tier and workspace whose turn it is; of that
 workspace's next `WINDOW` entries the one is taken that costs the runner
 least, each place down the line counting as `PLACE_S`, so an entry is passed
-over a bounded number of times.
+over a bounded number of times. An entry is held for a busy runner that would
+serve it `HOLD_S` sooner, prefill weighed in (`places.OTHERS`), unless it is
+urgent or there are entries enough for all runners. `MOST_WINDOWS` bounds the
+time of one decision. The three were set by judgement; the ablation `holding`
+in docs/BENCHMARKS.md shows what holding is worth.
 """
 
 from dataclasses import dataclass, replace
@@ -19,6 +23,7 @@
 from bramleybend.decisions.queueing import WINDOW, Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
+from bramleybend.models import Tier
 
 PLACE_S = 0.05
 HOLD_S = 0.25
@@ -60,7 +65,9 @@
             choice
             for position, entry in enumerate(window)
             if entry.least_prefill <= most
-            for choice in _weigh(entry, position, places, now)
+            for choice in _weigh(
+                entry, position, places, now, shard.switches.expiry
+            )
             if not hold or choice.regret < HOLD_S or now > entry.urgent_from
         ]
         if choices:
@@ -73,6 +80,7 @@
     position: int,
     places: list[Place],
     now: float,
+    in_time: bool,
 ) -> list[_Choice]:
     """Weigh the free runners against waiting for a busy one."""
     ask = entry.ask
@@ -83,7 +91,7 @@
     taken = [
         _Choice(entry, place.runner, place.cost(ask))
         for place in able
-        if place.takes(ask) and place.seconds(ask) < left
+        if place.takes(ask) and (not in_time or place.in_time(ask, left))
     ]
     best = min(taken, key=_by_seconds, default=None)
     if best is None:
@@ -135,10 +143,14 @@
 
 
 def next_start(shard: Shard, now: float) -> float:
-    """Return when a slot may open without any event: ramps and floors."""
-    if not shard.queue:
+    """Return when something may start without any event.
+
+    Ramps and floors end, and what is held for a better runner gets urgent.
+    """
+    if not shard.queue and not shard.suspects:
         return inf
     times = list(shard.floors.values())
+    times.extend(shard.queue.next_urgent(tier) for tier in Tier)
     times.extend(
         runner.ramp.next_step(runner.limit.value, now) for runner in shard.pool
     )
--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -6,11 +6,12 @@
 
 The victim has the lowest tier of all, and of these loses least prefill: the
 tokens computed so far, counting a started prompt as computed. Work that can't
-be cancelled is never a victim.
+be cancelled is never a victim. Where slots are to spare, only a floor makes
+victims of prompts being filled: doing so for every urgent request cost total
+goodput (docs/design/decisions.md). The ablation is `preemption`.
 """
 
 from collections.abc import Iterable
-from math import inf
 
 from bramleybend.decisions.actions import Action, Preempt
 from bramleybend.decisions.places import Place, places_of
@@ -19,6 +20,8 @@
 from bramleybend.decisions.shard import Shard
 from bramleybend.models import Ask, Tier
 
+MOST_AT_ONCE = 8  # victims ordered in one step; bounds its time
+
 
 def choose_victim(runs: Iterable[Run], tier: int) -> Run | None:
     """Pick the run that yields to a request of a tier, if there is one."""
@@ -45,16 +48,6 @@
     return actions
 
 
-def next_preemption(shard: Shard, now: float) -> float:
-    """Return when the next entry becomes urgent."""
-    if not shard.switches.preemption or not shard.queue:
-        return inf
-    times = [
-        shard.queue.next_urgent(tier) for tier in Tier if shard.lower_runs(tier)
-    ]
-    return min((time for time in times if time > now), default=inf)
-
-
 def _preempt_for(shard: Shard, tier: Tier, now: float) -> list[Action]:
     urgent = _urgent(shard, tier, now)
     found = places_of(shard, now) if urgent else []
@@ -132,4 +125,6 @@
 def _urgent(shard: Shard, tier: Tier, now: float) -> list[Waiting]:
     if not shard.lower_runs(tier):
         return []
-    return shard.queue.urgent(now, tier)
+    # Those that already have a victim stand first; a few more may get one.
+    most = len(shard.victims) + MOST_AT_ONCE
+    return shard.queue.urgent(now, tier, most)
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -9,12 +9,18 @@
 served per weight is next (start-time fair queueing). Within a workspace an
 entry is ordered by arrival plus `AGEING` seconds for each unit of cost, so a
 short one overtakes a long one only if it came soon after; the key never
-changes, so a long one is passed over for a bounded time.
+changes, so a long one is passed over for a bounded time. Trials with four
+times the ageing changed nothing beyond noise; the ablation is `short_first`.
+
+`SURE`, `LIKELY` and `LEAD_S` say when an entry is too late and when at risk,
+from the least time it needs; `LIKELY` was 2 and cost goodput at saturation,
+see docs/design/decisions.md.
 """
 
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from itertools import islice
 from math import inf
 
 from sortedcontainers import SortedKeyList, SortedList
@@ -22,10 +28,11 @@
 from bramleybend.decisions.prefixes import prefix_tokens
 from bramleybend.models import Ask, Tier
 
-AGEING = 0.0005  # seconds of later arrival that one unit of cost counts as
+AGEING = 0.0005  # seconds of later arrival that a unit of cost counts as
 SURE = 0.5  # of the least seconds; only what is surely too late is given up
-LIKELY = 2.0  # times the least seconds; what a run takes on a busy runner
+LIKELY = 1.0  # times the least seconds: what a run takes
 LEAD_S = 1.0  # before that: a preemption takes a round trip and a cleanup
+LAST_ID = '\U0010ffff'  # sorts after every id, so a time's own entries count
 WINDOW = 12  # entries a free runner may choose its best prefix match from
 
 
@@ -175,6 +182,8 @@
 
     def add(self, ask: Ask, now: float, seconds: float) -> None:
         """Queue a request that takes so many seconds at least."""
+        # An estimate that is wrong leaves at least half of the time to try.
+        seconds = min(seconds, max(ask.deadline - now, 0) / 2)
         entry = Waiting(
             ask,
             now,
@@ -206,15 +215,17 @@
         """Return the tier's entries whose latest start is before a time."""
         if tier not in self._tiers:
             return []
-        ids = self._tiers[tier].expiry.irange(maximum=(before, ''))
+        ids = self._tiers[tier].expiry.irange(maximum=(before, LAST_ID))
         return [self._entries[request_id] for _, request_id in ids]
 
-    def urgent(self, now: float, tier: int) -> list[Waiting]:
-        """Return the tier's entries that are at risk."""
+    def urgent(self, now: float, tier: int, most: int) -> list[Waiting]:
+        """Return the tier's entries that are most at risk."""
         if tier not in self._tiers:
             return []
-        ids = self._tiers[tier].urgent.irange(maximum=(now, ''))
-        return [self._entries[request_id] for _, request_id in ids]
+        ids = self._tiers[tier].urgent.irange(maximum=(now, LAST_ID))
+        return [
+            self._entries[request_id] for _, request_id in islice(ids, most)
+        ]
 
     def next_urgent(self, tier: int) -> float:
         """Return when the next entry of a tier is at risk."""
--- a/tests/benchmarks/patterns.py
+++ b/tests/benchmarks/patterns.py
@@ -13,6 +13,7 @@
 SHARES = (0.35, 0.3, 0.2, 0.1, 0.05)
 SKEWED = (0.8, 0.05, 0.05, 0.05, 0.05)
 ACTIVE_DOCUMENTS = 6  # of a workspace and kind, in use at one time
+LONG_ANSWER = (1200, 2000)  # tokens, 20 to 30 s
 NEW_DOCUMENT = 0.12  # chance that a request opens another one
 SEEDS = (11, 23, 37, 41, 59)
 
@@ -172,6 +173,7 @@
     shares: tuple[float, ...] = SHARES
     faults: tuple[Fault, ...] = ()
     long_share: float = 0  # of requests: a prompt of 30,000 tokens
+    prelude: float = 0  # until then only the lowest tier, with long answers
 
 
 PATTERNS = (
@@ -183,12 +185,13 @@
         _flat(0.7),
         faults=(Fault(10, 30, (0, 7, 21, 25, 39, 42), slowdown=10),),
     ),
-    Pattern('long among short', _flat(0.7), long_share=0.04),
+    Pattern('long among short', _flat(1.3), long_share=0.04),
     Pattern('saturation', _flat(2.0)),
+    Pattern('bulk first', _flat(1.0), prelude=10),
     Pattern(
         'crash',
         _flat(0.7),
-        faults=(Fault(12, 24, (3, 22, 40, 43, 47)),),
+        faults=(Fault(12, 24, tuple(range(0, 50, 4))),),
     ),
 )
 
@@ -217,7 +220,10 @@
 
 
 def make_jobs(
-    kinds: tuple[Kind, ...], pattern: Pattern, seed: int
+    kinds: tuple[Kind, ...],
+    pattern: Pattern,
+    seed: int,
+    seconds: float = SECONDS,
 ) -> list[Job]:
     """Draw the requests of one run; the same seed gives the same."""
     rng = Random(seed)
@@ -226,12 +232,14 @@
     jobs: list[Job] = []
     now = float(0)
     highest = 3.0
-    while now < SECONDS:
+    while now < seconds:
         # Thinning: draw at the highest rate, keep the part that is due.
         now += rng.expovariate(highest * CAPACITY / mean)
         kept = rng.random() * highest < pattern.load(now)
-        if kept and now < SECONDS:
+        if kept and now < seconds:
             kind = rng.choices(kinds, [each.share for each in kinds])[0]
+            if now < pattern.prelude:
+                kind = replace(kinds[-1], completion=LONG_ANSWER)
             job = _make_job(kind, pattern, rng, documents, now, len(jobs))
             jobs.append(job)
     return jobs
