--- a/bramleybend/scheduler/peers.py
+++ b/bramleybend/scheduler/peers.py
@@ -129,10 +129,10 @@
             heartbeat=int(clock.now().timestamp() * MILLISECONDS),
         )
         self._started = clock.monotonic()
-        self._members = Members(own, rng, self._started)
-        self._news = PeerNews(sources, clock, rng)
+        self.members = Members(own, rng, self._started)
+        self.news = PeerNews(sources, clock, rng)
         self._gossip = Gossip(
-            GossipDeps(self._members, wire, self._news, clock),
+            GossipDeps(self.members, wire, self.news, clock),
             rng,
         )
         self._sources = sources
@@ -145,10 +145,10 @@
     def alive(self) -> tuple[Member, ...]:
         """Return who may own shards."""
         now = self._clock.monotonic()
-        alive = self._members.alive(now)
+        alive = self.members.alive(now)
         if now - self._started > JOIN_S:
             return alive
-        met = {member.address for member in self._members.known(now)}
+        met = {member.address for member in self.members.known(now)}
         return alive + tuple(
             Member(vm.name, vm.address, vm.domain, vm.name)
             for vm in self._sources.listed()
@@ -157,7 +157,7 @@
 
     def known(self) -> tuple[Member, ...]:
         """Return every member, also those leaving or dead."""
-        return self._members.known(self._clock.monotonic())
+        return self.members.known(self._clock.monotonic())
 
     def loads(self) -> dict[tuple[str, int], ShardView]:
         """Return the loads heard of from other owners."""
@@ -165,11 +165,11 @@
 
     async def fetch_terms(self) -> PeerTerms | None:
         """Ask a peer for its terms, one that is ahead if there is one."""
-        address = self._news.ahead or self._any_address()
-        self._news.ahead = ''
+        address = self.news.ahead or self._any_address()
+        self.news.ahead = ''
         if not address:
             return None
-        request = TermsRequest(header=self._news.header())
+        request = TermsRequest(header=self.news.header())
         reply = await self._wire.fetch_terms(address, request)
         if reply is None or not reply.version:
             return None
@@ -181,19 +181,19 @@
         """Answer peers."""
         service = PeerService(
             self._gossip,
-            self._news.header,
+            self.news.header,
             self._sources.terms.for_peer,
         )
         add_PeerServicer_to_server(service, server)
 
     def leave(self) -> None:
         """Say that this VM leaves, at once."""
-        self._members.leave()
+        self.members.leave()
         self._gossip.probe_now()
 
     def on_unreachable(self, vm: str) -> None:
         """Suspect a VM that refused a connection."""
-        self._members.on_unreachable(vm, self._clock.monotonic())
+        self.members.on_unreachable(vm, self._clock.monotonic())
 
     async def follow(self) -> None:
         """Exchange news until cancelled."""
