Keep a VM that left from owning shards again while it is buried

A leaving VM that stopped answering was suspected, and suspects own shards, so its shard moved back to it for 1 s, and each move holds lower tiers back for a grace. Ruled out: slow machine (the events show the second move). Now leaving outranks suspicion and silence ends it at once.

--- a/bramleybend/state/member.py
+++ b/bramleybend/state/member.py
@@ -12,8 +12,8 @@
     """What is known of a member, in growing precedence."""
 
     ALIVE = 'alive'
-    LEAVING = 'leaving'
     SUSPECT = 'suspect'
+    LEAVING = 'leaving'
     DEAD = 'dead'
 
 
--- a/bramleybend/state/records.py
+++ b/bramleybend/state/records.py
@@ -110,8 +110,13 @@
     def mark(self, address: str, state: MemberState, now: float) -> None:
         """Learn another state of the incarnation known at an address."""
         member = self.by_address.get(address)
-        if member is not None:
-            self.learn(replace(member, state=state), now)
+        if member is None:
+            return
+        if member.state is MemberState.LEAVING:
+            # Suspects still own shards. One that has said that it leaves is
+            # silent because it is gone, and must not own any in between.
+            state = MemberState.DEAD
+        self.learn(replace(member, state=state), now)
 
     def expire(
         self,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Membership as nodes die, freeze, restart and lose each other."""
 
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -33,6 +34,10 @@
     return Members(_member(0), Random(1), now)
 
 
+def _members_of(index: int) -> Members:
+    return Members(_member(index), Random(index), 0)
+
+
 def _states(members: Members, now: float) -> dict[str, MemberState]:
     return {record.vm: record.state for record in members.known(now)}
 
@@ -297,6 +302,26 @@
     assert _states(members, 0)['entry-1'] is MemberState.LEAVING
 
 
+def test_a_vm_that_left_never_owns_again_while_it_is_buried() -> None:
+    """A planned stop: the VM says it leaves, moves its shards and is gone.
+
+    Probes then go unanswered. Were it suspected like any other, it would
+    count as an owner again until its death, its shards would move back to
+    nobody, and callers of low tiers would wait for two more takeovers.
+    """
+    members, peer = _members(), _members_of(1)
+    peer.leave()
+    members.on_message(peer.own.member, [], 1)
+    members.on_unreachable('entry-1', 2)
+    members.on_indirect_result('10.0.0.1', answered=False, now=3)
+    suspected = replace(peer.own.member, state=MemberState.SUSPECT)
+    members.on_records([suspected], 4)
+    for now in range(4, 12):
+        members.tick(now)
+        assert [each.vm for each in members.alive(now)] == ['entry-0']
+    assert _states(members, 12)['entry-1'] is MemberState.DEAD
+
+
 def test_a_vm_leaves_when_the_list_says_so_of_itself() -> None:
     members = _members()
     members.learn_listed([_vm(0, RunnerState.LIVE)], 0)
