--- a/bramleybend/scheduler/gossip.py
+++ b/bramleybend/scheduler/gossip.py
@@ -89,7 +89,7 @@
         now = self._clock.monotonic()
         self._members.learn_listed(self._news.listed(), now)
         for outgoing in self._members.tick(now):
-            self._spawn(self._probe(outgoing))
+            self._spawn(self.probe(outgoing))
 
     async def answer(self, message: GossipMessage) -> GossipMessage:
         """Take in a peer's message, probe for it if asked, and reply."""
@@ -104,7 +104,8 @@
         reply = self._members.on_message(members[0], members[1:], now)
         return self._message(reply, answered=answered)
 
-    async def _probe(self, outgoing: Outgoing) -> None:
+    async def probe(self, outgoing: Outgoing) -> None:
+        """Probe a peer, by helpers if it doesn't answer."""
         answered = await self._exchange(outgoing, PROBE_TIMEOUT_S)
         if answered is None:
             return
@@ -116,6 +117,8 @@
         reached = await asyncio.gather(
             *(self._exchange(ask, HELPER_TIMEOUT_S) for ask in asks),
         )
+        if None in reached:
+            return
         now = self._clock.monotonic()
         self._members.on_indirect_result(target, any(reached), now)
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -4,17 +4,19 @@
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from random import Random
 
 import grpc
+import pytest
 
-from bramleybend.clock import SystemClock
+from bramleybend.clock import ManualClock, SystemClock
 from bramleybend.models import RunnerState, Vm
 from bramleybend.scheduler.gossip import Gossip, GossipDeps
 from bramleybend.scheduler.peer_service import PeerService
 from bramleybend.scheduler.peer_wire import GrpcPeerWire
 from bramleybend.state.member import Member, MemberState
-from bramleybend.state.membership import Members
+from bramleybend.state.membership import Members, Outgoing
 from bramleybend.wire.bramleybend_pb2 import (
     GossipMessage,
     Header,
@@ -240,6 +242,69 @@
         await wait_until(_all_meet(nodes), 'all know each other again')
 
 
+@dataclass
+class PausedWire:
+    """No answer comes; at the given call the whole process is paused."""
+
+    clock: ManualClock
+    paused_at: int
+    calls: int = 0
+
+    async def gossip(
+        self,
+        address: str,
+        message: GossipMessage,
+        timeout_s: float,
+    ) -> GossipMessage | None:
+        """Let the time run out, or much more than that."""
+        self.calls += 1
+        paused = self.calls == self.paused_at
+        self.clock.advance(60 if paused else timeout_s)
+        return await asyncio.sleep(0, None)
+
+    async def fetch_terms(
+        self,
+        address: str,
+        request: TermsRequest,
+    ) -> TermsReply | None:
+        """Give no answer."""
+        return await asyncio.sleep(0, None)
+
+
+@pytest.mark.parametrize(
+    ('paused_at', 'state'),
+    [
+        (0, MemberState.SUSPECT),
+        (1, MemberState.ALIVE),  # in the probe itself
+        (2, MemberState.ALIVE),  # while helpers are asked
+    ],
+)
+async def test_a_pause_of_this_process_blames_no_peer(
+    paused_at: int,
+    state: MemberState,
+) -> None:
+    """This process is paused for a minute with a probe under way.
+
+    When it goes on, the probe's time has run out. The answer may have come
+    and gone meanwhile, so the silence says nothing of the peer; without a
+    pause the same silence makes it a suspect.
+    """
+    clock = ManualClock(datetime(2026, 12, 2, tzinfo=UTC))
+    wire = PausedWire(clock, paused_at)
+    own, peer, helper = (
+        Member(f'entry-{idx}', f'10.0.0.{idx}', 'walton', 'a', heartbeat=1)
+        for idx in range(3)
+    )
+    members = Members(own, Random(1), 0)
+    members.on_records([peer, helper], 0)
+    deps = GossipDeps(members, wire, FakeNews('10.0.0.0', []), clock)
+
+    await Gossip(deps, Random(1)).probe(Outgoing(peer.address, (own,)))
+
+    held = {member.vm: member.state for member in members.known(0)}
+    assert held[peer.vm] is state
+
+
 async def test_news_reaches_every_node() -> None:
     async with _nodes(6) as nodes:
         source, *others = nodes
