--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -10,7 +10,8 @@
 entry is ordered by arrival plus `AGEING` seconds for each unit of cost, so a
 short one overtakes a long one only if it came soon after; the key never
 changes, so a long one is passed over for a bounded time. Trials with four
-times the ageing changed nothing beyond noise; the ablation is `short_first`.
+times the ageing changed nothing beyond noise, and the ablation `short_first`
+shows no loss (docs/BENCHMARKS.md): `places` already lets short prompts pass.
 
 `SURE`, `LIKELY` and `LEAD_S` say when an entry is too late and when at risk,
 from the least time it needs; `LIKELY` was 2 and cost goodput at saturation,
--- a/tests/benchmarks/__main__.py
+++ b/tests/benchmarks/__main__.py
@@ -26,8 +26,8 @@
 DOCS = Path(__file__).parents[2] / 'docs'
 INTRO = """# Benchmarks
 
-Written by `python -m tests.benchmarks --write`; the commit that holds this
-page holds the code that gave it. All is virtual time and counts from the
+Written by `python -m tests.benchmarks --write`; name the commit and the seeds
+here. All is virtual time and counts from the
 fake in `tests/utils/queueing_fake.py`: about what engines of that kind would
 do, not a measure of real ones. 50 engines of three speeds, 5 workspaces, 6
 entry VMs with views up to a second old, 40 s of arrivals. Loads are parts of
