Count adopted runs as streaming; keep an adopted suspect alone

Cause: an adopted run sends no first token again, so its prompt stood in the backlog and closed its runner to long prompts until it ended (test added).

--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -104,6 +104,10 @@
         runner = self._runners.get(run.runner)
         if runner is not None:
             runner.in_flight.add(run.ask.request_id)
+            if run.first_token_at is not None:
+                runner.streams.add(run.ask.request_id)
+            if run.ask.suspect:
+                runner.alone = run.ask.request_id
 
     def _add(self, name: str, now: float) -> Runner:
         runner = Runner(
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -61,19 +61,28 @@
         self.queue.charge(ask, ask.cost)
 
     def adopt(self, ask: Ask, runner_name: str, now: float) -> None:
-        """Note a run under way, on a runner that may not be listed yet."""
+        """Note a run under way, on a runner that may not be listed yet.
+
+        Its first token may have come before, so it counts as streaming: else
+        its prompt would stand in the backlog, and keep the runner closed to
+        long prompts, until it ends.
+        """
         runner = self.pool.get(runner_name)
-        if runner is not None:
-            self.start(ask, runner, now)
-            return
         self.leave_queue(ask.request_id)
+        self.queue.charge(ask, ask.cost)
         self.runs[ask.request_id] = Run(
             ask,
             runner_name,
             now,
             ask.prompt_tokens,
+            first_token_at=now,
         )
-        self.queue.charge(ask, ask.cost)
+        if runner is not None:
+            runner.in_flight.add(ask.request_id)
+            runner.streams.add(ask.request_id)
+            runner.cache.sent(ask.prefixes, now)
+            if ask.suspect:
+                runner.alone = ask.request_id
 
     def prefill_over(self, run: Run) -> None:
         """Take a run's prompt out of its runner's backlog, once."""
--- a/tests/decisions/test_owner.py
+++ b/tests/decisions/test_owner.py
@@ -273,3 +273,39 @@
     action = policy.ask(ask, 0)[0]
     assert isinstance(action, Refuse)
     assert action.shed
+
+
+def test_adopted_runs_do_not_close_their_runner_to_long_prompts() -> None:
+    """The previous owner is lost while a run streams.
+
+    Its first token is past and will not be reported again; the next long
+    prompt must not wait for its end.
+    """
+    policy = make_policy('engine-1')
+    policy.adopt(make_ask('a', prompt_tokens=9000, cost=9000), 'engine-1', 0)
+    ask = make_ask('b', prompt_tokens=9000, cost=9000)
+    assert granted(policy.ask(ask, 0)) == ['b']
+
+
+def test_new_owner_starts_slowly() -> None:
+    """A new owner knows neither caches nor speeds, and a queue stands.
+
+    It starts a quarter of the slots at once and the rest over five seconds.
+    """
+    service = replace(SERVICE, slots=8)
+    policy = make_shard_policy(service, Random(1))
+    policy.runners([RunnerInfo('engine-1')], 0)
+    for number in range(8):
+        policy.ask(make_ask(f'r{number}'), 0)
+    assert policy.load().running == 2
+    policy.tick(2.5)
+    assert 2 < policy.load().running < 8
+    policy.tick(5)
+    assert policy.load().running == 8
+
+
+def test_adopted_suspect_keeps_its_runner_to_itself() -> None:
+    policy = make_shard_policy(SERVICE, Random(1))
+    policy.adopt(make_ask('s', suspect=True), 'engine-1', 0)
+    policy.runners([RunnerInfo('engine-1')], 1)
+    assert not policy.ask(make_ask('a'), 20)
