Ask of every request turned away whether the tier floor was asked for

Cause: the shortage test found the broken tier promise in about one run of two; a request that is settled as not_run without a shed event skipped the floor, which shows in each run that has one.

--- a/tests/failures/test_shortage.py
+++ b/tests/failures/test_shortage.py
@@ -75,12 +75,16 @@
                 lambda: scene.count(Outcome.NOT_RUN, 'logbook-check') >= 20,
                 '20 requests of the second tier turned away',
             )
+        events = list(parse_events(scene.cluster.event_lines()))
         sheds = [
             event
-            for event in parse_events(scene.cluster.event_lines())
+            for event in events
             if event['event'] == 'settled' and event['outcome'] == 'not_run'
         ]
         assert any(int(shed['tier']) == Tier.HIGH for shed in sheds)
+        asked = {each['req'] for each in events if each['event'] == 'shed'}
+        unasked = [shed for shed in sheds if shed['req'] not in asked]
+        assert not unasked, f'{len(unasked)} shed without asking: {unasked[:2]}'
         served = list(_served(scene))
         for shed in sheds:
             lower = [
