Ask for the tier floor before a request is turned away at its deadline

Cause: a request refused by one shard for want of capacity was asked at the next; there it came too late (deadline_past, shed=False), or its deadline ran out while it was queued (a Problem). Ruled out: marking the second ask urgent, since that sets a floor of 1 s at the next owner for each request that the first one turned away on arrival. Change: an earlier refusal makes a later one count as shed, and a deadline that runs out in a queue is a refusal too.

--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -93,7 +93,11 @@
             message = ask_message(ask, excluded, self._left_s(ask))
             message.shard = shard
             message.urgent = urgent
-            last = await self._acquire_at(message, ask.deadline)
+            last = await self._acquire_at(
+                message,
+                ask.deadline,
+                was_refused=urgent or isinstance(last, Refused),
+            )
             if not isinstance(last, Refused):
                 break
         return last
@@ -102,6 +106,8 @@
         self,
         message: AskMessage,
         deadline: float,
+        *,
+        was_refused: bool,
     ) -> Slot | Answer | Refused:
         """Ask one shard; a `Refused` is one that may go on elsewhere."""
         match await self._deps.asker.acquire(message, deadline):
@@ -110,9 +116,11 @@
             case Err(Problem() as problem):
                 return not_run(str(problem), RETRY_AFTER)
             case Err(Refused() as refused):
-                # An urgent ask was refused for want of capacity before,
-                # whatever its deadline says by now.
-                if refused.quarantined or not (refused.shed or message.urgent):
+                # What was refused for want of capacity before, here or at
+                # another shard, is shed whatever its deadline says by now.
+                # Taken for a late arrival it would be turned away without
+                # the tier floor, beside lower tiers that are served.
+                if refused.quarantined or not (refused.shed or was_refused):
                     return _refused(refused)
                 return refused
         raise AssertionError(message)
--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -38,6 +38,7 @@
 # waiting longer would spend the caller's deadline on it.
 ACK_TIMEOUT_S: Final = 0.8
 AVOID_S: Final = 3.0
+OUT_OF_TIME_RETRY_S: Final = 1.0
 ADOPT_RETRY_S: Final = 0.3
 LAST_CALL_TIMEOUT_S: Final = 1.0
 UNKNOWN_YET: Final = -1  # engines tell what was cached at the end
@@ -266,9 +267,11 @@
     )
 
 
-def _out_of_time() -> Problem:
-    return Problem(
-        ErrorKind.TIMEOUT,
-        'no slot came free before the deadline',
-        'send it again with a later deadline',
+def _out_of_time() -> Refused:
+    # A deadline that runs out in a queue is a request shed, so it is no more
+    # final than an owner's refusal: the tier floor is asked for first.
+    return Refused(
+        reason='no slot came free before the deadline',
+        retry_after_s=OUT_OF_TIME_RETRY_S,
+        shed=True,
     )
