--- a/tests/utils/scenario.py
+++ b/tests/utils/scenario.py
@@ -10,11 +10,13 @@
 from tests.utils.cluster import EXAMPLE, Cluster, Layout
 from tests.utils.entry_vm import EntryVm
 from tests.utils.eventlog import parse_events
+from tests.utils.http_client import NO_WORD_YET
 from tests.utils.ledger import Ledger, Verdict
 from tests.utils.load import Stream, plan, play
 from tests.utils.waiting import wait_until
 from tests.utils.work import Declared, WorkMaker
 
+REFUSED = 'ConnectionRefusedError'
 LARGE_SCHOOL = 'walton-aero-club'  # may use every profile
 
 
@@ -91,6 +93,18 @@
             for reason in attempt.broken
         ]
 
+    def cut_answers(self) -> list[str]:
+        """Return the broken sends in which the system cut a request off.
+
+        A closed port takes nothing in, and a caller that loses patience with
+        a queue before any word of the answer gives up by itself.
+        """
+        return [
+            reason
+            for reason in self.broken_sends()
+            if REFUSED not in reason and NO_WORD_YET not in reason
+        ]
+
     def verdict(self) -> Verdict:
         """Judge all answers against the runners' records."""
         runners = self.cluster.runners
