--- a/tests/test_conformance.py
+++ b/tests/test_conformance.py
@@ -23,12 +23,14 @@
 from bramleybend.models import Ask, Service, ServiceKind, Tier
 from bramleybend.state.journal_rules import HomeJournal, JournalView, NotRun
 from bramleybend.state.terms_rules import TermsLog
-from spec import dispatch, floor, terms
+from spec import dispatch, floor, floor_state, terms
 from spec.checking import Model
+from spec.dispatch_rules import State as DispatchState
+from spec.dispatch_rules import records, request
 
 SEEDS = range(150)
 STEPS = 40
-TIMES = FloorTimes(floor.HOLD, floor.MARGIN, floor.FRESH)
+TIMES = FloorTimes(floor_state.HOLD, floor_state.MARGIN, floor_state.FRESH)
 POOL = Service('bend-lm', ServiceKind.ENGINE, slots=2, shards=2)
 LOWER = Ask(
     request_id='draft',
@@ -59,7 +61,7 @@
 
 @pytest.mark.parametrize('marked', [True, False])
 def test_journal_follows_the_model(marked: bool) -> None:
-    req = dispatch.request(marked=marked)
+    req = request(marked=marked)
     model = dispatch.MARKED if marked else dispatch.PLAIN
     not_run = 0
     for seed in SEEDS:
@@ -82,8 +84,8 @@
     assert not_run
 
 
-def read(state: dispatch.State, start: int, req: Any) -> list[LogRecord]:
-    return dispatch.records(state.log, max(start, state.first), req)
+def read(state: DispatchState, start: int, req: Any) -> list[LogRecord]:
+    return records(state.log, max(start, state.first), req)
 
 
 def test_terms_follow_the_model() -> None:
@@ -131,21 +133,23 @@
         elif label == 'B takes shard 1 over':
             # Owners' clocks are fast, by as much as the model lets them be.
             self.owners[2] = Settling(
-                self.now - floor.DRIFT,
+                self.now - floor_state.DRIFT,
                 watches_load=self.load,
                 times=TIMES,
             )
-            hold_s = TIMES.grace_s - floor.DRIFT
+            hold_s = TIMES.grace_s - floor_state.DRIFT
             self.policies[2].set_floor(min(Tier), hold_s, self.now)
         elif label == 'the run is registered with B':
-            self.owners[1].lose_run(self.now - floor.DRIFT)
+            self.owners[1].lose_run(self.now - floor_state.DRIFT)
         elif label == 'a load report shows no surplus':
             self.owners[2].note_load(0, self.now)
         elif label == 'the caller opens a round':
             self.open_round(before)
         elif label.startswith('owner'):
             policy = self.policies['0AB'.index(label.split()[1])]
-            policy.set_floor(Tier.HIGH, floor.HOLD - floor.DRIFT, self.now)
+            policy.set_floor(
+                Tier.HIGH, floor_state.HOLD - floor_state.DRIFT, self.now
+            )
         elif label.startswith('reply') and self.round:
             shard = int(label.split()[3])
             agrees = before.asked[shard] == 'ok'
@@ -155,7 +159,7 @@
                 self.reply(old, int(label.split()[3]), lower_running=False)
         self.compare(after)
 
-    def open_round(self, before: floor.State) -> None:
+    def open_round(self, before: floor_state.State) -> None:
         stale = before.taken and not (before.fresh or before.caller_knows)
         if self.round:
             self.old.append(self.round)
@@ -176,7 +180,7 @@
             lower_running=int(lower_running),
         )
 
-    def compare(self, state: floor.State) -> None:
+    def compare(self, state: floor_state.State) -> None:
         _, first, second = self.owners
         permit = self.permits.permit(POOL.name, Tier.HIGH, self.now)
         assert permit == bool(state.permit)
