--- a/spec/floor.py
+++ b/spec/floor.py
@@ -1,11 +1,10 @@
 """Tier floor: two shards, an owner that is replaced, one that may be frozen.
 
-Time runs in ticks; an owner's clock gains up to `DRIFT` over a hold.
-Shard 0 keeps its owner. Shard 1 passes from owner A to owner B, while A may
-be alive and either gateway may not have heard of B yet. `caller` is the
-gateway that wants to shed a request of a higher tier, `other` the one that
-runs a lower tier's request; it may be frozen, and its run registered nowhere. The conformance test replays traces against `ShedPermits`,
-`Settling` and `ShardPolicy`.
+Time runs in ticks; an owner's clock gains up to `DRIFT` over a hold. Shard 1
+passes from owner A to owner B, while A may be alive and either gateway may not
+have heard of B yet. `caller` wants to shed a request of a higher tier; `other`
+runs a lower tier's and may be frozen, with its run registered nowhere. Traces
+are replayed against `ShedPermits`, `Settling` and `ShardPolicy`.
 """
 
 from collections.abc import Iterator
