--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -192,7 +192,7 @@
     if service.kind is ServiceKind.PLAIN:
         # Without first tokens nothing tells when a prompt is filled.
         switches = replace(switches, filling=False)
-    shares = weights or {}
+    shares: Mapping[str, float] = {} if weights is None else weights
     shard = Shard(
         pool=RunnerPool(service.slots, switches),
         queue=WaitingQueue(
--- a/bramleybend/gateway/ask.py
+++ b/bramleybend/gateway/ask.py
@@ -4,8 +4,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from xxhash import xxh3_64
-
+from bramleybend.decisions.prefixes import prefix_hashes
 from bramleybend.gateway.run import RequestBody
 from bramleybend.models import Ask, Profile, ServiceKind
 from bramleybend.wire.bramleybend_pb2 import AskMessage
@@ -16,8 +15,6 @@
 # long work against short.
 DECODE_WEIGHT: Final = 8
 DEFAULT_MAX_TOKENS: Final = 128
-PREFIX_CHARS: Final = 256
-MAX_PREFIXES: Final = 16
 
 
 def ask_of(req: RequestBody, profile: Profile, kind: ServiceKind) -> Ask:
@@ -36,26 +33,13 @@
         workspace=req.workspace,
         cost=float(prompt_tokens + DECODE_WEIGHT * max_tokens),
         prompt_tokens=prompt_tokens,
-        prefixes=prefixes_of(prompt),
+        prefixes=prefix_hashes(prompt),
         deadline=req.deadline,
         cancellable=profile.cancellable,
         fingerprint=req.fingerprint,
     )
 
 
-def prefixes_of(prompt: str) -> tuple[str, ...]:
-    """Return hashes of the prompt's growing prefixes, shortest first."""
-    hasher = xxh3_64()
-    prefixes: list[str] = []
-    whole = len(prompt) - len(prompt) % PREFIX_CHARS
-    for start in range(
-        0, min(whole, MAX_PREFIXES * PREFIX_CHARS), PREFIX_CHARS
-    ):
-        hasher.update(prompt[start : start + PREFIX_CHARS].encode())
-        prefixes.append(hasher.hexdigest())
-    return tuple(prefixes)
-
-
 def ask_message(
     ask: Ask,
     excluded: Sequence[str],
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -53,6 +53,8 @@
         self._looked_at = self._deps.clock.monotonic()
         self._ranked_for: tuple[Member, ...] = ()
         self._owners: dict[tuple[str, int], str] = {}
+        self._weights: dict[str, float] = {}
+        self._weighed = 0  # the terms' version
         self._handed: dict[tuple[str, int], tuple[Vm, ...]] = {}
 
     def get(self, service: str, shard: int) -> ShardTask | None:
@@ -66,8 +68,9 @@
             return task
         terms = self._around.terms()
         named = terms.services.get(service) if terms else None
-        if named is None or shard >= named.shards:
+        if terms is None or named is None or shard >= named.shards:
             return None
+        self._note_weights(terms)
         return self._create(named, shard)
 
     def settled(self, task: ShardTask) -> bool:
@@ -99,6 +102,7 @@
         terms = self._around.terms()
         if terms is None:
             return
+        self._note_weights(terms)
         named = {
             (service.name, shard): service
             for service in terms.services.values()
@@ -138,6 +142,15 @@
         for task in self._tasks.values():
             task.post(OwnershipMoved())
 
+    def _note_weights(self, terms: Terms) -> None:
+        # One mapping, changed in place, so that new weights hold for the
+        # queues that stand already.
+        if terms.version != self._weighed:
+            self._weighed = terms.version
+            self._weights.clear()
+            for workspace in terms.workspaces.values():
+                self._weights[workspace.name] = workspace.weight
+
     def _now(self) -> float:
         return self._deps.clock.monotonic()
 
@@ -193,7 +206,7 @@
 
     def _create(self, service: Service, shard: int) -> ShardTask:
         key = (service.name, shard)
-        policy = make_shard_policy(service, self._rng)
+        policy = make_shard_policy(service, self._rng, self._weights)
         task = ShardTask(service.name, shard, policy, self._deps)
         self._tasks[key] = task
         self._hand_out(task, service)
