Answer a resend that comes after its deadline

Ruled out: telling `unknown` at the border, since the home knows the answer. Seen to fail first: the new test got `rejected` from the home itself; after, the 7 tests of test_answers_whole pass, also that an unseen id with a past deadline is rejected at every VM.

--- a/bramleybend/gateway/border.py
+++ b/bramleybend/gateway/border.py
@@ -123,15 +123,9 @@
         )
     if deadline.tzinfo is None:
         deadline = deadline.replace(tzinfo=UTC)
-    left_s = (deadline - clock.now()).total_seconds()
-    if left_s <= 0:
-        return Err(
-            rejected(
-                'the deadline has passed',
-                'send a later one; check that both clocks agree',
-            ),
-        )
-    return Ok(left_s)
+    # A deadline that has passed is the home's to refuse: `rejected` says that
+    # nothing ran, which is not known here of an id that is sent again.
+    return Ok((deadline - clock.now()).total_seconds())
 
 
 def _no_such(kind: str, name: str) -> Answer:
--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -95,6 +95,11 @@
         terms: Terms,
         profile: Profile,
     ) -> Run | Answer:
+        if req.deadline <= self._deps.clock.monotonic():
+            return rejected(
+                'the deadline has passed',
+                'send a later one; check that both clocks agree',
+            )
         # A profile's timeout bounds what a caller may ask for, so that a slip
         # in a deadline does not hold a slot for a day.
         latest = self._deps.clock.monotonic() + profile.timeout.total_seconds()
--- a/tests/failures/test_answers_whole.py
+++ b/tests/failures/test_answers_whole.py
@@ -177,3 +177,32 @@
             if run.prompt_hash == work.content:
                 return run.state
     return None
+
+
+async def test_a_resend_after_its_deadline_is_not_told_that_nothing_ran(
+    scene: Scenario,
+) -> None:
+    """A late resend of an id that ran gets its answer, at any VM."""
+    work = scene.make.plain(LARGE_SCHOOL, 'slot-claim')
+    record = await scene.caller().send(work)
+    assert record.outcome is Outcome.DONE
+    request_id = record.attempts[0].request_id
+    for vm in scene.cluster.vms:
+        late = await post(
+            request_id,
+            work,
+            vm.endpoint,
+            time.monotonic() - 1,
+        )
+        assert late.outcome is Outcome.DONE, (vm.name, late)
+    unseen = scene.make.plain(LARGE_SCHOOL, 'slot-claim')
+    ticket = request_id.rpartition('/')[0]
+    for vm in scene.cluster.vms:
+        refused = await post(
+            f'{ticket}/{uuid.uuid4().hex}',
+            unseen,
+            vm.endpoint,
+            time.monotonic() - 1,
+        )
+        assert refused.outcome is Outcome.REJECTED, (vm.name, refused)
+    assert_clean(scene.verdict())
