Let peers vouch for terms only while more than half of the VMs answer

Ruled out: no peer's word at all, which stops every VM 10 s into a log outage. Not proved by processes: nothing here cuts two VMs from each other.

--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -13,6 +13,7 @@
 from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.ownership import owners_of
 from bramleybend.decisions.quarantine import CrashBook
+from bramleybend.decisions.terms_age import terms_age_s
 from bramleybend.events import EventLog
 from bramleybend.identity import Identity, make_identity
 from bramleybend.metrics import Metric, make_metrics
@@ -97,6 +98,16 @@
         await self._channels.close()
         self.events.record('stopped')
 
+    def terms_age_s(self) -> float:
+        """Return how old the word is that the terms are still in force."""
+        members = self.peers.met()
+        return terms_age_s(
+            self.terms.log_age_s,
+            self.terms.peer_age_s,
+            sum(member.may_own for member in members),
+            len(members),
+        )
+
     def known_loads(self) -> list[ShardView]:
         """Return the load of every shard: own, heard of, or unknown."""
         own = {(each.service, each.shard): each for each in self.shards.loads()}
@@ -185,7 +196,7 @@
             lambda: self.listed.runners,
             self.known_loads,
             lambda: exported(self.crashes),
-            lambda: self.terms.age_s,
+            self.terms_age_s,
         )
 
     def _is_renewer(self) -> bool:
@@ -215,7 +226,7 @@
             'incarnation': scheduler.identity.incarnation,
             'domain': scheduler.identity.domain,
             'terms_version': scheduler.terms.version,
-            'terms_age_s': scheduler.terms.age_s,
+            'terms_age_s': scheduler.terms_age_s(),
             'log_ok': scheduler.terms.log_ok,
             'list_ok': scheduler.listed.ok,
             'draining': scheduler.stopping.is_set(),
--- a/bramleybend/state/terms_follower.py
+++ b/bramleybend/state/terms_follower.py
@@ -103,15 +103,18 @@
         return self._log.document if self.terms else ''
 
     @property
-    def age_s(self) -> float:
-        """Seconds since the last word from the log or a peer.
+    def log_age_s(self) -> float:
+        """Seconds since the log was last read to its tail.
 
         Infinite while records were missed: terms that may have been replaced
         must not be served on, however recent the last word was.
         """
-        if not self._log.anchored or self.terms is None:
-            return inf
-        return self._clock.monotonic() - max(self._tail_at, self._peer_at)
+        return self._age_s(self._tail_at)
+
+    @property
+    def peer_age_s(self) -> float:
+        """Seconds since a peer last said that it holds the same terms."""
+        return self._age_s(self._peer_at)
 
     async def changed(self) -> None:
         """Wait for the next version."""
@@ -165,6 +168,11 @@
         """Note that a peer has spoken, and so would have told of news."""
         self._peer_at = self._clock.monotonic()
 
+    def _age_s(self, heard_at: float) -> float:
+        if not self._log.anchored or self.terms is None:
+            return inf
+        return self._clock.monotonic() - heard_at
+
     def _take(self, batch: LogBatch) -> None:
         if not self.log_ok:
             self.log_ok = True
