Rules of engine orders: claims, load permits, next engine

Cause: engines take orders from whoever sends them. A scheduler that was paused past its ownership wakes and orders what its successor replaced; and nothing bounds how many engines press the weight store at one time.

Ruled out: a lease on the log (its paused holder still acts), ownership by membership alone (no number tells an engine who is newer), a share of the store's limit by rank (views differ, most shares would be 0), wall-clock timeouts (clocks differ), a stream of claims per shard (an engine changes its shard with the number of shards, and offsets of two streams can't be compared: it would refuse its new issuer for ever).

Change: a claim's offset on `orders-<service>` is the fence; the last claim on a shard may order. A load begins if fewer than the limit stand open before its own record on `weight-loads`. Which engine is next, and which get no work, follows from reported and declared state: half of a shard at most is out, a wrong engine serves until half are right, failures stop a rollout. Models run the real rules.

Conclusion: where engines check, an overtaken issuer undoes nothing that its successor has settled, in every reachable state. Where they ignore fences, one order decided in time may; a witness of the model shows it.

--- a/bramleybend/models.py
+++ b/bramleybend/models.py
@@ -43,6 +43,32 @@
     LEAVING = 'leaving'
 
 
+class EngineRole(StrEnum):
+    """Which half of a request's work an engine takes."""
+
+    MIXED = 'mixed'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+@dataclass(frozen=True)
+class EngineTarget:
+    """What the engines of a service should hold."""
+
+    model: str
+    version: str
+    adapters: tuple[str, ...] = ()
+    role: EngineRole = EngineRole.MIXED
+
+
+@dataclass(frozen=True)
+class WeightStore:
+    """How hard engines may press the store that weights come from."""
+
+    loads_at_once: int = 2
+    load_timeout: timedelta = timedelta(minutes=10)
+
+
 @dataclass(frozen=True)
 class Profile:
     """How a class of requests is treated."""
@@ -70,6 +96,7 @@
     slots: int  # concurrent requests a runner is first trusted with
     shards: int = 1  # queues the pool is split into, one owner each
     checks_fence: bool = False
+    engines: EngineTarget | None = None  # none: no orders are given
 
 
 @dataclass(frozen=True)
@@ -90,6 +117,7 @@
     services: dict[str, Service]
     profiles: dict[str, Profile]
     workspaces: dict[str, Workspace]
+    weight_store: WeightStore = field(default_factory=WeightStore)
 
 
 @dataclass(frozen=True)
--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -7,6 +7,8 @@
 from spec.checking import Model, check, reach
 from spec.dispatch import MARKED, PLAIN
 from spec.floor import FLOOR, PLAIN_TAKEOVER, TAKEOVER
+from spec.loads import LOADS
+from spec.orders import ORDERS, UNCHECKED
 from spec.resends import RESENDS
 from spec.terms import TERMS
 
@@ -18,6 +20,9 @@
     FLOOR,
     TAKEOVER,
     PLAIN_TAKEOVER,
+    ORDERS,
+    UNCHECKED,
+    LOADS,
 )
 
 
