Order engines to what the terms declare

Cause: engines accept orders to load models, adapters and versions or to change role, and nothing gave them.

Ruled out: commands passed on one by one (a lost reply leaves one that nobody knows the fate of, a new engine is never told); leaving every wrong engine out at once (each publish would end the service); waiting in line for a permit (its record would time out under its holder).

Change: `services.NAME.engines` and `weight_store` declare the state. The owner of a shard claims it, plants its fence at every engine that checks, and brings engines to the declared state one order at a time: taken out of service, runs ended, permit, claim, state read again, order. Without the log no load begins; roles change only where fences are checked. Old terms are no reason to order. A service without `engines:` is given no orders. ShardTask's `where` and `runners` can be read by the table, which answers whether a runner is drained.

--- a/bramleybend/declarations.py
+++ b/bramleybend/declarations.py
@@ -15,6 +15,10 @@
 from pydantic_core import ErrorDetails
 from result import Err, Ok, Result
 
+from bramleybend.declarations_engines import (
+    EnginesDeclaration,
+    WeightStoreDeclaration,
+)
 from bramleybend.errors import Problem
 from bramleybend.models import (
     JournalMode,
@@ -59,6 +63,7 @@
     slots: int = Field(ge=1, le=SLOTS_LIMIT)
     shards: int = Field(default=1, ge=1, le=SHARDS_LIMIT)
     checks_fence: bool = False
+    engines: EnginesDeclaration | None = None
 
     def to_service(self, name: str) -> Service:
         """Return the model that the system works with."""
@@ -68,6 +73,7 @@
             self.slots,
             self.shards,
             self.checks_fence,
+            self.engines.to_target() if self.engines else None,
         )
 
 
@@ -113,6 +119,9 @@
     services: dict[Name, ServiceDeclaration] = Field(min_length=1)
     profiles: dict[Name, ProfileDeclaration] = Field(min_length=1)
     workspaces: dict[Name, WorkspaceDeclaration] = Field(min_length=1)
+    weight_store: WeightStoreDeclaration = Field(
+        default_factory=WeightStoreDeclaration,
+    )
 
     def to_terms(self, version: int) -> Terms:
         """Return the terms under the version that the log gave them."""
@@ -131,6 +140,7 @@
                 name: item.to_workspace(name)
                 for name, item in self.workspaces.items()
             },
+            self.weight_store.to_store(),
         )
 
 
@@ -211,6 +221,7 @@
     lined: LinedData,
     declared: Declaration,
 ) -> Iterator[_Fault]:
+    yield from _service_faults(lined, declared)
     for name, profile in declared.profiles.items():
         path: Path = ('profiles', name)
         if profile.service not in declared.services:
@@ -232,6 +243,20 @@
         yield from _workspace_faults(lined, declared, name, workspace)
 
 
+def _service_faults(
+    lined: LinedData,
+    declared: Declaration,
+) -> Iterator[_Fault]:
+    for name, service in declared.services.items():
+        if service.engines and service.kind is not ServiceKind.ENGINE:
+            yield _Fault(
+                OTHER,
+                lined.line_of(('services', name, 'engines')),
+                f'service {name} is not of engines, so none can be ordered',
+                'write `kind: engine`, or take `engines:` out',
+            )
+
+
 def _workspace_faults(
     lined: LinedData,
     declared: Declaration,
@@ -254,8 +279,11 @@
         'services': ServiceDeclaration,
         'profiles': ProfileDeclaration,
         'workspaces': WorkspaceDeclaration,
+        'weight_store': WeightStoreDeclaration,
     }
     model = models[path[0]] if path[1:] else Declaration
+    if 'engines' in path[2:-1]:
+        model = EnginesDeclaration
     fields = model.model_fields.items()
     return [info.alias or name for name, info in fields]
 
--- a/bramleybend/metrics.py
+++ b/bramleybend/metrics.py
@@ -177,6 +177,24 @@
         'time since the last word of the terms from the log or a peer',
     )
     MEMBERS = gauge('members', 'VMs', 'entry VMs held to be alive')
+    ORDERS = counter(
+        'orders',
+        'orders',
+        'orders given to engines, by kind and by what became of them',
+        'kind',
+        'outcome',
+    )
+    LOADS_EXPIRED = counter(
+        'loads_expired',
+        'loads',
+        'loads of weights whose end nobody told within `load_timeout_s`',
+    )
+    ENGINES_WRONG = gauge(
+        'engines_wrong',
+        'runners',
+        'engines owned by this VM that do not hold what is declared',
+        'service',
+    )
     FIRST_TOKEN = timer(
         'first_token',
         'from the arrival of a request to its first token',
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -18,6 +18,8 @@
 from bramleybend.metrics import Metric, make_metrics
 from bramleybend.models import Tier
 from bramleybend.scheduler.list_watch import ListWatch
+from bramleybend.scheduler.order_deps import OrderDeps, OrderPort
+from bramleybend.scheduler.orders import OrderManager, make_orders
 from bramleybend.scheduler.owner_service import OwnerService
 from bramleybend.scheduler.peer_wire import GrpcPeerWire
 from bramleybend.scheduler.peers import PeerSources, make_peers
@@ -64,6 +66,7 @@
             self._metrics,
         )
         self.terms = self._make_terms()
+        self.orders = self._make_orders()
         self.shards = self._make_shards()
         self._wire = GrpcPeerWire(cfg.scheduler_port)
         self.peers = make_peers(self._peer_sources(), self._wire, clock)
@@ -130,6 +133,7 @@
             self.terms.follow(),
             self.peers.follow(),
             self.shards.watch(),
+            self.orders.follow(),
             self._send_gauges(),
         ):
             self._tasks.append(asyncio.create_task(work))
@@ -153,6 +157,7 @@
                 lambda: self.listed.runners,
                 lambda: self.peers.alive(),
                 self.identity.vm,
+                self.orders.is_fit,
             ),
             ShardDeps(
                 self._clock,
@@ -163,6 +168,24 @@
             Random(),
         )
 
+    def _make_orders(self) -> OrderManager:
+        return make_orders(
+            OrderPort(
+                lambda: self.terms.terms,
+                lambda: self.terms.age_s <= self._cfg.terms_stale_after_s,
+                lambda: self.listed.runners,
+                lambda: self.shards.owned,
+                lambda *runner: self.shards.is_drained(*runner),
+            ),
+            OrderDeps(
+                self.identity.vm,
+                make_http_log(self._cfg.log_service),
+                self._clock,
+                self.events,
+                self._metrics,
+            ),
+        )
+
     def _peer_sources(self) -> PeerSources:
         return PeerSources(
             self.identity,
--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -79,8 +79,8 @@
         self.holds: dict[str, HoldChannel] = {}
         self._deps = deps
         self._inbox: asyncio.Queue[ShardMessage] = asyncio.Queue()
-        self._runners: dict[str, Vm] = {}
-        self._where: dict[str, str] = {}
+        self.runners: dict[str, Vm] = {}
+        self.where: dict[str, str] = {}
         self._is_owner = False
         self._settling = Settling()
         self._crashes = CrashWatch(deps.crashes)
@@ -92,7 +92,7 @@
     def waiting(self) -> list[HoldChannel]:
         """Return the holds that have no runner yet."""
         return [
-            hold for key, hold in self.holds.items() if key not in self._where
+            hold for key, hold in self.holds.items() if key not in self.where
         ]
 
     async def work(self) -> None:
@@ -120,7 +120,7 @@
                 return self._ask(message, now)
             case Adopted(hold, ask, runner):
                 self._open(hold)
-                self._where[hold.key] = runner
+                self.where[hold.key] = runner
                 return self.policy.adopt(
                     replace(ask, request_id=hold.key),
                     runner,
@@ -169,7 +169,7 @@
             asked.ask,
             request_id=asked.hold.key,
             excluded=asked.ask.excluded
-            | self._crashes.kept_from(asked.ask.fingerprint, self._runners),
+            | self._crashes.kept_from(asked.ask.fingerprint, self.runners),
         )
         if asked.urgent:
             # The gateway will shed this request unless something lower
@@ -185,15 +185,15 @@
         hold = ended.hold
         if self.holds.pop(hold.key, None) is None:
             return []
-        runner = self._where.pop(hold.key, '')
+        runner = self.where.pop(hold.key, '')
         hold.outbox.put_nowait(None)
         if ended.report.crashed:
             company = [
                 other.fingerprint
                 for key, other in self.holds.items()
-                if self._where.get(key) == runner
+                if self.where.get(key) == runner
             ]
-            few = len(self._runners) < CONDEMNED
+            few = len(self.runners) < CONDEMNED
             self._crashes.crashed(
                 runner, [hold.fingerprint, *company], few, now
             )
@@ -205,12 +205,12 @@
     def _lost(self, hold: HoldChannel, now: float) -> list[Action]:
         if self.holds.pop(hold.key, None) is None:
             return []
-        if self._where.pop(hold.key, None) is not None:
+        if self.where.pop(hold.key, None) is not None:
             self._settling.lose_run(now)
         return self.policy.withdraw(hold.key, now)
 
     def _listed(self, runners: tuple[Vm, ...], now: float) -> list[Action]:
-        self._runners = {vm.name: vm for vm in runners}
+        self.runners = {vm.name: vm for vm in runners}
         return self.policy.runners(
             [
                 RunnerInfo(vm.name, vm.state is RunnerState.LEAVING)
@@ -266,8 +266,8 @@
                 self._note('preempt', hold, for_tier=int(for_tier))
 
     def _grant(self, hold: HoldChannel, runner: str) -> None:
-        self._where[hold.key] = runner
-        endpoint = self._runners[runner].endpoint
+        self.where[hold.key] = runner
+        endpoint = self.runners[runner].endpoint
         hold.outbox.put_nowait(
             HoldReply(granted=Granted(runner=runner, endpoint=endpoint)),
         )
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Final
 
@@ -10,7 +10,7 @@
 from bramleybend.decisions.owner import make_shard_policy
 from bramleybend.decisions.ownership import owners_of, shard_of
 from bramleybend.decisions.quarantine import Verdict
-from bramleybend.models import Service, Terms, Vm
+from bramleybend.models import RunnerState, Service, Terms, Vm
 from bramleybend.scheduler.messages import (
     OwnershipMoved,
     OwnershipTaken,
@@ -32,6 +32,7 @@
     runners: Callable[[], Sequence[Vm]]
     members: Callable[[], Sequence[Member]]
     own_vm: str
+    is_fit: Callable[[str], bool] = lambda _runner: True
 
 
 class ShardTable:
@@ -118,6 +119,20 @@
         """Every shard served, owned or not."""
         return tuple(self._tasks.values())
 
+    @property
+    def owned(self) -> tuple[tuple[str, int], ...]:
+        """The shards owned here, by service and number."""
+        return tuple(self._owned_since)
+
+    def is_drained(self, service: str, shard: int, runner: str) -> bool:
+        """Whether a runner gets no new work and has none from here."""
+        task = self._tasks.get((service, shard))
+        if task is None:
+            return True
+        listed = task.runners.get(runner)
+        closed = listed is None or listed.state is RunnerState.LEAVING
+        return closed and runner not in task.where.values()
+
     def release(self) -> None:
         """Send every hold on to the next owner, before a planned stop."""
         self._owned_since.clear()
@@ -178,7 +193,7 @@
 
     def _hand_out(self, task: ShardTask, service: Service) -> None:
         runners = tuple(
-            vm
+            self._as_fit(vm)
             for vm in self._around.runners()
             if vm.service == service.name
             and shard_of(vm.name, service.shards) == task.shard
@@ -187,3 +202,10 @@
         if self._handed.get(key) != runners:
             self._handed[key] = runners
             task.post(RunnersListed(runners))
+
+    def _as_fit(self, vm: Vm) -> Vm:
+        # Out of the list, its runs would be forgotten while they go on; as
+        # one that leaves, it ends them and gets no more.
+        if self._around.is_fit(vm.name):
+            return vm
+        return replace(vm, state=RunnerState.LEAVING)
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -8,7 +8,14 @@
 
 from bramleybend.declarations import DOCUMENT_LIMIT, parse_terms
 from bramleybend.errors import ErrorKind, Problem
-from bramleybend.models import Repeat, ServiceKind, Tier
+from bramleybend.models import (
+    EngineRole,
+    EngineTarget,
+    Repeat,
+    ServiceKind,
+    Tier,
+    WeightStore,
+)
 
 EXAMPLES = Path(__file__).parent.parent / 'examples'
 GOOD = """schema: 1
@@ -42,6 +49,58 @@
     return GOOD.replace(old, new)
 
 
+ENGINES = GOOD.replace(
+    'services:\n',
+    """weight_store: {loads_at_once: 3}
+services:
+  llm:
+    kind: engine
+    slots: 8
+    engines:
+      model: org/model
+      version: v2
+      adapters: [b, a]
+""",
+)
+
+
+def test_what_engines_should_hold_becomes_terms() -> None:
+    """Left out, the role is mixed; without `engines` there is no target."""
+    terms = parse_terms(ENGINES, 1).unwrap()
+    target = EngineTarget('org/model', 'v2', ('a', 'b'), EngineRole.MIXED)
+    assert terms.services['llm'].engines == target
+    assert terms.services['booking-app'].engines is None
+    assert terms.weight_store.loads_at_once == 3
+    assert parse_terms(GOOD, 1).unwrap().weight_store == WeightStore()
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'line', 'named', 'remedy'),
+    [
+        ('version: v2', 'verison: v2', 10, 'verison', '`version`'),
+        ('version: v2', 'version: 2', 10, 'engines.version', 'string'),
+        ('version: v2', 'version: v2\n      role: both', 11, 'both', 'mixed'),
+        ('      model: org/model\n', '', 8, 'model is missing', '`model:`'),
+        ('kind: engine', 'kind: plain', 8, 'not of engines', 'kind: engine'),
+        ('at_once: 3', 'at_once: 0', 3, 'loads_at_once: 0', 'equal to 1'),
+        ('loads_at_once', 'load_at_once', 3, 'load_at', '`loads_at_once`'),
+    ],
+)
+def test_a_slip_in_what_engines_hold_is_refused(
+    old: str,
+    new: str,
+    line: int,
+    named: str,
+    remedy: str,
+) -> None:
+    """Also with its line and a remedy."""
+    assert old in ENGINES
+    problem = refuse(ENGINES.replace(old, new))
+    assert problem.detail.startswith(f'line {line}: ')
+    assert named in problem.detail
+    assert remedy in problem.remedy
+
+
 def test_a_good_declaration_becomes_terms() -> None:
     """The version is the caller's; all else is from the text."""
     terms = parse_terms(GOOD, 7).unwrap()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,6 +14,10 @@
     ServiceDeclaration,
     WorkspaceDeclaration,
 )
+from bramleybend.declarations_engines import (
+    EnginesDeclaration,
+    WeightStoreDeclaration,
+)
 from bramleybend.gateway.border import NAMED
 from bramleybend.status import ExitStatus
 
@@ -56,6 +60,10 @@
     for section, model in models.items():
         for key in model.model_fields:
             assert f'`{section}.NAME.{key}`' in text
+    for key in EnginesDeclaration.model_fields:
+        assert f'`services.NAME.engines.{key}`' in text
+    for key in WeightStoreDeclaration.model_fields:
+        assert f'`weight_store.{key}`' in text
 
 
 def test_the_callers_page_names_every_header_and_outcome() -> None:
--- a/tests/utils/engine.py
+++ b/tests/utils/engine.py
@@ -13,6 +13,7 @@
 from tests.utils.answers import expected_text
 from tests.utils.engine_batch import Batch, Run, RunState
 from tests.utils.engine_cache import CacheFeed, PrefixCache
+from tests.utils.engine_weights import Weights
 from tests.utils.faults import MILLISECONDS, Chance, Faults, FaultyServer
 from tests.utils.http_server import (
     DropConnectionError,
@@ -34,6 +35,8 @@
 
     slowdown: float = 1  # a straggler takes this many times longer
     cut_streams: float = 0  # count if 1 or more, else a probability
+    lose_order_replies: float = 0  # taken, but the connection breaks
+    unloadable: str = ''  # a version whose load ends with nothing loaded
 
 
 @dataclass(frozen=True)
@@ -51,6 +54,9 @@
     checks_fence: bool = False
     poison_exits: bool = False  # else: drops connections, forgets, restarts
     restart_s: float = 0.5
+    model: str = 'model-a'
+    version: str = '1'
+    load_s: float = 0.3
 
 
 class Engine:
@@ -69,6 +75,12 @@
         self.server = FaultyServer(host, port, self.faults, self._handle)
         self.admitted: list[Run] = []  # survives a crash, for invariants
         self.orders: list[dict[str, Any]] = []
+        self.refused_orders: list[dict[str, Any]] = []
+        self.weights = Weights(
+            self.cfg.model,
+            self.cfg.version,
+            self.cfg.load_s,
+        )
         rng = Random(seed)
         self._chance = Chance(rng)
         self._feed = CacheFeed(rng, self.cfg.cache_lag_s, self.cfg.cache_drop)
@@ -103,6 +115,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.weights.stop()
         await self.server.stop()
 
     def crash(self) -> None:
@@ -127,7 +140,7 @@
             case ('POST', ['v1', 'runs', run_id, 'cancel']):
                 return self._cancel(run_id)
             case ('POST', ['v1', 'orders']):
-                return self._order(req.json())
+                return self._take_order(req.json())
             case ('GET', _):
                 return self._report(req)
         return json_response({}, HTTPStatus.NOT_FOUND)
@@ -135,6 +148,8 @@
     def _report(self, req: HttpRequest) -> HttpResponse:
         if req.path == '/v1/load':
             return json_response(self._lagged_load())
+        if req.path == '/v1/state':
+            return json_response(self.weights.state())
         if req.path == '/v1/cache-events':
             start = int(req.query.get('from', '0'))
             return json_response(self._feed.read(start))
@@ -150,6 +165,11 @@
                 {'error': 'run id seen already'},
                 HTTPStatus.CONFLICT,
             )
+        if self.weights.loading:
+            return json_response(
+                {'error': 'loading'},
+                HTTPStatus.SERVICE_UNAVAILABLE,
+            )
         if len(self.batch.waiting) >= self.cfg.max_waiting:
             return json_response(
                 {'error': 'too many waiting'},
@@ -208,12 +228,16 @@
             known.finish(RunState.CANCELLED)
         return json_response({'state': known.state})
 
-    def _order(self, order: dict[str, Any]) -> HttpResponse:
+    def _take_order(self, order: dict[str, Any]) -> HttpResponse:
         fence = int(order['fence'])
         if self.cfg.checks_fence and fence < self._fence:
+            self.refused_orders.append(order)
             return json_response({'fence': self._fence}, HTTPStatus.CONFLICT)
         self._fence = max(self._fence, fence)
         self.orders.append(order)
+        self.weights.take(order, self.faults.unloadable)
+        if self._chance.strikes(self.faults, 'lose_order_replies'):
+            raise DropConnectionError
         return json_response({'fence': self._fence})
 
     def _on_start(self, started: Run) -> None:
