--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -13,15 +13,16 @@
 from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.ownership import owners_of
 from bramleybend.decisions.quarantine import CrashBook
-from bramleybend.decisions.terms_age import terms_age_s
 from bramleybend.events import EventLog
 from bramleybend.identity import Identity, make_identity
 from bramleybend.metrics import Metric, make_metrics
-from bramleybend.models import Tier
 from bramleybend.scheduler.list_watch import ListWatch
+from bramleybend.scheduler.order_deps import OrderDeps, OrderPort
+from bramleybend.scheduler.orders import OrderManager, make_orders
 from bramleybend.scheduler.owner_service import OwnerService
 from bramleybend.scheduler.peer_wire import GrpcPeerWire
 from bramleybend.scheduler.peers import PeerSources, make_peers
+from bramleybend.scheduler.process import SchedulerProcess
 from bramleybend.scheduler.shard_task import ShardDeps
 from bramleybend.scheduler.shards import ShardTable, Surroundings
 from bramleybend.scheduler.suspects import exported
@@ -71,6 +72,7 @@
             self._metrics,
         )
         self.terms = self._make_terms()
+        self.orders = self._make_orders()
         self.shards = self._make_shards()
         self._wire = GrpcPeerWire(cfg.scheduler_port)
         self.peers = make_peers(self._peer_sources(), self._wire, clock)
@@ -98,16 +100,6 @@
         await self._channels.close()
         self.events.record('stopped')
 
-    def terms_age_s(self) -> float:
-        """Return how old the word is that the terms are still in force."""
-        members = self.peers.met()
-        return terms_age_s(
-            self.terms.log_age_s,
-            self.terms.peer_age_s,
-            sum(member.may_own for member in members),
-            len(members),
-        )
-
     def known_loads(self) -> list[ShardView]:
         """Return the load of every shard: own, heard of, or unknown."""
         own = {(each.service, each.shard): each for each in self.shards.loads()}
@@ -147,6 +139,7 @@
             self.terms.follow(),
             self.peers.follow(),
             self.shards.watch(),
+            self.orders.follow(),
             self._send_gauges(),
         ):
             self._tasks.append(asyncio.create_task(work))
@@ -170,6 +163,7 @@
                 lambda: self.listed.runners,
                 lambda: self.peers.alive(),
                 self.identity.vm,
+                self.orders.is_fit,
             ),
             ShardDeps(
                 self._clock,
@@ -180,6 +174,26 @@
             Random(),
         )
 
+    def _make_orders(self) -> OrderManager:
+        return make_orders(
+            OrderPort(
+                lambda: self.terms.terms,
+                lambda: (
+                    self.peers.terms_age_s() <= self._cfg.terms_stale_after_s
+                ),
+                lambda: self.listed.runners,
+                lambda: self.shards.owned,
+                lambda *runner: self.shards.is_drained(*runner),
+            ),
+            OrderDeps(
+                self.identity.vm,
+                make_http_log(self._cfg.log_service),
+                self._clock,
+                self.events,
+                self._metrics,
+            ),
+        )
+
     def _peer_sources(self) -> PeerSources:
         return PeerSources(
             self.identity,
@@ -196,7 +210,7 @@
             lambda: self.listed.runners,
             self.known_loads,
             lambda: exported(self.crashes),
-            self.terms_age_s,
+            self.peers.terms_age_s,
         )
 
     def _is_renewer(self) -> bool:
@@ -210,73 +224,6 @@
             self._metrics.gauge(Metric.MEMBERS, len(self.peers.alive()))
 
 
-class SchedulerProcess:
-    """What operators may ask of a scheduler."""
-
-    def __init__(self, scheduler: Scheduler) -> None:
-        """Report on this scheduler."""
-        self._scheduler = scheduler
-
-    def status(self) -> dict[str, object]:
-        """Return the fields of docs/operators/CTL.md."""
-        scheduler = self._scheduler
-        return {
-            'process': 'scheduler',
-            'vm': scheduler.identity.vm,
-            'incarnation': scheduler.identity.incarnation,
-            'domain': scheduler.identity.domain,
-            'terms_version': scheduler.terms.version,
-            'terms_age_s': scheduler.terms_age_s(),
-            'log_ok': scheduler.terms.log_ok,
-            'list_ok': scheduler.listed.ok,
-            'draining': scheduler.stopping.is_set(),
-            'members': [
-                {
-                    'vm': member.vm,
-                    'address': member.address,
-                    'domain': member.domain,
-                    'state': member.state,
-                }
-                for member in scheduler.peers.known()
-            ],
-            'shards': [
-                {
-                    'service': view.service,
-                    'shard': view.shard,
-                    'owner': scheduler.identity.vm,
-                    'running': view.running,
-                    'waiting': view.waiting,
-                    'limit': view.limit,
-                }
-                for view in scheduler.shards.loads()
-            ],
-            'runners': [
-                {
-                    'name': vm.name,
-                    'endpoint': vm.endpoint,
-                    'service': vm.service,
-                    'state': vm.state,
-                }
-                for vm in scheduler.listed.runners
-            ],
-            'queues': self._queues(),
-            'in_flight': sum(
-                len(task.holds) for task in scheduler.shards.tasks
-            ),
-        }
-
-    def drain(self) -> None:
-        """Begin a planned stop."""
-        self._scheduler.stopping.set()
-
-    def _queues(self) -> dict[str, int]:
-        waiting = dict.fromkeys((str(int(tier)) for tier in Tier), 0)
-        for task in self._scheduler.shards.tasks:
-            for hold in task.waiting():
-                waiting[str(int(hold.tier))] += 1
-        return waiting
-
-
 def make_scheduler(cfg: Settings, clock: Clock) -> Scheduler:
     """Build a scheduler; it gets a new incarnation with every start."""
     identity = make_identity(cfg.vm, cfg.domain, str(cfg.address))
--- a/bramleybend/scheduler/peers.py
+++ b/bramleybend/scheduler/peers.py
@@ -11,6 +11,7 @@
 from bramleybend.clock import Clock
 from bramleybend.decisions.actions import ShardView
 from bramleybend.decisions.quarantine import CrashBook
+from bramleybend.decisions.terms_age import terms_age_s
 from bramleybend.identity import Identity
 from bramleybend.models import RunnerState, Vm
 from bramleybend.scheduler.gossip import Gossip, GossipDeps
@@ -166,6 +167,16 @@
         """Return the loads heard of from other owners."""
         return self._gossip.shards.views(self._clock.monotonic())
 
+    def terms_age_s(self) -> float:
+        """Return how old the word is that the terms are still in force."""
+        members = self.met()
+        return terms_age_s(
+            self._sources.terms.log_age_s,
+            self._sources.terms.peer_age_s,
+            sum(member.may_own for member in members),
+            len(members),
+        )
+
     async def fetch_terms(self) -> PeerTerms | None:
         """Ask a peer for its terms, one that is ahead if there is one."""
         address = self.news.ahead or self._any_address()
--- /dev/null
+++ b/bramleybend/scheduler/process.py
@@ -0,0 +1,75 @@
+"""A scheduler as operators see it."""
+
+from typing import TYPE_CHECKING
+
+from bramleybend.models import Tier
+
+if TYPE_CHECKING:
+    from bramleybend.scheduler.core import Scheduler
+
+
+class SchedulerProcess:
+    """What operators may ask of a scheduler."""
+
+    def __init__(self, scheduler: 'Scheduler') -> None:
+        """Report on this scheduler."""
+        self._scheduler = scheduler
+
+    def status(self) -> dict[str, object]:
+        """Return the fields of docs/operators/CTL.md."""
+        scheduler = self._scheduler
+        return {
+            'process': 'scheduler',
+            'vm': scheduler.identity.vm,
+            'incarnation': scheduler.identity.incarnation,
+            'domain': scheduler.identity.domain,
+            'terms_version': scheduler.terms.version,
+            'terms_age_s': scheduler.peers.terms_age_s(),
+            'log_ok': scheduler.terms.log_ok,
+            'list_ok': scheduler.listed.ok,
+            'draining': scheduler.stopping.is_set(),
+            'members': [
+                {
+                    'vm': member.vm,
+                    'address': member.address,
+                    'domain': member.domain,
+                    'state': member.state,
+                }
+                for member in scheduler.peers.known()
+            ],
+            'shards': [
+                {
+                    'service': view.service,
+                    'shard': view.shard,
+                    'owner': scheduler.identity.vm,
+                    'running': view.running,
+                    'waiting': view.waiting,
+                    'limit': view.limit,
+                }
+                for view in scheduler.shards.loads()
+            ],
+            'runners': [
+                {
+                    'name': vm.name,
+                    'endpoint': vm.endpoint,
+                    'service': vm.service,
+                    'state': vm.state,
+                }
+                for vm in scheduler.listed.runners
+            ],
+            'queues': self._queues(),
+            'in_flight': sum(
+                len(task.holds) for task in scheduler.shards.tasks
+            ),
+        }
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        self._scheduler.stopping.set()
+
+    def _queues(self) -> dict[str, int]:
+        waiting = dict.fromkeys((str(int(tier)) for tier in Tier), 0)
+        for task in self._scheduler.shards.tasks:
+            for hold in task.waiting():
+                waiting[str(int(hold.tier))] += 1
+        return waiting
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Final
 
@@ -11,7 +11,7 @@
 from bramleybend.decisions.owner import make_shard_policy
 from bramleybend.decisions.ownership import owners_of, shard_of
 from bramleybend.decisions.quarantine import Verdict
-from bramleybend.models import Service, Terms, Vm
+from bramleybend.models import RunnerState, Service, Terms, Vm
 from bramleybend.scheduler.messages import (
     OwnershipMoved,
     RunnersListed,
@@ -32,6 +32,37 @@
     runners: Callable[[], Sequence[Vm]]
     members: Callable[[], Sequence[Member]]
     own_vm: str
+    is_fit: Callable[[str], bool] = lambda _runner: True
+
+
+class OwnerRanks:
+    """Remembers who owns what among the same members."""
+
+    def __init__(
+        self,
+        members: Callable[[], Sequence[Member]],
+        own_vm: str,
+    ) -> None:
+        """Have ranked nothing yet."""
+        self._members = members
+        self._own_vm = own_vm
+        self._ranked_for: tuple[Member, ...] = ()
+        self._owners: dict[tuple[str, int], str] = {}
+
+    def is_owned(self, service: str, shard: int) -> bool:
+        """Whether this VM owns a shard among the members of now."""
+        # Ranking hashes every member for every shard. At 350 members and 75
+        # shards, done at each look, that alone would cost a node more than
+        # its share of a core, so it is done again only for new members.
+        members = tuple(self._members())
+        if members != self._ranked_for:
+            self._ranked_for = members
+            self._owners.clear()
+        key = (service, shard)
+        if key not in self._owners:
+            ranked = owners_of(service, shard, members)
+            self._owners[key] = ranked[0].vm if ranked else ''
+        return self._owners[key] == self._own_vm
 
 
 class ShardTable:
@@ -51,8 +82,7 @@
         self._working: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._owned_since: dict[tuple[str, int], float] = {}
         self._looked_at = self._deps.clock.monotonic()
-        self._ranked_for: tuple[Member, ...] = ()
-        self._owners: dict[tuple[str, int], str] = {}
+        self._owners = OwnerRanks(around.members, around.own_vm)
         self._weights: dict[str, float] = {}
         self._weighed = 0  # the terms' version
         self._handed: dict[tuple[str, int], tuple[Vm, ...]] = {}
@@ -136,6 +166,20 @@
         """Every shard served, owned or not."""
         return tuple(self._tasks.values())
 
+    @property
+    def owned(self) -> tuple[tuple[str, int], ...]:
+        """The shards owned here, by service and number."""
+        return tuple(self._owned_since)
+
+    def is_drained(self, service: str, shard: int, runner: str) -> bool:
+        """Whether a runner gets no new work and has none from here."""
+        task = self._tasks.get((service, shard))
+        if task is None:
+            return True
+        listed = task.runners.get(runner)
+        closed = listed is None or listed.state is RunnerState.LEAVING
+        return closed and runner not in task.where.values()
+
     def release(self) -> None:
         """Send every hold on to the next owner, before a planned stop."""
         self._owned_since.clear()
@@ -159,7 +203,7 @@
 
     def _look_at(self, service: Service, shard: int, *, paused: bool) -> None:
         key = (service.name, shard)
-        if self._is_owner(service.name, shard):
+        if self._owners.is_owned(service.name, shard):
             if paused:
                 # Another may have owned the shard meanwhile. Its runs come
                 # here one by one, as after any takeover.
@@ -176,20 +220,6 @@
         self._tasks[key].post(OwnershipMoved())
         self._deps.events.record('shard_moved', service=key[0], shard=key[1])
 
-    def _is_owner(self, service: str, shard: int) -> bool:
-        # Ranking hashes every member for every shard. At 350 members and 75
-        # shards, done at each look, that alone would cost a node more than
-        # its share of a core, so it is done again only for new members.
-        members = tuple(self._around.members())
-        if members != self._ranked_for:
-            self._ranked_for = members
-            self._owners.clear()
-        key = (service, shard)
-        if key not in self._owners:
-            ranked = owners_of(service, shard, members)
-            self._owners[key] = ranked[0].vm if ranked else ''
-        return self._owners[key] == self._around.own_vm
-
     def _own(self, service: Service, shard: int) -> None:
         key = (service.name, shard)
         if key in self._owned_since:
@@ -215,7 +245,7 @@
 
     def _hand_out(self, task: ShardTask, service: Service) -> None:
         runners = tuple(
-            vm
+            self._as_fit(vm)
             for vm in self._around.runners()
             if vm.service == service.name
             and shard_of(vm.name, service.shards) == task.shard
@@ -224,3 +254,10 @@
         if self._handed.get(key) != runners:
             self._handed[key] = runners
             task.post(RunnersListed(runners))
+
+    def _as_fit(self, vm: Vm) -> Vm:
+        # Out of the list, its runs would be forgotten while they go on; as
+        # one that leaves, it ends them and gets no more.
+        if self._around.is_fit(vm.name):
+            return vm
+        return replace(vm, state=RunnerState.LEAVING)
