Tell a forgotten id that it is expired before anything else

Cause: found by reading. An id dropped with its epoch whose deadline had passed was told rejected, and not_run while draining; both say that nothing ran, which nobody knows of it. test_intake failed first (rejected), passes now.

--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -70,6 +70,11 @@
         seen = self._ids.lookup(request_id, self._deps.clock.monotonic())
         return seen.entry if isinstance(seen, Known) else None
 
+    def forgotten(self, request_id: RequestId) -> Answer | None:
+        """Return the answer for an id that may have run and been forgotten."""
+        seen = self._ids.lookup(request_id, self._deps.clock.monotonic())
+        return expired(seen.reason) if isinstance(seen, Expired) else None
+
     def submit(
         self,
         request_id: RequestId,
--- a/bramleybend/gateway/intake.py
+++ b/bramleybend/gateway/intake.py
@@ -119,7 +119,9 @@
         # Whether a known request may be answered does not depend on terms
         # or on a planned stop: its answer is owed already.
         if home.known(request_id) is None:
-            refusal = self._refusal(req)
+            # First of all refusals: the others say that nothing ran, which
+            # nobody knows of an id that was dropped with its epoch.
+            refusal = home.forgotten(request_id) or self._refusal(req)
             if refusal is not None:
                 return refusal
         terms = self._deps.views.view.terms
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,60 @@
+"""What a gateway tells of ids that it may have forgotten."""
+
+from datetime import UTC, datetime, timedelta
+from typing import Any, cast
+
+from bramleybend.answers import Answer, Outcome
+from bramleybend.clock import ManualClock
+from bramleybend.events import EventLog
+from bramleybend.gateway.border import Received
+from bramleybend.gateway.home import Home
+from bramleybend.gateway.intake import Intake, IntakeDeps
+from bramleybend.gateway.job import Deps
+from bramleybend.metrics import NullMetrics
+from bramleybend.state.id_table import EPOCH_S, GRACE_S, IdTable
+from bramleybend.state.tickets import Ticket
+
+CLOCK = ManualClock(datetime(2026, 12, 2, tzinfo=UTC))
+EVENTS = EventLog('gateway', 'feed', CLOCK)
+
+
+def _home() -> Home:
+    deps = Deps(*cast('Any', (None, None, None, CLOCK, EVENTS, None, None)))
+    return Home(
+        Ticket('10.0.0.1', 7001, 'feed', 0),
+        IdTable('feed', CLOCK.monotonic()),
+        cast('Any', None),
+        deps,
+    )
+
+
+def _received(deadline: datetime) -> Received:
+    headers = {
+        'bramleybend-request-id': '10.0.0.1:7001:feed:0/one',
+        'bramleybend-workspace': 'w',
+        'bramleybend-service': 's',
+        'bramleybend-profile': 'p',
+        'bramleybend-deadline': deadline.isoformat(),
+    }
+    return Received(headers, b'{}')
+
+
+def test_a_forgotten_id_is_expired_and_nothing_more_is_claimed() -> None:
+    """A caller asks about a request of twenty minutes ago.
+
+    It is told `expired`: the request may have run. Order: the home forgot
+    the id with its epoch, the deadline in the header has passed since, and
+    the VM is draining. Told `rejected` or `not_run`, which say that nothing
+    ran, the caller would have its work done twice.
+    """
+    unused = cast('Any', None)
+    intake = Intake(
+        IntakeDeps(unused, unused, _home, CLOCK, EVENTS, NullMetrics(), 10),
+    )
+    CLOCK.advance(EPOCH_S * 3 + GRACE_S)
+    for draining in (False, True):
+        intake.draining = draining
+        for left in (timedelta(seconds=-1), timedelta(seconds=5)):
+            answer = intake.take(_received(CLOCK.now() + left))
+            assert isinstance(answer, Answer)
+            assert answer.outcome is Outcome.EXPIRED
