Answer the callers of a lost home in time while the log hangs

Cause: found by reading. One lock stood before all journals of lost homes, and a read of a hanging log takes its whole timeout, so the callers of a dead VM would have waited for each other. The new test passes in 5 s; on the code before it can't, as five reads hang for ever.

--- a/bramleybend/gateway/lost_home.py
+++ b/bramleybend/gateway/lost_home.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import OrderedDict
+from dataclasses import dataclass, field
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Final
@@ -28,10 +29,19 @@
 from bramleybend.state.tickets import RequestId
 
 MAX_VIEWS: Final = 32
+SETTLE_S: Final = 4.0
 RETRY_AFTER: Final = timedelta(seconds=1)
 LOG_DOWN: Final = 'its home is gone and the log that would tell is down'
 
 
+@dataclass(frozen=True)
+class LockedView:
+    """A journal as it was read here; one request reads on at a time."""
+
+    view: JournalView = field(default_factory=JournalView)
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
 class LostHomes:
     """Reads journals of gone homes, a few kept at a time."""
 
@@ -40,13 +50,11 @@
         self._log = log
         self._vm = vm
         self._events = events
-        self._views: OrderedDict[str, JournalView] = OrderedDict()
-        self._lock = asyncio.Lock()
+        self._views: OrderedDict[str, LockedView] = OrderedDict()
 
     async def settle(self, request_id: RequestId, run: Run) -> None:
         """Give a run the answer that the home's journal proves."""
-        async with self._lock:
-            answer = await self._fate(request_id, run)
+        answer = await self._fate_in_time(request_id, run)
         self._events.record(
             'home_lost',
             str(request_id),
@@ -54,8 +62,23 @@
         )
         run.finish(answer)
 
-    async def _fate(self, request_id: RequestId, run: Run) -> Answer:
-        view = self._view(request_id.ticket.incarnation)
+    async def _fate_in_time(self, request_id: RequestId, run: Run) -> Answer:
+        # A VM dies with many requests, and their callers all come at once. If
+        # the log hangs just then, each would wait for the reads of all that
+        # came before it, long past its deadline.
+        locked = self._view(request_id.ticket.incarnation)
+        try:
+            async with asyncio.timeout(SETTLE_S), locked.lock:
+                return await self._fate(request_id, run, locked.view)
+        except TimeoutError:
+            return unknown(LOG_DOWN)
+
+    async def _fate(
+        self,
+        request_id: RequestId,
+        run: Run,
+        view: JournalView,
+    ) -> Answer:
         if not await self._read(request_id, view):
             return unknown(LOG_DOWN)
         if request_id.ticket.intent_first and not view.sealed:
@@ -73,8 +96,8 @@
                 return unknown(reason)
         raise AssertionError(request_id)
 
-    def _view(self, incarnation: str) -> JournalView:
-        view = self._views.pop(incarnation, None) or JournalView()
+    def _view(self, incarnation: str) -> LockedView:
+        view = self._views.pop(incarnation, None) or LockedView()
         self._views[incarnation] = view
         if len(self._views) > MAX_VIEWS:
             self._views.popitem(last=False)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,15 +3,18 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from datetime import UTC, datetime
+from datetime import UTC, datetime, timedelta
 
 import pytest
+from result import Result
 
 from bramleybend.answers import Outcome
+from bramleybend.clients.log_service import NO_WAIT, READ_LIMIT, LogBatch
 from bramleybend.clock import ManualClock
+from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 from bramleybend.gateway.journal import JournalWriter
-from bramleybend.gateway.lost_home import LostHomes
+from bramleybend.gateway.lost_home import SETTLE_S, LostHomes
 from bramleybend.gateway.run import RequestBody, Run
 from bramleybend.metrics import NullMetrics
 from bramleybend.state.journal_records import (
@@ -28,6 +31,20 @@
 EVENTS = EventLog('gateway', INCARNATION, CLOCK)
 
 
+class HangingLog(FakeLog):
+    """Takes calls and answers none."""
+
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        limit: int = READ_LIMIT,
+        wait: timedelta = NO_WAIT,
+    ) -> Result[LogBatch, Problem]:
+        """Hang."""
+        return await asyncio.Future()
+
+
 def _id(own: str, *, intent_first: bool = True) -> RequestId:
     ticket = Ticket('10.0.0.1', 7001, INCARNATION, 0, intent_first)
     return RequestId(ticket, own)
@@ -189,3 +206,19 @@
     run = await _fate(FakeLog(CLOCK, lose_replies=1), _id('a'))
     assert run.answer
     assert run.answer.outcome is Outcome.NOT_RUN
+
+
+async def test_callers_of_a_lost_home_are_answered_while_the_log_hangs() -> (
+    None
+):
+    """A VM dies with many requests while the log answers nothing.
+
+    Each caller is told `unknown` within seconds. Without a limit each would
+    wait for the hanging reads of all that came before it.
+    """
+    lost = LostHomes(HangingLog(CLOCK), 'other', EVENTS)
+    runs = [(_id(str(number)), _run(_id(str(number)))) for number in range(5)]
+    async with asyncio.timeout(SETTLE_S + 2):
+        await asyncio.gather(*(lost.settle(*each) for each in runs))
+    outcomes = {run.answer.outcome for _, run in runs if run.answer}
+    assert outcomes == {Outcome.UNKNOWN}
