Tell not_run only where no try of a request can have been sent

Cause: found by reading. With a hedge, the first run's refusal was told when the second had been sent and was silent; one try's refusal cleared the mark of another under way, so a lost caller's request was written down as not_run; and a task woken by its connection could send one step after its request was given up.

--- a/bramleybend/control.py
+++ b/bramleybend/control.py
@@ -34,7 +34,7 @@
         self._process = process
         self._events = events
 
-    async def Status(  # noqa: N802
+    async def Status(
         self,
         request: StatusRequest,
         context: Context,
@@ -43,7 +43,7 @@
         status = self._process.status()
         return StatusReply(json=json.dumps(status, default=str))
 
-    async def Explain(  # noqa: N802
+    async def Explain(
         self,
         request: ExplainRequest,
         context: Context,
@@ -51,7 +51,7 @@
         """Return the kept events of one request."""
         return ExplainReply(events=self._events.of_request(request.request_id))
 
-    async def Drain(  # noqa: N802
+    async def Drain(
         self,
         request: DrainRequest,
         context: Context,
--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -78,6 +78,7 @@
         self._usage = Usage()
         self._received = 0
         self._crashed = False
+        self.sent = False
 
     async def proceed(self) -> AttemptEnd:
         """Dispatch and read to the end; never dispatches twice."""
@@ -85,9 +86,15 @@
             exchange = await connect(self._address.host, self._address.port)
         except OSError:
             return AttemptEnd(End.NOT_SENT, unreachable=True)
+        if self._run.given_up:
+            # Cancelling reaches this task a step later than its connection;
+            # by then `not_run` is told, and nothing may be sent.
+            exchange.close()
+            return AttemptEnd(End.NOT_SENT)
         # Set before the first byte: a stop that comes while it is being
         # written must take the run for one that may have begun.
-        self._run.dispatched = True
+        self.sent = True
+        self._run.note_sent()
         try:
             await send_run(
                 exchange,
@@ -108,7 +115,8 @@
         except BROKEN:
             return await self._unheard()
         if was_refused(head, self._address.kind):
-            self._run.dispatched = False
+            self.sent = False
+            self._run.note_refused()
             return AttemptEnd(End.NOT_SENT)
         self._run.content_type = head.headers.get('content-type', '')
         if self._streams and head.status == HTTPStatus.OK:
--- a/bramleybend/gateway/forwarding.py
+++ b/bramleybend/gateway/forwarding.py
@@ -137,7 +137,7 @@
         self._submit = submit
         self._clock = clock
 
-    async def Forward(  # noqa: N802
+    async def Forward(
         self,
         request: ForwardRequest,
         context: Context,
--- a/bramleybend/gateway/hedge.py
+++ b/bramleybend/gateway/hedge.py
@@ -1,6 +1,7 @@
 """Starts a second run beside a slow one, where the profile allows it."""
 
 import asyncio
+from types import MappingProxyType
 from typing import Final
 
 from bramleybend.answers import Answer
@@ -15,6 +16,7 @@
 from bramleybend.wire.bramleybend_pb2 import Ended
 
 SECOND: Final = 'h'
+RANKS: Final = MappingProxyType({End.WHOLE: 0, End.NOT_SENT: 2})
 
 
 class Hedger:
@@ -65,7 +67,7 @@
         self._deps.metrics.count(Metric.HEDGED, tier=int(job.tier))
         second = asyncio.create_task(self._second(job, slot, label))
         try:
-            return await _faster(first, second)
+            return await faster(first, second)
         finally:
             self._let_go(job, second)
 
@@ -104,11 +106,11 @@
     await asyncio.wait((run,))
 
 
-async def _faster(
+async def faster(
     first: asyncio.Task[AttemptEnd],
     second: asyncio.Task[AttemptEnd],
 ) -> AttemptEnd:
-    """Return the first whole end, else the first run's."""
+    """Return the first whole end, else that of a run that was sent."""
     done, _ = await asyncio.wait(
         (first, second),
         return_when=asyncio.FIRST_COMPLETED,
@@ -116,6 +118,8 @@
     for task in done:
         if task.result().end is End.WHOLE:
             return task.result()
-    other = second if first in done else first
-    end = await other
-    return end if end.end is End.WHOLE else await first
+    ends = (await first, await second)
+    # `not_sent` may be told to a caller as `not_run`, so it may only stand
+    # for the request if it is true of both runs.
+    by_weight = sorted(ends, key=lambda end: RANKS.get(end.end, 1))
+    return by_weight[0]
--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -159,6 +159,7 @@
             # A run that has begun is stopped by its attempt, which alone
             # knows whether the runner has let go of it.
             if not dispatching.done() and not job.run.dispatched:
+                job.run.give_up()
                 dispatching.cancel()
                 return not_run('its caller has gone', NEW_TICKET_AFTER)
             return await dispatching
--- a/bramleybend/gateway/run.py
+++ b/bramleybend/gateway/run.py
@@ -68,7 +68,8 @@
         self.req = req
         self.content_type = ''
         self.answer: Answer | None = None
-        self.dispatched = False
+        self.given_up = False
+        self._sent = 0
         self.torn = False
         self.abandoned = asyncio.Event()
         self._followers = 0
@@ -76,6 +77,27 @@
         self._answer = bytearray()
         self._changed = asyncio.Event()
 
+    def give_up(self) -> None:
+        """Let nothing more be sent for this run."""
+        self.given_up = True
+
+    def note_sent(self) -> None:
+        """Note that a try is about to send its first byte."""
+        self._sent += 1
+
+    def note_refused(self) -> None:
+        """Note that a runner says it ran nothing of a try."""
+        self._sent -= 1
+
+    @property
+    def dispatched(self) -> bool:
+        """Whether any try may have reached a runner.
+
+        Counted, since of two tries side by side one may be refused while the
+        other runs: the request must not pass for never sent.
+        """
+        return self._sent > 0
+
     @property
     def has_begun(self) -> bool:
         """Whether any part of the answer has arrived."""
--- a/bramleybend/gateway/supervisor.py
+++ b/bramleybend/gateway/supervisor.py
@@ -81,7 +81,7 @@
             # What may not be stopped, or can't be reached to be stopped,
             # goes on to its end.
             await self._until(job, proceeding)
-            return self._end_of(job, proceeding)
+            return _end_of(attempt, proceeding)
         finally:
             for task in (proceeding, *reasons):
                 task.cancel()
@@ -101,7 +101,7 @@
         proceeding: asyncio.Task[AttemptEnd],
     ) -> bool:
         """Stop the run where that is allowed; true once it is certain."""
-        if proceeding.done() or not job.run.dispatched:
+        if proceeding.done() or not attempt.sent:
             return False
         if not job.profile.cancellable or not await attempt.stop():
             return False
@@ -110,17 +110,6 @@
         await asyncio.wait((proceeding,), timeout=LAST_EVENTS_S)
         return not (proceeding.done() and proceeding.result().end is End.WHOLE)
 
-    def _end_of(
-        self,
-        job: Job,
-        proceeding: asyncio.Task[AttemptEnd],
-    ) -> AttemptEnd:
-        if proceeding.done():
-            return proceeding.result()
-        if job.run.dispatched:
-            return AttemptEnd(End.UNHEARD)
-        return AttemptEnd(End.NOT_SENT)
-
     def _count_prefill(self, job: Job, end: AttemptEnd, estimate: int) -> None:
         """Count prompt tokens by whether their answer reached somebody."""
         if end.end is End.NOT_SENT:
@@ -143,6 +132,17 @@
         )
 
 
+def _end_of(
+    attempt: Attempt,
+    proceeding: asyncio.Task[AttemptEnd],
+) -> AttemptEnd:
+    if proceeding.done():
+        return proceeding.result()
+    if attempt.sent:
+        return AttemptEnd(End.UNHEARD)
+    return AttemptEnd(End.NOT_SENT)
+
+
 def _run_id(job: Job, label: str) -> str:
     """Return the id the runner sees.
 
--- a/bramleybend/scheduler/owner_service.py
+++ b/bramleybend/scheduler/owner_service.py
@@ -50,7 +50,7 @@
         self._clock = clock
         self._numbers = count()
 
-    async def Hold(  # noqa: N802
+    async def Hold(
         self,
         request_iterator: AsyncIterator[HoldRequest],
         context: Context,
@@ -77,7 +77,7 @@
             reading.cancel()
             shard.post(HoldLost(hold))
 
-    async def SetFloor(  # noqa: N802
+    async def SetFloor(
         self,
         request: FloorRequest,
         context: Context,
--- a/bramleybend/scheduler/peer_service.py
+++ b/bramleybend/scheduler/peer_service.py
@@ -28,7 +28,7 @@
         self._header = header
         self._terms = terms
 
-    async def Gossip(  # noqa: N802
+    async def Gossip(
         self,
         request: GossipMessage,
         context: Context,
@@ -37,7 +37,7 @@
         await refuse_other_protocol(request.header, context)
         return await self._gossip.answer(request)
 
-    async def FetchTerms(  # noqa: N802
+    async def FetchTerms(
         self,
         request: TermsRequest,
         context: Context,
--- a/bramleybend/scheduler/view_service.py
+++ b/bramleybend/scheduler/view_service.py
@@ -41,7 +41,7 @@
         self._headers = headers
         self._sources = sources
 
-    async def View(  # noqa: N802
+    async def View(
         self,
         request: ViewRequest,
         context: Context,
