--- a/bramleybend/gateway/dispatcher.py
+++ b/bramleybend/gateway/dispatcher.py
@@ -11,6 +11,7 @@
 from bramleybend.gateway.job import Deps, Job
 from bramleybend.gateway.slot_search import SlotSearch
 from bramleybend.gateway.supervisor import Supervisor
+from bramleybend.metrics import Metric
 
 RETRY_AFTER: Final = timedelta(seconds=1)
 MAX_ATTEMPTS: Final = 4
@@ -49,6 +50,7 @@
                 break
             excluded.append(slot.runner)
             self._deps.note(job, 'retry', end=end.end)
+            self._deps.metrics.count(Metric.RETRIED, tier=int(job.tier))
             pause = backoff(number + 1, self._deps.rng)
             await asyncio.sleep(pause.total_seconds())
         refused = not_run('no runner took it', RETRY_AFTER)
--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -110,6 +110,13 @@
         if isinstance(added, Full):
             return not_run('this VM holds too many ids', NEW_TICKET_AFTER)
         job = Job(run, profile, terms.services[profile.service])
+        begun_at = self._deps.clock.monotonic()
+        run.on_begun = partial(
+            self._time,
+            Metric.FIRST_TOKEN,
+            job,
+            begun_at,
+        )
         task = asyncio.create_task(self._work(request_id, job))
         self.working.add(task)
         task.add_done_callback(self.working.discard)
@@ -118,6 +125,7 @@
 
     async def _work(self, request_id: RequestId, job: Job) -> None:
         """Carry a run to its outcome and write it down."""
+        begun_at = self._deps.clock.monotonic()
         self._deps.metrics.count(
             Metric.ACCEPTED,
             tier=int(job.profile.tier),
@@ -131,6 +139,7 @@
         )
         answer = await self._outcome(request_id, job)
         job.run.finish(answer)
+        self._time(Metric.REQUEST, job, begun_at)
         self._tell(job, answer)
         self.journal.note(
             encode_outcome(
@@ -188,6 +197,14 @@
             LOG_RETRY_AFTER,
         )
 
+    def _time(self, metric: Metric, job: Job, begun_at: float) -> None:
+        elapsed = self._deps.clock.monotonic() - begun_at
+        self._deps.metrics.timing(
+            metric,
+            timedelta(seconds=elapsed),
+            tier=int(job.tier),
+        )
+
     def _tell(self, job: Job, answer: Answer) -> None:
         tier = int(job.profile.tier)
         self._deps.metrics.count(
--- a/bramleybend/gateway/intake.py
+++ b/bramleybend/gateway/intake.py
@@ -156,6 +156,7 @@
 
     def _forward(self, request_id: RequestId, req: RequestBody) -> Run:
         run = Run(req)
+        self._deps.metrics.count(Metric.FORWARDED)
         task = asyncio.create_task(self._deps.forwarder.follow(request_id, run))
         self._forwarding.add(task)
         task.add_done_callback(self._forwarding.discard)
--- a/bramleybend/gateway/run.py
+++ b/bramleybend/gateway/run.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -69,6 +69,7 @@
         self.content_type = ''
         self.answer: Answer | None = None
         self.given_up = False
+        self.on_begun: Callable[[], None] | None = None
         self._sent = 0
         self.torn = False
         self.abandoned = asyncio.Event()
@@ -110,6 +111,8 @@
 
     def add(self, chunk: bytes) -> bool:
         """Keep a part of the answer; false once it grows too large."""
+        if not self._answer and self.on_begun is not None:
+            self.on_begun()
         self._answer += chunk
         self._wake()
         return len(self._answer) <= MAX_KEPT_BYTES
--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -34,6 +34,13 @@
 
     async def find(self, job: Job, excluded: list[str]) -> Slot | Answer:
         """Wait for a slot; refuse only what may be refused."""
+        asked_at = self._deps.clock.monotonic()
+        found = await self._find(job, excluded)
+        if isinstance(found, Slot):
+            self._time(job, asked_at)
+        return found
+
+    async def _find(self, job: Job, excluded: list[str]) -> Slot | Answer:
         ask = job.ask()
         urgent = False
         pause_s = SHED_PAUSE_S
@@ -49,6 +56,14 @@
             elif isinstance(found, Answer) or await self._usable(job, found):
                 return found
 
+    def _time(self, job: Job, asked_at: float) -> None:
+        waited = self._deps.clock.monotonic() - asked_at
+        self._deps.metrics.timing(
+            Metric.QUEUED,
+            timedelta(seconds=waited),
+            tier=int(job.tier),
+        )
+
     async def _refusal(self, job: Job, refused: Refused) -> Answer | None:
         """Return the final answer, or None while it may not be shed."""
         if await self._may_shed(job):
@@ -135,6 +150,8 @@
 
     def _shed(self, job: Job, refused: Refused, *, proved: bool) -> Answer:
         self._deps.metrics.count(Metric.SHED, tier=int(job.tier))
+        if not proved:
+            self._deps.metrics.count(Metric.SHED_UNPROVED)
         self._deps.note(
             job,
             'shed',
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -222,6 +222,7 @@
             await asyncio.sleep(GAUGE_INTERVAL_S)
             self._metrics.gauge(Metric.TERMS_VERSION, self.terms.version)
             self._metrics.gauge(Metric.MEMBERS, len(self.peers.alive()))
+            self._metrics.gauge(Metric.TERMS_AGE, self.peers.terms_age_s())
 
 
 def make_scheduler(cfg: Settings, clock: Clock) -> Scheduler:
--- a/bramleybend/scheduler/shard_task.py
+++ b/bramleybend/scheduler/shard_task.py
@@ -23,7 +23,7 @@
 )
 from bramleybend.decisions.quarantine import CONDEMNED, CrashBook
 from bramleybend.events import EventLog
-from bramleybend.metrics import Metrics
+from bramleybend.metrics import Metric, Metrics
 from bramleybend.models import RunnerState, Tier, Vm
 from bramleybend.scheduler.crash_watch import CrashWatch
 from bramleybend.scheduler.messages import (
@@ -201,6 +201,10 @@
                 runner, [hold.fingerprint, *company], few, now
             )
             self._replies.note('runner_crashed', hold, runner=runner)
+            self._deps.metrics.count(
+                Metric.RUNNER_CRASHES,
+                service=self.service,
+            )
         elif ended.report.outcome == Outcome.DONE:
             self._crashes.finished(hold.fingerprint, now)
         return self.policy.ended(hold.key, ended.report, now)
