--- a/bramleybend/gateway/http_server.py
+++ b/bramleybend/gateway/http_server.py
@@ -110,6 +110,13 @@
             backlog=1024,
         )
 
+    @property
+    def port(self) -> int:
+        """The port listened on, for a server that was started on any."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
     async def stop(self) -> None:
         """Stop listening and end the connections that are idle by now."""
         if self._server is not None:
