--- a/bramleybend/gateway/intake.py
+++ b/bramleybend/gateway/intake.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok
 
-from bramleybend.answers import Answer, not_run, quarantined, rejected
+from bramleybend.answers import Answer, Outcome, not_run, quarantined, rejected
 from bramleybend.clock import Clock
 from bramleybend.events import EventLog
 from bramleybend.gateway.border import (
@@ -89,13 +89,11 @@
         )
 
     def take(self, received: Received) -> Run | Answer:
-        """Take in a caller's request."""
-        match check_headers(received, self._deps.clock):
-            case Err(answer):
-                return answer
-            case Ok(req):
-                return self._route(req)
-        raise AssertionError(received)
+        """Take in a caller's request; bad input is counted."""
+        taken = self._checked(received)
+        if isinstance(taken, Answer) and taken.outcome is Outcome.REJECTED:
+            self._deps.metrics.count(Metric.REJECTED, reason='request')
+        return taken
 
     def take_forwarded(self, req: RequestBody) -> Run | Answer | None:
         """Take in what another VM passed on; None if its home is not here."""
@@ -104,6 +102,14 @@
             return self._submit(request_id, req)
         return None
 
+    def _checked(self, received: Received) -> Run | Answer:
+        match check_headers(received, self._deps.clock):
+            case Err(answer):
+                return answer
+            case Ok(req):
+                return self._route(req)
+        raise AssertionError(received)
+
     def _route(self, req: RequestBody) -> Run | Answer:
         match parse_request_id(req.request_id):
             case Err(problem):
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -1,7 +1,8 @@
 """What a gateway tells of ids that it may have forgotten."""
 
+from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
-from typing import Any, cast
+from typing import Any, Unpack, cast
 
 from bramleybend.answers import Answer, Outcome
 from bramleybend.clock import ManualClock
@@ -10,7 +11,8 @@
 from bramleybend.gateway.home import Home
 from bramleybend.gateway.intake import Intake, IntakeDeps
 from bramleybend.gateway.job import Deps
-from bramleybend.metrics import NullMetrics
+from bramleybend.metric_types import Labels
+from bramleybend.metrics import Metric, NullMetrics
 from bramleybend.state.id_table import EPOCH_S, GRACE_S, IdTable
 from bramleybend.state.tickets import Ticket
 
@@ -58,3 +60,32 @@
             answer = intake.take(_received(CLOCK.now() + left))
             assert isinstance(answer, Answer)
             assert answer.outcome is Outcome.EXPIRED
+
+
+@dataclass
+class Counting(NullMetrics):
+    """Keeps what was counted."""
+
+    counted: list[Metric] = field(default_factory=list)
+
+    def count(
+        self,
+        metric: Metric,
+        n: int = 1,
+        **labels: Unpack[Labels],
+    ) -> None:
+        """Keep the metric."""
+        self.counted.append(metric)
+
+
+def test_bad_input_is_counted() -> None:
+    """A header is missing: the caller is told, and operators can see it."""
+    unused = cast('Any', None)
+    metrics = Counting()
+    intake = Intake(
+        IntakeDeps(unused, unused, _home, CLOCK, EVENTS, metrics, 10),
+    )
+    answer = intake.take(Received({}, b'{}'))
+    assert isinstance(answer, Answer)
+    assert answer.outcome is Outcome.REJECTED
+    assert metrics.counted == [Metric.REJECTED]
