--- /dev/null
+++ b/bramleybend/cli/entry_vm.py
@@ -0,0 +1,24 @@
+"""`bramleybend-entry`: see `--help`."""
+
+import os
+import sys
+from collections.abc import Sequence
+
+from bramleybend.cli.serving import Environment, serve, system_environment
+from bramleybend.entry_settings import ENTRY
+from bramleybend.platform.program import make_platform_process
+from bramleybend.status import ExitStatus
+
+
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Serve until told to stop; return what the shell gets."""
+    return serve(ENTRY, make_platform_process, args, env)
+
+
+def run() -> None:
+    """Start as a console script."""
+    sys.exit(main(sys.argv[1:], system_environment(os.environ)))
+
+
+if __name__ == '__main__':
+    run()
--- a/bramleybend/cli/scheduler.py
+++ b/bramleybend/cli/scheduler.py
@@ -6,13 +6,13 @@
 
 from bramleybend.cli.serving import Environment, serve, system_environment
 from bramleybend.scheduler.core import make_scheduler
-from bramleybend.settings import ProcessKind
+from bramleybend.settings import ProcessKind, program_of
 from bramleybend.status import ExitStatus
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Serve until told to stop; return what the shell gets."""
-    return serve(ProcessKind.SCHEDULER, make_scheduler, args, env)
+    return serve(program_of(ProcessKind.SCHEDULER), make_scheduler, args, env)
 
 
 def run() -> None:
--- a/bramleybend/cli/serving.py
+++ b/bramleybend/cli/serving.py
@@ -11,9 +11,10 @@
 
 from bramleybend.clock import Clock, SystemClock
 from bramleybend.events import setup_logging
-from bramleybend.settings import ProcessKind, Settings, parse_settings
+from bramleybend.settings_parsing import Model, Program, parse
 from bramleybend.status import ExitStatus
 
+DEFAULT_LEVEL = 'INFO'
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -38,24 +39,21 @@
     clock: Clock
 
 
-Make = Callable[[Settings, Clock], Server]
-
-
 def serve(
-    kind: ProcessKind,
-    make: Make,
+    program: Program[Model],
+    make: Callable[[Model, Clock], Server],
     args: Sequence[str],
     env: Environment,
 ) -> ExitStatus:
     """Read the settings and serve until told to stop."""
-    match parse_settings(kind, args, env.variables):
+    match parse(program, args, env.variables):
         case Err(problem):
-            print(f'bramleybend-{kind}: error: {problem}', file=env.stderr)
+            print(f'{program.name}: error: {problem}', file=env.stderr)
             return ExitStatus.USAGE
         case Ok(cfg):
-            setup_logging(cfg.log_level, env.stderr)
+            setup_logging(getattr(cfg, 'log_level', DEFAULT_LEVEL), env.stderr)
             return asyncio.run(_serve(make(cfg, env.clock), env))
-    raise AssertionError(kind)
+    raise AssertionError(program)
 
 
 def system_environment(variables: Mapping[str, str]) -> Environment:
--- /dev/null
+++ b/bramleybend/clients/h11_protocol.py
@@ -0,0 +1,102 @@
+"""One HTTP/1.1 connection over an asyncio transport, framed by h11.
+
+A transport tells at once when its peer has left or when bytes come that
+nobody asked for. A task that reads a stream would notice only at its next
+read, so both directions of the raw path are built on this.
+"""
+
+import asyncio
+from typing import Final, cast
+
+import h11
+
+# Unread bytes at which reading stops, so that a fast sender before a slow
+# reader costs no memory; far over one event or request of usual size.
+HIGH_WATER: Final = 262_144
+
+
+class H11Protocol(asyncio.Protocol):
+    """Feeds a connection's bytes to h11 and hands out its events."""
+
+    def __init__(self, http: h11.Connection) -> None:
+        """Start without a transport."""
+        self.http = http
+        self.broken: Exception | None = None
+        self._transport: asyncio.Transport | None = None
+        self._news = asyncio.Event()
+        self._room = asyncio.Event()
+        self._room.set()
+        self._unread = 0
+
+    @property
+    def transport(self) -> asyncio.Transport:
+        """The transport; there is one once the connection stands."""
+        assert self._transport is not None
+        return self._transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over an open connection."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Buffer what came."""
+        self.http.receive_data(data)
+        self._unread += len(data)
+        if self._unread > HIGH_WATER:
+            self.transport.pause_reading()
+        self._news.set()
+
+    def eof_received(self) -> bool:
+        """Note that the peer writes no more; keep our half open."""
+        self.http.receive_data(b'')
+        self._news.set()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake whoever waits for the peer."""
+        self.broken = exc or ConnectionResetError('the connection is closed')
+        self._news.set()
+        self._room.set()
+
+    def pause_writing(self) -> None:
+        """Note that the peer reads more slowly than we write."""
+        self._room.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._room.set()
+
+    async def next_event(self) -> object:
+        """Return h11's next event, waiting for bytes as needed."""
+        event = self.http.next_event()
+        while event is h11.NEED_DATA:
+            await self.more_data()
+            event = self.http.next_event()
+        return event
+
+    async def more_data(self) -> None:
+        """Wait until bytes or the end of the connection have come."""
+        self._unread = 0
+        if self.broken is not None:
+            raise self.broken
+        self.transport.resume_reading()
+        self._news.clear()
+        await self._news.wait()
+
+    async def write(self, payload: bytes) -> None:
+        """Write, and wait while the peer doesn't keep up."""
+        if self.broken is not None:
+            raise self.broken
+        self.transport.write(payload)
+        if not self._room.is_set():
+            await self._room.wait()
+
+    def close(self) -> None:
+        """Close in order; what was written is still sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection and what is still unsent."""
+        if self._transport is not None:
+            self._transport.abort()
--- a/bramleybend/decisions/actions.py
+++ b/bramleybend/decisions/actions.py
@@ -58,6 +58,8 @@
 
     name: str
     leaving: bool = False
+    slots: int = 0  # that it declares; 0: as its service declares
+    warm: bool = False  # needs no slow start
 
 
 @dataclass(frozen=True)
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -66,6 +66,14 @@
             self._shard.adopt(cleaned(ask), runner, moment)
         return self._act(moment)
 
+    def witness(self, ask: Ask, name: str, now: float) -> list[Action]:
+        """Note a run that begins now by another owner's grant."""
+        moment = self._advance(now)
+        runner = self._shard.pool.get(name)
+        if runner is not None and ask.request_id not in self._shard.runs:
+            self._shard.start(cleaned(ask), runner, moment)
+        return self._act(moment)
+
     def withdraw(self, request_id: str, now: float) -> list[Action]:
         """Forget a request whose caller or gateway is gone."""
         moment = self._advance(now)
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -10,7 +10,7 @@
 from bramleybend.decisions.actions import RunnerInfo
 from bramleybend.decisions.cache_view import CacheView
 from bramleybend.decisions.limits import ConcurrencyLimit
-from bramleybend.decisions.pacing import Ramp
+from bramleybend.decisions.pacing import RAMP_S, Ramp
 from bramleybend.decisions.runs import Run, Runner
 from bramleybend.decisions.speeds import FIRST_PACE, Pace, Speed
 from bramleybend.decisions.switches import Switches
@@ -45,7 +45,7 @@
         for gone in self._runners.keys() - known.keys():
             self._runners.pop(gone)
         for name, info in known.items():
-            runner = self._runners.get(name) or self._add(name, now)
+            runner = self._runners.get(name) or self._add(info, now)
             runner.leaving = info.leaving
         for run in runs:
             self._count(run)
@@ -109,15 +109,17 @@
             if run.ask.suspect:
                 runner.alone = run.ask.request_id
 
-    def _add(self, name: str, now: float) -> Runner:
+    def _add(self, info: RunnerInfo, now: float) -> Runner:
+        slots = info.slots or self._slots
+        begun = now - RAMP_S if info.warm else now
         runner = Runner(
-            name,
-            ConcurrencyLimit(self._slots, learn=self._switches.limits),
-            Ramp(now, switched_on=self._switches.pacing),
+            info.name,
+            ConcurrencyLimit(slots, learn=self._switches.limits),
+            Ramp(begun, switched_on=self._switches.pacing),
             Speed(),
             CacheView(),
         )
-        self._runners[name] = runner
+        self._runners[info.name] = runner
         return runner
 
 
--- /dev/null
+++ b/bramleybend/decisions/resends.py
@@ -0,0 +1,63 @@
+"""How often requests may be sent to a second runner, over all VMs.
+
+Load pattern: runners that fail many requests at once.
+Without it: each failure becomes another arrival at the runners that are left,
+and those fail next.
+
+The budget of a service is shared by all VMs without a word between them: each
+has its part of the fixed allowance and the whole ratio of its own requests.
+A bucket that holds half of its part and refills the other half in a window
+spends no more than the part in any window of that length.
+"""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class ResendTerms:
+    """What the operators allow a service, over all VMs."""
+
+    ratio: float  # resends for each request
+    extra: float  # resends beyond the ratio, in a window
+    window_s: float
+
+
+@dataclass
+class _Bucket:
+    tokens: float
+    at: float
+
+
+@dataclass
+class ResendBudget:
+    """One VM's part of every service's budget."""
+
+    terms: ResendTerms
+    _buckets: dict[str, _Bucket] = field(default_factory=dict)
+
+    def requested(self, service: str, vms: int, now: float) -> None:
+        """Count a request, which earns a part of a resend."""
+        bucket = self._bucket(service, vms, now)
+        held = self._held(vms)
+        bucket.tokens = min(bucket.tokens + self.terms.ratio, held + 1)
+
+    def spend(self, service: str, vms: int, now: float) -> bool:
+        """Take one resend, if there is one."""
+        bucket = self._bucket(service, vms, now)
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
+
+    def _held(self, vms: int) -> float:
+        return self.terms.extra / max(vms, 1) / 2
+
+    def _bucket(self, service: str, vms: int, now: float) -> _Bucket:
+        held = self._held(vms)
+        bucket = self._buckets.setdefault(service, _Bucket(held, now))
+        passed = max(now - bucket.at, 0)
+        bucket.at = max(now, bucket.at)
+        if bucket.tokens < held:
+            earned = passed * held / self.terms.window_s
+            bucket.tokens = min(bucket.tokens + earned, held)
+        return bucket
--- /dev/null
+++ b/bramleybend/direct/attempt.py
@@ -0,0 +1,181 @@
+"""One request at one runner, and what is certain of it afterwards."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass
+from enum import StrEnum
+from http import HTTPStatus
+from typing import Final
+
+import h11
+
+from bramleybend.clients.channel import Channel, Head, Outgoing
+from bramleybend.direct.channels import RunnerChannels
+from bramleybend.direct.dialect import Dialect
+from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.sse import Event, EventSplitter
+
+MAX_ANSWER: Final = 2**25  # bytes of an answer that is no stream
+# Answers of earlier requests that are passed over before a connection is
+# given up; a runner sends one late or second answer, not a series.
+MOST_FOREIGN: Final = 2
+# The rest of a refusal is a few bytes that came with its head.
+DISCARD_S: Final = 0.1
+BROKEN: Final = (OSError, EOFError, h11.ProtocolError)
+
+
+class Fate(StrEnum):
+    """What is certain of a request that got no answer."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+
+
+@dataclass(frozen=True)
+class Failure:
+    """Why there is no answer that could be passed on."""
+
+    fate: Fate
+    reason: str
+    unreachable: bool = False  # the runner, not this request, is at fault
+    full: bool = False  # the runner turned it away
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """An answer of a runner, complete."""
+
+    head: Head
+    body: bytes
+
+
+class BrokenStreamError(Exception):
+    """A stream ended before its end."""
+
+
+class Attempt:
+    """Owns the connection of one request at one runner."""
+
+    def __init__(
+        self,
+        channels: RunnerChannels,
+        dialect: Dialect,
+        runner: RunnerEntry,
+        attempt_id: str,
+    ) -> None:
+        """Prepare; nothing is opened yet."""
+        self._channels = channels
+        self._dialect = dialect
+        self._attempt_id = attempt_id
+        self._channel: Channel | None = None
+        self.runner = runner
+        self.sent = False
+
+    async def begin(self, outgoing: Outgoing) -> Head | Failure:
+        """Send the request and read the head of its answer."""
+        try:
+            self._channel = await self._channels.take(self.runner)
+        except OSError as exc:
+            return Failure(
+                Fate.NOT_RUN, f'no connection: {exc}', unreachable=True
+            )
+        try:
+            await self._send(self._channel, outgoing)
+            head = await self._own_head(self._channel)
+        except BROKEN as exc:
+            return self._broken(exc)
+        return await self._checked(head)
+
+    async def whole(self, head: Head) -> WholeAnswer | Failure:
+        """Read the body; the runner's connection is free afterwards."""
+        assert self._channel is not None
+        try:
+            body = await self._channel.body(MAX_ANSWER)
+        except BROKEN as exc:
+            return self._broken(exc)
+        self.finish()
+        return WholeAnswer(head, body)
+
+    async def events(self) -> AsyncGenerator[Event, None]:
+        """Yield whole events; raises unless the stream came to its end."""
+        assert self._channel is not None
+        splitter = EventSplitter()
+        try:
+            async for chunk in self._channel.chunks():
+                for event in splitter.feed(chunk):
+                    yield event
+        except BROKEN as exc:
+            raise BrokenStreamError(str(exc) or type(exc).__name__) from exc
+        if splitter.rest:
+            yield Event('', splitter.rest)
+
+    def finish(self) -> None:
+        """Give the connection back after a whole answer."""
+        if self._channel is not None:
+            self._channels.give_back(self.runner, self._channel)
+            self._channel = None
+
+    def cancel(self) -> None:
+        """Drop the connection; the runner then drops the request."""
+        if self._channel is not None:
+            self._channels.drop(self.runner, self._channel)
+            self._channel = None
+
+    async def _send(self, channel: Channel, outgoing: Outgoing) -> None:
+        self.sent = True
+        await channel.send(outgoing)
+
+    async def _own_head(self, channel: Channel) -> Head:
+        """Read the head of our answer, past those of other requests.
+
+        A runner's late or second answer to an earlier request comes where
+        ours is expected. It would reach the wrong caller; the id that
+        runners echo tells the two apart.
+        """
+        for _ in range(MOST_FOREIGN):
+            head = await channel.head()
+            answered = self._dialect.answer_facts(head).attempt_id
+            if answered == self._attempt_id or not answered:
+                return head
+            await channel.body(MAX_ANSWER)
+            channel.expect_another()
+        raise EOFError('the runner answers other requests in place of ours')
+
+    async def _checked(self, head: Head) -> Head | Failure:
+        facts = self._dialect.answer_facts(head)
+        if facts.not_run:
+            await self._discard()
+            return Failure(
+                Fate.NOT_RUN, f'the runner answered {head.status}', full=True
+            )
+        is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
+        owned = facts.attempt_id == self._attempt_id
+        if is_success and not (
+            facts.proven and owned and self._dialect.is_whole(head)
+        ):
+            self.cancel()
+            return Failure(Fate.MAY_HAVE_RUN, 'the answer bears no proof')
+        return head
+
+    async def _discard(self) -> None:
+        """Read an answer that is not passed on, to keep the connection."""
+        assert self._channel is not None
+        try:
+            async with asyncio.timeout(DISCARD_S):
+                await self._channel.body(MAX_ANSWER)
+        except BROKEN:
+            # The answer's head told all there was to know.
+            self.cancel()
+            return
+        self.finish()
+
+    def _broken(self, exc: Exception) -> Failure:
+        self.cancel()
+        reason = str(exc) or type(exc).__name__
+        return Failure(
+            Fate.MAY_HAVE_RUN,
+            reason,
+            # A reset may concern one connection; bytes that nobody
+            # acknowledges tell that the runner itself is cut off.
+            unreachable=isinstance(exc, TimeoutError),
+        )
--- /dev/null
+++ b/bramleybend/direct/book.py
@@ -0,0 +1,100 @@
+"""What this VM knows of the manifest and the runners, and how old it is."""
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
+from math import inf
+from typing import TypeAlias
+
+from bramleybend.clock import Clock
+from bramleybend.direct.models import Manifest, RunnerEntry
+from bramleybend.events import EventLog
+
+Runners: TypeAlias = Mapping[str, Sequence[RunnerEntry]]  # by service
+Listener: TypeAlias = Callable[[], None]
+
+
+class Book:
+    """One process's knowledge; listeners hear of each change."""
+
+    def __init__(self, clock: Clock, events: EventLog) -> None:
+        """Know nothing."""
+        self._clock = clock
+        self._events = events
+        self._listeners: list[Listener] = []
+        self._confirmed_at = -inf
+        self._entries: dict[str, RunnerEntry] = {}
+        self.manifest: Manifest | None = None
+        self.runners: Runners = {}
+        self.runners_known = False
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self._clock.monotonic()
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be served."""
+        return self.manifest is not None and self.runners_known
+
+    def manifest_age(self) -> float:
+        """Return for how long a newer manifest may have been missed."""
+        return self._clock.monotonic() - self._confirmed_at
+
+    def entry(self, incarnation: str) -> RunnerEntry | None:
+        """Return a runner by its incarnation."""
+        return self._entries.get(incarnation)
+
+    def listen(self, listener: Listener) -> None:
+        """Call a listener after each change."""
+        self._listeners.append(listener)
+
+    def confirm_manifest(self, at: float) -> None:
+        """Note that nothing newer had been accepted at a time."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
+    def take_manifest(self, manifest: Manifest) -> None:
+        """Put a manifest in force, unless it is an older one."""
+        current = self.manifest
+        if current is not None and manifest.version <= current.version:
+            return
+        self.manifest = manifest
+        self._events.record(
+            'manifest',
+            version=manifest.version,
+            before=current.version if current else 0,
+            routes=sum(len(routes) for routes in manifest.routes.values()),
+            keys=len(manifest.key_holders),
+        )
+        self._tell()
+
+    def take_runners(self, known: Mapping[str, RunnerEntry]) -> None:
+        """Take in the whole list of runners."""
+        entries = {entry.incarnation: entry for entry in known.values()}
+        if self.runners_known and entries == self._entries:
+            return
+        self._log_changes(entries)
+        self._entries = entries
+        self.runners_known = True
+        by_service: dict[str, list[RunnerEntry]] = defaultdict(list)
+        for entry in entries.values():
+            by_service[entry.service].append(entry)
+        self.runners = by_service
+        self._tell()
+
+    def _log_changes(self, entries: Mapping[str, RunnerEntry]) -> None:
+        for name in self._entries.keys() - entries.keys():
+            self._events.record('runner_gone', runner=name)
+        for name, entry in entries.items():
+            before = self._entries.get(name)
+            if before is None or before.state is not entry.state:
+                self._events.record(
+                    'runner',
+                    runner=name,
+                    service=entry.service,
+                    at=f'{entry.address}:{entry.port}',
+                    state=entry.state,
+                )
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/bramleybend/direct/channels.py
@@ -0,0 +1,68 @@
+"""The connections to runners, kept and shared by all requests of a VM."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from math import inf
+
+from bramleybend.clients.channel import Channel, connect
+from bramleybend.clock import Clock
+from bramleybend.direct.models import RunnerEntry
+
+
+class RunnerChannels:
+    """One VM's connections, by runner."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without connections."""
+        self._clock = clock
+        self._idle: dict[str, list[Channel]] = defaultdict(list)
+        self._open: dict[str, int] = defaultdict(int)
+        self.most: Callable[[RunnerEntry], float] = _unbounded
+
+    async def take(
+        self, runner: RunnerEntry, *, fresh: bool = False
+    ) -> Channel:
+        """Return a connection; an `OSError` means that nothing was sent."""
+        idle = self._idle[runner.incarnation]
+        while idle and not fresh:
+            channel = idle.pop()
+            if channel.usable:
+                return channel
+            self._drop(runner.incarnation, channel)
+        if self._open[runner.incarnation] >= self.most(runner):
+            raise ConnectionError('all our connections to it are in use')
+        self._open[runner.incarnation] += 1
+        try:
+            return await connect(runner.address, runner.port, self._clock)
+        except BaseException:
+            self._open[runner.incarnation] -= 1
+            raise
+
+    def give_back(self, runner: RunnerEntry, channel: Channel) -> None:
+        """Keep a connection whose exchange ended whole, else drop it."""
+        if channel.release():
+            self._idle[runner.incarnation].append(channel)
+        else:
+            self._open[runner.incarnation] -= 1
+
+    def drop(self, runner: RunnerEntry, channel: Channel) -> None:
+        """Drop a connection in the middle of an exchange."""
+        self._drop(runner.incarnation, channel)
+
+    def keep_only(self, incarnations: set[str]) -> None:
+        """Close what leads to runners that are gone."""
+        for gone in self._idle.keys() - incarnations:
+            for channel in self._idle.pop(gone):
+                self._drop(gone, channel)
+
+    def close(self) -> None:
+        """Close all that are idle."""
+        self.keep_only(set())
+
+    def _drop(self, incarnation: str, channel: Channel) -> None:
+        channel.abort()
+        self._open[incarnation] -= 1
+
+
+def _unbounded(runner: RunnerEntry) -> float:
+    return inf
--- /dev/null
+++ b/bramleybend/direct/intake.py
@@ -0,0 +1,135 @@
+"""Which requests are let in, and under which terms.
+
+Load pattern: changes of the manifest, and a VM that is cut off from them.
+Without care: a VM with an old manifest tells a caller that its route or key
+doesn't exist, and the caller gives up on what all other VMs would serve. So
+an unknown host, path or key is denied only by a manifest that was confirmed
+a moment ago; else the caller is told to come back.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from random import Random
+from typing import Final
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.allotments import Allowance, AllotmentBook
+from bramleybend.direct.book import Book
+from bramleybend.direct.ingress import RawRequest, Reply, own_reply
+from bramleybend.direct.members import Members
+from bramleybend.direct.models import (
+    KeyHolder,
+    RequestFacts,
+    Route,
+    Target,
+)
+from bramleybend.models import Tier
+
+# A long poll of the store and its timeout: an older manifest may be outdated.
+SURE_AGE_S: Final = 4.0
+# A VM without a manifest asks for it several times a second.
+UNREADY_RETRY_S: Final = 0.3
+# An unsure denial is settled by the next answer of the store.
+UNSURE_RETRY_S: Final = 0.5
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """A request that is let in, with the terms it runs under."""
+
+    route: Route
+    service: str
+    workspace: str
+    tier: Tier
+    units: float  # counted against the workspace's allotment; 0: none
+
+
+class Intake:
+    """Decides on each request before anything is done for it."""
+
+    def __init__(
+        self,
+        book: Book,
+        members: Members,
+        allotments: AllotmentBook,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        """Decide by what the book holds."""
+        self._book = book
+        self._members = members
+        self._allotments = allotments
+        self._clock = clock
+        self._rng = rng
+
+    def admit(self, req: RawRequest, facts: RequestFacts) -> Admitted | Reply:
+        """Let a request in, or answer it."""
+        manifest = self._book.manifest
+        if manifest is None or not self._book.complete:
+            return own_reply(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'this VM knows no manifest yet; nothing was run',
+                UNREADY_RETRY_S,
+            )
+        route = manifest.route_of(req.host, req.path)
+        if route is None:
+            return self._denied(HTTPStatus.NOT_FOUND, 'no route fits')
+        holder = manifest.key_holders.get(facts.key)
+        if holder is None and manifest.keyed and not route.public:
+            return self._denied(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
+        return self._within_allotment(route, holder, facts)
+
+    def give_back(self, admitted: Admitted) -> None:
+        """Undo the count of a request that did not run."""
+        if admitted.units:
+            self._allotments.give_back(admitted.workspace, admitted.units)
+
+    def _within_allotment(
+        self, route: Route, holder: KeyHolder | None, facts: RequestFacts
+    ) -> Admitted | Reply:
+        units = float(0)
+        if holder is not None and holder.allotment is not None:
+            terms = holder.allotment
+            units = facts.units(terms)
+            now = self._clock.monotonic()
+            wait_s = self._allotments.admit(
+                holder.name,
+                Allowance(terms.rate_per_s, terms.burst),
+                units,
+                now,
+                self._members.share(now),
+            )
+            if wait_s:
+                return own_reply(
+                    HTTPStatus.TOO_MANY_REQUESTS,
+                    'the workspace is over its allotment; nothing was run',
+                    wait_s,
+                )
+        tier = route.tier
+        return Admitted(
+            route,
+            choose_target(route.targets, self._rng),
+            holder.name if holder else '',
+            tier,
+            units,
+        )
+
+    def _denied(self, status: HTTPStatus, reason: str) -> Reply:
+        if self._book.manifest_age() <= SURE_AGE_S:
+            return own_reply(status, reason)
+        return own_reply(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            f'{reason}, by a manifest that may be outdated; nothing was run',
+            UNSURE_RETRY_S,
+        )
+
+
+def choose_target(targets: Sequence[Target], rng: Random) -> str:
+    """Pick a service by the weights of the split."""
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [max(target.weight, 0) for target in targets]
+    if not sum(weights):
+        return targets[0].service
+    return rng.choices([target.service for target in targets], weights)[0]
--- /dev/null
+++ b/bramleybend/direct/listener.py
@@ -0,0 +1,77 @@
+"""What an entry VM tells the others, and does with what they tell."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from bramleybend.decisions.allotments import AllotmentBook
+from bramleybend.direct.members import Member, Members
+from bramleybend.direct.messages import Beat, Message, RunNews
+from bramleybend.direct.peers import member_news
+from bramleybend.direct.placing import Placer, Queues
+
+State = Callable[[], tuple[bool, bool, int]]  # ready, leaving, version
+
+
+class PeerListener:
+    """Joins the members, the queues and the allotments to the socket."""
+
+    def __init__(
+        self,
+        members: Members,
+        placer: Placer,
+        queues: Queues,
+        allotments: AllotmentBook,
+        state: State,
+    ) -> None:
+        """Tell of these tables."""
+        self._members = members
+        self._placer = placer
+        self._queues = queues
+        self._allotments = allotments
+        self._state = state
+
+    def make_beat(self) -> Beat:
+        """Return what to tell all others now."""
+        own = self._members.own
+        ready, leaving, version = self._state()
+        return Beat(
+            own.vm,
+            own.incarnation,
+            own.front,
+            ready,
+            leaving,
+            version,
+            member_news(self._members),
+            self._allotments.used,
+            self._placer.runs(),
+        )
+
+    def take_beat(self, beat: Beat) -> None:
+        """Take in a heartbeat."""
+        self._allotments.heard(_peer(beat.vm, beat.incarnation), beat.used)
+        by_service: dict[str, list[RunNews]] = defaultdict(list)
+        for run in beat.runs:
+            by_service[run.service].append(run)
+        for service in by_service:
+            self._queues.of(service)
+        for service, queue in self._queues:
+            queue.heard_runs(beat.vm, by_service.get(service, ()))
+
+    def take(
+        self,
+        message: Message,
+        vm: str,
+        reply: Callable[[Message], None],
+    ) -> None:
+        """Take in any other message."""
+        self._placer.take(message, vm, reply)
+
+    def lost(self, member: Member) -> None:
+        """Free what a VM had running; it is gone or began anew."""
+        self._allotments.forget(_peer(member.vm, member.incarnation))
+        for _, queue in self._queues:
+            queue.heard_runs(member.vm, ())
+
+
+def _peer(vm: str, incarnation: str) -> str:
+    return f'{vm}/{incarnation}'
--- /dev/null
+++ b/bramleybend/direct/messages.py
@@ -0,0 +1,117 @@
+"""Messages between entry VMs, one to a datagram.
+
+Datagrams, as everything here may be lost and said again: a heartbeat is
+followed by the next, an ask is repeated until it is answered, and what an
+owner missed of a run's end it learns from the next heartbeat. A stream would
+add nothing but the chance that it falls silent without an error.
+"""
+
+from typing import Final, TypeAlias
+
+import msgspec
+
+MOST_BYTES: Final = 60_000  # UDP's own limit is 65,507
+
+
+class MemberNews(msgspec.Struct, array_like=True):
+    """Where a VM was last heard."""
+
+    vm: str
+    address: str
+    front: str
+
+
+class RunNews(msgspec.Struct, array_like=True):
+    """One run that the sender has at a runner."""
+
+    request_id: str
+    service: str
+    runner: str  # its incarnation
+    tier: int
+    workspace: str
+    cost: float
+    prompt_tokens: int
+
+
+class Beat(msgspec.Struct, tag='beat', array_like=True):
+    """What a VM tells all others, several times a second."""
+
+    vm: str
+    incarnation: str
+    front: str  # ip:port for callers
+    ready: bool
+    leaving: bool
+    manifest_version: int
+    members: list[MemberNews]
+    used: dict[str, float]  # by workspace, units admitted since its start
+    runs: list[RunNews]
+
+
+class AskNews(msgspec.Struct, tag='ask', array_like=True):
+    """A request wants a slot; said again while it waits."""
+
+    request_id: str
+    service: str
+    tier: int
+    workspace: str
+    cost: float
+    prompt_tokens: int
+    patience_s: float
+    excluded: list[str]
+
+
+class Queued(msgspec.Struct, tag='queued', array_like=True):
+    """The ask was taken in and waits."""
+
+    request_id: str
+
+
+class Granted(msgspec.Struct, tag='granted', array_like=True):
+    """The request may be sent to this runner."""
+
+    request_id: str
+    runner: str
+
+
+class Refused(msgspec.Struct, tag='refused', array_like=True):
+    """The request gets no slot."""
+
+    request_id: str
+    reason: str
+    retry_after_s: float
+
+
+class Withdrawn(msgspec.Struct, tag='withdrawn', array_like=True):
+    """The request no longer wants a slot."""
+
+    request_id: str
+    service: str
+
+
+class Filled(msgspec.Struct, tag='filled', array_like=True):
+    """The run's first token has come."""
+
+    request_id: str
+    service: str
+    prompt_tokens: int
+
+
+class Ended(msgspec.Struct, tag='ended', array_like=True):
+    """The run is over."""
+
+    request_id: str
+    service: str
+    outcome: str
+    refused: bool
+    crashed: bool
+    prompt_tokens: int
+    completion_tokens: int
+    seconds: float
+
+
+Message: TypeAlias = (
+    Beat | AskNews | Queued | Granted | Refused | Withdrawn | Filled | Ended
+)
+
+encode: Final = msgspec.msgpack.Encoder().encode
+decode: Final = msgspec.msgpack.Decoder(Message).decode
--- /dev/null
+++ b/bramleybend/direct/owner.py
@@ -0,0 +1,193 @@
+"""The queue of one service, as this VM would order it.
+
+Every VM keeps one for each service, fed with its own runs and with those that
+the others tell of. So whoever becomes the owner knows at once what runs
+where, and a VM that reaches no owner orders its own requests by the same
+rules.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from random import Random
+from typing import Final, TypeAlias
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+)
+from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
+from bramleybend.decisions.switches import Switches
+from bramleybend.direct.messages import RunNews
+from bramleybend.direct.models import RunnerEntry, RunnerState
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+
+Reply: TypeAlias = Callable[[Grant | Refuse], None]
+
+# A run that its VM's heartbeats don't tell of this long after the grant has
+# ended, and the message that said so was lost. Two heartbeats and a hop.
+UNCONFIRMED_S: Final = 0.6
+# An ask that is not said again is withdrawn: its VM is gone.
+ASK_LAPSE_S: Final = 1.0
+# Engines are not preempted: a stream that is cut after its head was sent
+# can't be answered any more.
+SWITCHES: Final = Switches(preemption=False, limits=False)
+
+
+class ServiceQueue:
+    """Orders one service's requests; carries out what the policy decides."""
+
+    def __init__(self, service: Service, clock: Clock, rng: Random) -> None:
+        """Start empty."""
+        self._clock = clock
+        self._policy: ShardPolicy = make_shard_policy(
+            service, rng, switches=SWITCHES
+        )
+        self._replies: dict[str, Reply] = {}
+        self._asked_at: dict[str, float] = {}
+        self._granted_at: dict[str, float] = {}
+        self._told: dict[str, frozenset[str]] = {}  # by VM, its runs here
+        self._timer: asyncio.TimerHandle | None = None
+
+    def ask(self, ask: Ask, reply: Reply) -> None:
+        """Queue a request; said again, it only stays."""
+        now = self._clock.monotonic()
+        self._replies[ask.request_id] = reply
+        self._asked_at[ask.request_id] = now
+        self._act(self._policy.ask(ask, now))
+
+    def waits(self, request_id: str) -> bool:
+        """Tell whether a request has neither a slot nor a refusal."""
+        return request_id in self._replies
+
+    def withdraw(self, request_id: str) -> None:
+        """Forget a request, waiting or running."""
+        self._replies.pop(request_id, None)
+        self._forget(request_id)
+        self._act(self._policy.withdraw(request_id, self._clock.monotonic()))
+
+    def witness(self, ask: Ask, runner: str) -> None:
+        """Note a run of our own that another VM granted."""
+        now = self._clock.monotonic()
+        self._act(self._policy.witness(ask, runner, now))
+
+    def filled(self, request_id: str, prompt_tokens: int) -> None:
+        """Note a run's first token."""
+        now = self._clock.monotonic()
+        self._act(self._policy.first_token(request_id, prompt_tokens, 0, now))
+
+    def ended(self, request_id: str, report: RunReport) -> None:
+        """Free the run's slot."""
+        self._forget(request_id)
+        now = self._clock.monotonic()
+        self._act(self._policy.ended(request_id, report, now))
+
+    def take_runners(
+        self, entries: Sequence[RunnerEntry], *, warm: bool
+    ) -> None:
+        """Take in the service's runners."""
+        infos = [
+            RunnerInfo(
+                entry.incarnation,
+                entry.state is RunnerState.LEAVING,
+                entry.slots,
+                warm,
+            )
+            for entry in entries
+        ]
+        self._act(self._policy.runners(infos, self._clock.monotonic()))
+
+    def heard_runs(self, vm: str, runs: Iterable[RunNews]) -> None:
+        """Take in what a VM says it has running here."""
+        now = self._clock.monotonic()
+        current = {run.request_id: run for run in runs}
+        before = self._told.get(vm, frozenset())
+        for request_id in before - current.keys():
+            self._forget(request_id)
+            self._act(self._policy.withdraw(request_id, now))
+        for request_id in current.keys() - before:
+            run = current[request_id]
+            self._granted_at.pop(request_id, None)
+            self._act(self._policy.adopt(ask_of(run, now), run.runner, now))
+        self._told[vm] = frozenset(current)
+
+    def sweep(self) -> None:
+        """Drop asks and grants whose VM said nothing more of them."""
+        now = self._clock.monotonic()
+        silent = [
+            request_id
+            for request_id, at in self._asked_at.items()
+            if now - at > ASK_LAPSE_S
+        ]
+        silent.extend(
+            request_id
+            for request_id, at in self._granted_at.items()
+            if now - at > UNCONFIRMED_S
+        )
+        for request_id in silent:
+            self.withdraw(request_id)
+
+    def _forget(self, request_id: str) -> None:
+        self._asked_at.pop(request_id, None)
+        self._granted_at.pop(request_id, None)
+
+    def _act(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Grant | Refuse):
+                self._answer(action)
+        self._set_timer()
+
+    def _answer(self, action: Grant | Refuse) -> None:
+        request_id = action.request_id
+        self._asked_at.pop(request_id, None)
+        reply = self._replies.pop(request_id, None)
+        if isinstance(action, Grant):
+            self._granted_at[request_id] = self._clock.monotonic()
+        if reply is not None:
+            reply(action)
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now = self._clock.monotonic()
+        due = self._policy.next_wake(now)
+        if due is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(due - now, 0.001), self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._act(self._policy.tick(self._clock.monotonic()))
+
+
+def ask_of(run: RunNews, now: float) -> Ask:
+    """Tell what is known of a run that another VM has."""
+    return Ask(
+        run.request_id,
+        run.service,
+        Tier(run.tier),
+        run.workspace,
+        run.cost,
+        run.prompt_tokens,
+        (),
+        now,
+        cancellable=False,
+    )
+
+
+def make_queue(
+    name: str, *, is_engine: bool, clock: Clock, rng: Random
+) -> ServiceQueue:
+    """Make the queue of a service whose runners declare their slots."""
+    kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
+    return ServiceQueue(Service(name, kind, slots=1), clock, rng)
+
+
+def without(ask: Ask, runner: str) -> Ask:
+    """Ask again for any other runner."""
+    return replace(ask, excluded=ask.excluded | {runner})
--- /dev/null
+++ b/bramleybend/direct/placing.py
@@ -0,0 +1,374 @@
+"""Gets a slot at a runner for one request, from whoever orders the service.
+
+The owner answers a first word at once. A VM that doesn't is gone, frozen or
+cut off: it is asked again twice, as a datagram may be lost, then the request
+is placed by this VM's own queue, which knows the same runs. So the loss of an
+owner costs a caller about `ACK_S` times `ASKS`.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from itertools import count
+from random import Random
+from typing import Final
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.actions import Grant, Refuse, RunReport
+from bramleybend.direct.book import Book
+from bramleybend.direct.members import Member, Members
+from bramleybend.direct.messages import (
+    AskNews,
+    Ended,
+    Filled,
+    Granted,
+    Message,
+    Queued,
+    Refused,
+    RunNews,
+    Withdrawn,
+)
+from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.owner import ServiceQueue, make_queue
+from bramleybend.events import EventLog
+from bramleybend.models import Ask, Tier
+
+# A round trip between failure domains takes 1 ms and a busy owner some more.
+ACK_S: Final = 0.04
+ASKS: Final = 3
+REFRESH_S: Final = 0.3  # a waiting ask is said again, or it lapses
+UNKNOWN_RETRY_S: Final = 0.2  # news of a runner reaches all VMs by then
+DISTRUST_S: Final = 1.0  # an owner that didn't answer is not asked again
+
+Send = Callable[[Message, str], None]
+
+
+@dataclass(frozen=True)
+class Placement:
+    """A slot at a runner, until it is given back."""
+
+    ask: Ask
+    runner: RunnerEntry
+    owner: Member | None  # none: our own queue granted it
+
+
+@dataclass(frozen=True)
+class NoSlot:
+    """No runner takes the request; nothing was sent."""
+
+    reason: str
+    retry_after_s: float
+
+
+class Queues:
+    """This VM's queue of each service."""
+
+    def __init__(self, book: Book, clock: Clock, rng: Random) -> None:
+        """Start without services; they come with the manifest."""
+        self._book = book
+        self._clock = clock
+        self._rng = rng
+        self._queues: dict[str, ServiceQueue] = {}
+
+    def __iter__(self) -> Iterator[tuple[str, ServiceQueue]]:
+        """Go over the queues by service."""
+        return iter(self._queues.items())
+
+    def of(self, service: str) -> ServiceQueue:
+        """Return a service's queue."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = make_queue(
+                service,
+                is_engine=self.is_engine(service),
+                clock=self._clock,
+                rng=self._rng,
+            )
+            self._queues[service] = queue
+            entries = self._book.runners.get(service, ())
+            queue.take_runners(entries, warm=True)
+        return queue
+
+    def is_engine(self, service: str) -> bool:
+        """Tell whether a service's work is ordered by one owner."""
+        manifest = self._book.manifest
+        facts = manifest.services.get(service) if manifest else None
+        return facts is not None and facts.is_engine
+
+    def take_runners(self) -> None:
+        """Tell every queue which runners it has now."""
+        for service, queue in self._queues.items():
+            entries = self._book.runners.get(service, ())
+            queue.take_runners(entries, warm=True)
+
+
+class Placer:
+    """Places this VM's requests, and answers the asks of the others."""
+
+    def __init__(
+        self,
+        book: Book,
+        members: Members,
+        queues: Queues,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        """Start with nothing under way."""
+        self._book = book
+        self._members = members
+        self._queues = queues
+        self._clock = clock
+        self._events = events
+        self._numbers = count()
+        self._waiting: dict[str, asyncio.Queue[Message]] = {}
+        self._runs: dict[str, RunNews] = {}
+        self.send: Send = _send_nowhere
+        self.may_own: Callable[[], bool] = _always
+
+    def next_id(self) -> str:
+        """Name one ask; unique over all VMs and their restarts."""
+        return f'{self._members.own.incarnation}.{next(self._numbers)}'
+
+    def runs(self) -> list[RunNews]:
+        """Return what we have at engines now."""
+        return list(self._runs.values())
+
+    async def place(self, ask: Ask) -> Placement | NoSlot:
+        """Wait for a slot, as long as the queue's policy lets it wait."""
+        owner = None
+        if self._queues.is_engine(ask.service):
+            owner = self._members.owner(
+                ask.service, self._clock.monotonic(), self.may_own()
+            )
+        placed = await self._ask_owner(ask, owner) if owner else None
+        if placed is None:
+            placed = await self._ask_own(ask)
+        if isinstance(placed, Placement):
+            self._begin(placed)
+        return placed
+
+    def filled(self, placement: Placement) -> None:
+        """Note that the first token has come."""
+        ask = placement.ask
+        queue = self._queues.of(ask.service)
+        queue.filled(ask.request_id, ask.prompt_tokens)
+        if placement.owner is not None:
+            news = Filled(ask.request_id, ask.service, ask.prompt_tokens)
+            self.send(news, placement.owner.address)
+
+    def ended(self, placement: Placement, report: RunReport) -> None:
+        """Give the slot back."""
+        ask = placement.ask
+        self._runs.pop(ask.request_id, None)
+        self._queues.of(ask.service).ended(ask.request_id, report)
+        if placement.owner is not None:
+            self.send(_ended(ask, report), placement.owner.address)
+
+    def take(
+        self, message: Message, vm: str, reply: Callable[[Message], None]
+    ) -> None:
+        """Take in a message about an ask, ours or another VM's."""
+        match message:
+            case AskNews():
+                self._take_ask(message, reply)
+            case Withdrawn():
+                self._queues.of(message.service).withdraw(message.request_id)
+            case Filled():
+                queue = self._queues.of(message.service)
+                queue.filled(message.request_id, message.prompt_tokens)
+            case Ended():
+                queue = self._queues.of(message.service)
+                queue.ended(message.request_id, _report(message))
+            case Queued() | Granted() | Refused():
+                inbox = self._waiting.get(message.request_id)
+                if inbox is not None:
+                    inbox.put_nowait(message)
+
+    def _take_ask(
+        self, news: AskNews, reply: Callable[[Message], None]
+    ) -> None:
+        queue = self._queues.of(news.service)
+        queue.ask(
+            _ask(news, self._clock.monotonic()),
+            lambda action: reply(_told(action)),
+        )
+        if queue.waits(news.request_id):
+            reply(Queued(news.request_id))
+
+    async def _ask_own(self, ask: Ask) -> Placement | NoSlot:
+        loop = asyncio.get_running_loop()
+        fut: asyncio.Future[Grant | Refuse] = loop.create_future()
+        queue = self._queues.of(ask.service)
+        queue.ask(ask, lambda action: _settle(fut, action))
+        try:
+            while True:
+                done, _ = await asyncio.wait((fut,), timeout=REFRESH_S)
+                if done:
+                    return self._placed(ask, fut.result(), None)
+                queue.ask(ask, lambda action: _settle(fut, action))
+        except asyncio.CancelledError:
+            queue.withdraw(ask.request_id)
+            raise
+
+    async def _ask_owner(
+        self, ask: Ask, owner: Member
+    ) -> Placement | NoSlot | None:
+        """Ask another VM; `None` if it doesn't answer."""
+        inbox: asyncio.Queue[Message] = asyncio.Queue()
+        self._waiting[ask.request_id] = inbox
+        settled = False
+        try:
+            message = await self._answer_of(ask, owner, inbox)
+            settled = isinstance(message, Granted | Refused)
+        finally:
+            self._waiting.pop(ask.request_id, None)
+            if not settled:
+                news = Withdrawn(ask.request_id, ask.service)
+                self.send(news, owner.address)
+        if isinstance(message, Granted):
+            grant = Grant(message.request_id, message.runner)
+            placed = self._placed(ask, grant, owner)
+            return placed if isinstance(placed, Placement) else None
+        if isinstance(message, Refused):
+            return NoSlot(message.reason, message.retry_after_s)
+        now = self._clock.monotonic()
+        self._members.distrust(owner.vm, now + DISTRUST_S)
+        self._events.record('owner_silent', req=ask.request_id, owner=owner.vm)
+        return None
+
+    async def _answer_of(
+        self, ask: Ask, owner: Member, inbox: 'asyncio.Queue[Message]'
+    ) -> Message | None:
+        silent = 0
+        while silent < ASKS:
+            self.send(_news(ask, self._clock.monotonic()), owner.address)
+            message = await _next(inbox, ACK_S)
+            silent += 1
+            while isinstance(message, Queued):
+                silent = 0
+                message = await _next(inbox, REFRESH_S)
+            if message is not None:
+                return message
+        return None
+
+    def _placed(
+        self, ask: Ask, action: Grant | Refuse, owner: Member | None
+    ) -> Placement | NoSlot:
+        if isinstance(action, Refuse):
+            return NoSlot(action.reason, action.retry_after.total_seconds())
+        entry = self._book.entry(action.runner)
+        if entry is not None:
+            return Placement(ask, entry, owner)
+        # The owner knows a runner that we have not heard of yet, or that we
+        # have heard to be gone.
+        self._end_at_owner(ask, RunReport('unknown_runner'), owner)
+        return NoSlot('unknown_runner', UNKNOWN_RETRY_S)
+
+    def _end_at_owner(
+        self, ask: Ask, report: RunReport, owner: Member | None
+    ) -> None:
+        if owner is None:
+            self._queues.of(ask.service).ended(ask.request_id, report)
+        else:
+            self.send(_ended(ask, report), owner.address)
+
+    def _begin(self, placement: Placement) -> None:
+        ask = placement.ask
+        if placement.owner is not None:
+            queue = self._queues.of(ask.service)
+            queue.witness(ask, placement.runner.incarnation)
+        if self._queues.is_engine(ask.service):
+            self._runs[ask.request_id] = RunNews(
+                ask.request_id,
+                ask.service,
+                placement.runner.incarnation,
+                int(ask.tier),
+                ask.workspace,
+                ask.cost,
+                ask.prompt_tokens,
+            )
+
+
+async def _next(
+    inbox: 'asyncio.Queue[Message]', timeout_s: float
+) -> Message | None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await inbox.get()
+    except TimeoutError:
+        return None
+
+
+def _settle(
+    fut: 'asyncio.Future[Grant | Refuse]', action: Grant | Refuse
+) -> None:
+    if not fut.done():
+        fut.set_result(action)
+
+
+def _told(action: Grant | Refuse) -> Message:
+    if isinstance(action, Grant):
+        return Granted(action.request_id, action.runner)
+    wait_s = action.retry_after.total_seconds()
+    return Refused(action.request_id, action.reason, wait_s)
+
+
+def _news(ask: Ask, now: float) -> AskNews:
+    return AskNews(
+        ask.request_id,
+        ask.service,
+        int(ask.tier),
+        ask.workspace,
+        ask.cost,
+        ask.prompt_tokens,
+        ask.deadline - now,
+        sorted(ask.excluded),
+    )
+
+
+def _ask(news: AskNews, now: float) -> Ask:
+    return Ask(
+        news.request_id,
+        news.service,
+        Tier(news.tier),
+        news.workspace,
+        news.cost,
+        news.prompt_tokens,
+        (),
+        now + news.patience_s,
+        cancellable=False,
+        excluded=frozenset(news.excluded),
+    )
+
+
+def _ended(ask: Ask, report: RunReport) -> Ended:
+    return Ended(
+        ask.request_id,
+        ask.service,
+        report.outcome,
+        report.refused,
+        report.crashed,
+        report.prompt_tokens,
+        report.completion_tokens,
+        report.seconds,
+    )
+
+
+def _report(news: Ended) -> RunReport:
+    return RunReport(
+        news.outcome,
+        news.refused,
+        news.crashed,
+        news.prompt_tokens,
+        0,
+        news.completion_tokens,
+        news.seconds,
+    )
+
+
+def _send_nowhere(message: Message, address: str) -> None:
+    """Drop a message before the socket is open."""
+
+
+def _always() -> bool:
+    return True
--- /dev/null
+++ b/bramleybend/direct/process.py
@@ -0,0 +1,220 @@
+"""One entry VM's program: all parts of the raw path, and how it stops."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from random import Random
+from typing import Any, Final, Protocol
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.allotments import AllotmentBook
+from bramleybend.decisions.resends import ResendBudget, ResendTerms
+from bramleybend.direct.book import Book
+from bramleybend.direct.channels import RunnerChannels
+from bramleybend.direct.dialect import Dialect
+from bramleybend.direct.ingress import Ingress
+from bramleybend.direct.intake import Intake
+from bramleybend.direct.listener import PeerListener
+from bramleybend.direct.members import Members, Self
+from bramleybend.direct.models import IngressLimits, RunnerEntry
+from bramleybend.direct.peers import Peers
+from bramleybend.direct.placing import Placer, Queues
+from bramleybend.direct.service import DirectService, Parts
+from bramleybend.entry_settings import EntrySettings
+from bramleybend.events import EventLog
+from bramleybend.identity import make_identity
+
+SWEEP_S: Final = 0.2
+# Callers keep an answer of the directory for up to three times its lifetime;
+# until then they come over kept connections, and are served.
+TAKE_NEW_S: Final = 2.6
+# New connections are still taken while callers may not have asked again.
+LISTEN_S: Final = 1.6
+STOP_POLL_S: Final = 0.05
+# Before the platform kills the process.
+KILL_MARGIN_S: Final = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class Follower(Protocol):
+    """Keeps the book up to date."""
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+
+
+class EntryProcess:
+    """The composition; starts and stops its parts."""
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        clock: Clock,
+        dialect: Dialect,
+        rng: Random,
+    ) -> None:
+        """Put the parts together."""
+        self._cfg = cfg
+        self._clock = clock
+        self.identity = make_identity(cfg.vm, cfg.domain, cfg.address)
+        self.events = EventLog(cfg.vm, self.identity.incarnation, clock, kept=0)
+        self.book = Book(clock, self.events)
+        self.members = Members(
+            Self(
+                cfg.vm,
+                self.identity.incarnation,
+                cfg.address,
+                f'{cfg.front.host}:{cfg.front.port}',
+            )
+        )
+        self._allotments = AllotmentBook()
+        self._queues = Queues(self.book, clock, rng)
+        self.placer = Placer(
+            self.book, self.members, self._queues, clock, self.events
+        )
+        self.placer.may_own = self._may_own
+        self._channels = RunnerChannels(clock)
+        self._channels.most = self._most_connections
+        self._listener = PeerListener(
+            self.members,
+            self.placer,
+            self._queues,
+            self._allotments,
+            self._state,
+        )
+        self.peers = Peers(
+            self.members,
+            self._listener,
+            cfg.peer_port,
+            cfg.seed_addresses(),
+            clock,
+            self.events,
+        )
+        self.placer.send = self.peers.send
+        self._service = DirectService(self._parts(dialect, rng))
+        self.ingress = Ingress(self._service.handle, self._limits, clock)
+        self._tasks: list[asyncio.Task[None]] = []
+        self.stopping = asyncio.Event()
+        self.leaving = False
+        self.book.listen(self._book_changed)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should come here."""
+        return self.book.complete and not self.leaving
+
+    def fronts(self) -> list[str]:
+        """Return the addresses that callers may use now."""
+        fronts = self.members.ready_fronts(self._clock.monotonic())
+        if self.is_ready():
+            fronts.append(self.members.own.front)
+        return sorted(fronts)
+
+    async def start(self) -> None:
+        """Listen and follow."""
+        await self.peers.start(self._cfg.address)
+        await self.ingress.start(self._cfg.front.host, self._cfg.front.port)
+        self.spawn(self.peers.run())
+        self.spawn(self._sweep())
+        self.events.record('started', **self._cfg.shown())
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a part until the process stops; its failure stops it."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._part_ended)
+        self._tasks.append(task)
+
+    async def stop(self) -> None:
+        """Let callers go elsewhere, end what is in flight, then close."""
+        began = self._clock.monotonic()
+        self.events.record('stopping', in_flight=self.ingress.busy)
+        self.leaving = True
+        self.ingress.draining = True
+        self.peers.beat()
+        await asyncio.sleep(LISTEN_S)
+        self.ingress.stop_listening()
+        await asyncio.sleep(max(TAKE_NEW_S - LISTEN_S, 0))
+        self._service.refusing = True
+        self.ingress.close_idle()
+        ends_at = began + self._cfg.drain_timeout_s - KILL_MARGIN_S
+        while self.ingress.busy and self._clock.monotonic() < ends_at:
+            await asyncio.sleep(STOP_POLL_S)
+        self.events.record('stopped', in_flight=self.ingress.busy)
+        await self._close()
+
+    async def _close(self) -> None:
+        await self.ingress.stop()
+        for task in self._tasks:
+            task.remove_done_callback(self._part_ended)
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.peers.close()
+        self._channels.close()
+
+    def _part_ended(self, task: 'asyncio.Task[None]') -> None:
+        """Stop the process rather than serve on with a part that died."""
+        if not task.cancelled():
+            logger.error('a part ended', exc_info=task.exception())
+            self.stopping.set()
+
+    def _parts(self, dialect: Dialect, rng: Random) -> Parts:
+        return Parts(
+            Intake(self.book, self.members, self._allotments, self._clock, rng),
+            self.placer,
+            self._channels,
+            dialect,
+            ResendBudget(
+                ResendTerms(
+                    self._cfg.resend_ratio,
+                    self._cfg.resend_extra,
+                    self._cfg.resend_window_s,
+                )
+            ),
+            self.members.count,
+            self._event_tokens,
+            self._clock,
+            self.events,
+        )
+
+    def _limits(self) -> IngressLimits:
+        manifest = self.book.manifest
+        return manifest.limits if manifest else IngressLimits()
+
+    def _event_tokens(self, service: str) -> int:
+        manifest = self.book.manifest
+        facts = manifest.services.get(service) if manifest else None
+        return facts.event_tokens if facts else 1
+
+    def _most_connections(self, runner: RunnerEntry) -> float:
+        manifest = self.book.manifest
+        facts = manifest.services.get(runner.service) if manifest else None
+        most = facts.max_connections if facts else 1
+        return max(most * CONNECTION_SHARE / self.members.count(), 1)
+
+    def _may_own(self) -> bool:
+        return self.is_ready()
+
+    def _state(self) -> tuple[bool, bool, int]:
+        manifest = self.book.manifest
+        version = manifest.version if manifest else 0
+        return self.is_ready(), self.leaving, version
+
+    def _book_changed(self) -> None:
+        self._queues.take_runners()
+        incarnations = {
+            entry.incarnation
+            for entries in self.book.runners.values()
+            for entry in entries
+        }
+        self._channels.keep_only(incarnations)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            for _, queue in self._queues:
+                queue.sweep()
+
+
+# Of the connections that a runner takes from all VMs; the rest is left to
+# VMs that come up and to connections that only one end has closed.
+CONNECTION_SHARE: Final = 0.8
--- /dev/null
+++ b/bramleybend/direct/sse.py
@@ -0,0 +1,49 @@
+"""Splits a stream of server-sent events into whole events.
+
+A runner may stop in the middle of an event. Only whole events are passed on,
+so that a stream which goes on at another runner repeats and misses nothing.
+"""
+
+import re
+from dataclasses import dataclass
+from typing import Final
+
+_END: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_ID: Final = re.compile(rb'^id:[ ]?(.*?)\r?$', re.MULTILINE)
+
+
+@dataclass(frozen=True)
+class Event:
+    """One event, as it came."""
+
+    number: str  # its id; empty if it has none
+    raw: bytes
+
+
+class EventSplitter:
+    """Cuts bytes into events."""
+
+    def __init__(self) -> None:
+        """Start between two events."""
+        self._rest = b''
+
+    @property
+    def rest(self) -> bytes:
+        """What came of an event that is not whole."""
+        return self._rest
+
+    def feed(self, chunk: bytes) -> list[Event]:
+        """Return the events that are whole now."""
+        text = self._rest + chunk
+        events: list[Event] = []
+        at = 0
+        for end in _END.finditer(text):
+            events.append(_event(text[at : end.end()]))
+            at = end.end()
+        self._rest = text[at:]
+        return events
+
+
+def _event(raw: bytes) -> Event:
+    found = _ID.search(raw)
+    return Event(found.group(1).decode('latin-1') if found else '', raw)
--- a/bramleybend/events.py
+++ b/bramleybend/events.py
@@ -76,12 +76,18 @@
 class EventLog:
     """Writes and keeps the events of one process, bounded in memory."""
 
-    def __init__(self, process: str, incarnation: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        process: str,
+        incarnation: str,
+        clock: Clock,
+        kept: int = KEPT_EVENTS,
+    ) -> None:
         """Name the process; its events go to the `bramleybend.events` log."""
         self._process = process
         self._incarnation = incarnation
         self.hybrid = HybridClock(clock)
-        self._kept: deque[tuple[str, str]] = deque(maxlen=KEPT_EVENTS)
+        self._kept: deque[tuple[str, str]] = deque(maxlen=kept)
         self._logger = logging.getLogger(EVENT_LOGGER)
         self._numbers = count()
 
@@ -98,7 +104,7 @@
             **fields,
         }
         self._logger.info(line)
-        if req:
+        if req and self._kept.maxlen:
             self._kept.append((req, Logfmter.format_params(line)))
 
     def of_request(self, req: str) -> list[str]:
--- /dev/null
+++ b/bramleybend/platform/directory.py
@@ -0,0 +1,57 @@
+"""Answers callers that ask where to connect, and the platform's own checks."""
+
+import json
+from collections.abc import Callable, Sequence
+from http import HTTPStatus
+from typing import Final
+
+from bramleybend.direct.ingress import (
+    RawRequest,
+    Reply,
+    Responder,
+    own_reply,
+)
+
+RESOLVE: Final = '/resolve'
+READY: Final = '/readyz'
+# Short, so that callers soon leave a VM that stops; each answer is cheap.
+LIFETIME_S: Final = 1
+MOST_ADDRESSES: Final = 64
+
+
+class Directory:
+    """Serves both small interfaces."""
+
+    def __init__(
+        self,
+        fronts: Callable[[], Sequence[str]],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """Answer by what the process knows."""
+        self._fronts = fronts
+        self._is_ready = is_ready
+
+    async def handle(self, req: RawRequest, responder: Responder) -> None:
+        """Answer one call."""
+        await responder.reply(self.answer(req.path))
+
+    def answer(self, path: str) -> Reply:
+        """Return the answer to a call of a path."""
+        if path == READY:
+            return self._ready()
+        if path == RESOLVE:
+            return self._addresses()
+        return own_reply(HTTPStatus.NOT_FOUND, 'call /resolve or /readyz')
+
+    def _ready(self) -> Reply:
+        if self._is_ready():
+            return Reply(HTTPStatus.OK)
+        return own_reply(HTTPStatus.SERVICE_UNAVAILABLE, 'not ready')
+
+    def _addresses(self) -> Reply:
+        fronts = self._fronts()
+        if not fronts:
+            return own_reply(HTTPStatus.SERVICE_UNAVAILABLE, 'no VM is ready')
+        body = {'addresses': list(fronts), 'ttlS': LIFETIME_S}
+        headers = [(b'Content-Type', b'application/json')]
+        return Reply(HTTPStatus.OK, headers, json.dumps(body).encode())
--- /dev/null
+++ b/bramleybend/platform/manifest.py
@@ -0,0 +1,198 @@
+"""Decodes the operators' manifest into the product's own types."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleybend.direct.models import (
+    Allotment,
+    IngressLimits,
+    KeyHolder,
+    Manifest,
+    Route,
+    ServiceFacts,
+    Target,
+)
+from bramleybend.errors import ErrorKind, Problem
+from bramleybend.models import Repeat, Tier
+
+MILLISECONDS: Final = 1000
+UNBOUNDED: Final = 1_000_000
+TOKEN_UNIT: Final = 'tokens'
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    name: str = ''
+    service: str = ''
+    traffic_split: list[_Split] = []
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    stride: int = 1  # tokens in one event of a stream
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_ms: float = 0
+    idle_timeout_ms: float = 0
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ''
+    plain_tokens: float = 0
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _Manifest(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+_decoder: Final = msgspec.json.Decoder(_Manifest)
+
+_REPEATS: Final = MappingProxyType(
+    {
+        'idempotent': Repeat.IDEMPOTENT,
+        'non_idempotent': Repeat.NON_IDEMPOTENT,
+        'streaming': Repeat.AT_MOST_ONCE,
+    }
+)
+
+
+def decode_manifest(text: bytes) -> Result[Manifest, Problem]:
+    """Return the manifest whole, or why none of it can be used."""
+    try:
+        wire = _decoder.decode(text)
+    except msgspec.MsgspecError as exc:
+        return Err(_unreadable(str(exc)))
+    unknown = {route.kind for route in wire.routes}.difference(_REPEATS)
+    if unknown:
+        return Err(_unreadable(f'unknown kinds of route: {sorted(unknown)}'))
+    return Ok(_manifest(wire))
+
+
+def _unreadable(detail: str) -> Problem:
+    return Problem(
+        ErrorKind.BAD_DECLARATION,
+        f'the manifest cannot be read: {detail}',
+        'publish a corrected version; the last good one stays in force',
+    )
+
+
+def _manifest(wire: _Manifest) -> Manifest:
+    by_host: dict[str, list[Route]] = defaultdict(list)
+    for route in wire.routes:
+        by_host[route.host.lower()].append(_route(route))
+    return Manifest(
+        wire.version,
+        {
+            host: tuple(sorted(routes, key=_longest_first))
+            for host, routes in by_host.items()
+        },
+        {service.name: _service(service) for service in wire.services},
+        _key_holders(wire.tenants or []),
+        keyed=wire.tenants is not None,
+        limits=_limits(wire.limits),
+    )
+
+
+def _longest_first(route: Route) -> int:
+    return -len(route.prefix)
+
+
+def _route(wire: _Route) -> Route:
+    timeout_s = wire.timeout_ms / MILLISECONDS
+    targets = [Target(part.service, part.weight) for part in wire.traffic_split]
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.path_prefix,
+        repeat=_REPEATS[wire.kind],
+        streaming=wire.kind == 'streaming',
+        resumable=wire.resumable,
+        timeout_s=timeout_s,
+        objective_s=wire.target_latency_ms / MILLISECONDS or timeout_s,
+        tier=tier_of(wire.priority),
+        targets=tuple(targets) or (Target(wire.service, 1),),
+        most_runners=max(wire.max_attempts, 1),
+        public=wire.public,
+    )
+
+
+def tier_of(rank: int) -> Tier:
+    """Map the platform's rank, where 0 is the highest, to a tier."""
+    return Tier(min(max(rank + Tier.CRITICAL, Tier.CRITICAL), Tier.BULK))
+
+
+def _service(wire: _Service) -> ServiceFacts:
+    return ServiceFacts(
+        wire.name,
+        wire.max_conns or UNBOUNDED,
+        wire.engine is not None,
+        max(wire.engine.stride, 1) if wire.engine else 1,
+    )
+
+
+def _key_holders(tenants: list[_Tenant]) -> Mapping[str, KeyHolder]:
+    return {
+        key: KeyHolder(
+            tenant.name,
+            None if tenant.priority is None else tier_of(tenant.priority),
+            _allotment(tenant),
+        )
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
+def _allotment(tenant: _Tenant) -> Allotment | None:
+    if not tenant.rate_per_s:
+        return None
+    return Allotment(
+        tenant.rate_per_s,
+        tenant.burst,
+        tenant.unit == TOKEN_UNIT,
+        tenant.plain_tokens,
+    )
+
+
+def _limits(wire: _Limits) -> IngressLimits:
+    usual = IngressLimits()
+    return IngressLimits(
+        wire.max_header_bytes or usual.header_bytes,
+        wire.max_body_bytes or usual.body_bytes,
+        wire.header_timeout_ms / MILLISECONDS or usual.header_timeout_s,
+        wire.idle_timeout_ms / MILLISECONDS or usual.idle_timeout_s,
+    )
--- /dev/null
+++ b/bramleybend/platform/names.py
@@ -0,0 +1,35 @@
+"""Names of headers and fields on the platform's wire."""
+
+from typing import Final
+
+ATTEMPT_ID: Final = 'x-bramleybend-attempt-id'
+PATIENCE_MS: Final = 'x-bramleybend-deadline-ms'
+EXPECT_RUNNER: Final = 'x-bramleybend-expect-instance'
+WORKSPACE: Final = 'x-bramleybend-tenant'
+STAMP: Final = 'x-bramleybend-response-stamp'
+NOT_EXECUTED: Final = 'x-bramleybend-not-executed'
+TOKEN_COUNTS: Final = 'x-bramleybend-token-counts'
+LENGTH_HINT: Final = 'x-bramleybend-length-hint'
+LAST_EVENT_ID: Final = 'last-event-id'
+AUTHORIZATION: Final = 'authorization'
+KEY_SCHEME: Final = 'token '
+
+# Set by the system alone: sent by a caller, they would reserve or read
+# another request's memory at an engine.
+ENGINE_HEADERS: Final = frozenset(
+    (
+        'x-bramleybend-hold',
+        'x-bramleybend-pin-ms',
+        'x-bramleybend-kv-backup',
+        'kv-from',
+        'kv-fetch',
+        'x-bramleybend-expect-version',
+    )
+)
+SYSTEM_HEADERS: Final = ENGINE_HEADERS | frozenset(
+    (EXPECT_RUNNER, WORKSPACE, PATIENCE_MS, AUTHORIZATION, LAST_EVENT_ID)
+)
+
+MANIFEST_TOPIC: Final = 'keyed.op'
+MANIFEST_KEY: Final = 'config'
+RUNNER_TOPIC: Final = 'keyed.servers'
--- /dev/null
+++ b/bramleybend/platform/runner_entry.py
@@ -0,0 +1,62 @@
+"""Decodes what a runner wrote of itself into the product's own type."""
+
+from ipaddress import ip_address
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleybend.direct.models import RunnerEntry, RunnerState
+from bramleybend.errors import ErrorKind, Problem
+
+PORT_LIMIT: Final = 65_535
+
+_STATES: Final = MappingProxyType(
+    {'ready': RunnerState.READY, 'draining': RunnerState.LEAVING}
+)
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    addr: str  # ip:port
+    state: str
+    slots: int
+    zone: str = ''
+    # Unix milliseconds of the start; a new one under an old key is a new
+    # process that knows nothing of what the old one held.
+    born: int = 0
+
+
+_decoder: Final = msgspec.json.Decoder(_Entry)
+
+
+def decode_runner(name: str, text: bytes) -> Result[RunnerEntry, Problem]:
+    """Return the entry, or why it names no runner that can be used."""
+    try:
+        return Ok(_entry(name, _decoder.decode(text)))
+    except (msgspec.MsgspecError, ValueError, KeyError) as exc:
+        return Err(
+            Problem(
+                ErrorKind.BAD_RECORD,
+                f'the entry of runner {name!r} cannot be used: {exc!r}',
+                'see which program wrote it; the other runners are used',
+            ),
+        )
+
+
+def _entry(name: str, wire: _Entry) -> RunnerEntry:
+    host, _, port_text = wire.addr.rpartition(':')
+    port = int(port_text)
+    if not 0 < port <= PORT_LIMIT or wire.slots < 1:
+        raise ValueError(f'port {port}, slots {wire.slots}')
+    return RunnerEntry(
+        name,
+        wire.born,
+        wire.service,
+        str(ip_address(host)),
+        port,
+        wire.zone,
+        wire.slots,
+        _STATES[wire.state],
+    )
--- /dev/null
+++ b/bramleybend/platform/store.py
@@ -0,0 +1,246 @@
+"""The one client of the platform's metadata store.
+
+A keyed topic is a log in which the newest record of each key is kept for
+ever. It is followed by its offsets: what came after the last offset read, or
+the newest of each key where older records are gone.
+"""
+
+import asyncio
+import base64
+import struct
+from collections.abc import Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+from urllib.parse import urlencode
+
+import h11
+import msgspec
+from result import Err, Ok, Result
+
+from bramleybend.clients.channel import Channel, Outgoing, connect
+from bramleybend.clock import Clock
+from bramleybend.errors import ErrorKind, Problem
+
+# The store answers in 4 ms, and in 60 times that on a slow day.
+CALL_TIMEOUT_S: Final = 1.0
+MAX_ANSWER: Final = 2**25  # bytes
+LENGTH: Final = struct.Struct('>I')
+ENDS: Final = struct.Struct('>QQ')
+LOST: Final = (OSError, EOFError, h11.ProtocolError)
+
+
+@dataclass(frozen=True)
+class KeyedRecord:
+    """One change of a key; without a value the key is gone."""
+
+    offset: int
+    key: str
+    content: bytes
+
+    @property
+    def gone(self) -> bool:
+        """Whether the record drops its key."""
+        return not self.content
+
+
+@dataclass(frozen=True)
+class Page:
+    """Records in order, and the offset to read on from."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+    whole: bool  # the newest of every key, not only what changed
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str  # base64
+    offset: int
+
+
+class _Newest(msgspec.Struct, rename='camel'):
+    items: list[_Item]
+    end: int
+    has_more: bool = False
+
+
+_newest: Final = msgspec.json.Decoder(_Newest)
+
+
+class StoreClient:
+    """Reads and writes the store over kept connections."""
+
+    def __init__(self, address: str, port: int, clock: Clock) -> None:
+        """Name the store; nothing is opened yet."""
+        self._address = address
+        self._port = port
+        self._clock = clock
+        self._idle: list[Channel] = []
+        self.calls = 0
+
+    async def newest(self, topic: str) -> Result[Page, Problem]:
+        """Return the newest record of each key.
+
+        Pages are no snapshot, so `end` is the first page's: what changed
+        meanwhile is read again from there.
+        """
+        found: list[KeyedRecord] = []
+        end: int | None = None
+        after = ''
+        more = True
+        while more:
+            query = {'topic': topic, 'part': '0'}
+            if after:
+                query['after'] = after
+            answer = await self._call('/log-newest', query)
+            if isinstance(answer, Err):
+                return answer
+            try:
+                page = _newest.decode(answer.ok_value[1])
+                found.extend(_record(item) for item in page.items)
+            except (msgspec.MsgspecError, ValueError) as exc:
+                return Err(_unreadable(exc))
+            end = page.end if end is None else end
+            more = page.has_more and bool(page.items)
+            after = page.items[-1].key if page.items else ''
+        return Ok(Page(tuple(found), end or 0, whole=True))
+
+    async def changes(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+    ) -> Result[Page, Problem]:
+        """Return what came at or after an offset, waiting for it a while."""
+        query = {'topic': topic, 'part': '0', 'from': str(start)}
+        if wait_s:
+            query['waitMs'] = str(int(wait_s * 1000))
+        answer = await self._call('/log-read', query, wait_s)
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == HTTPStatus.GONE:
+            return await self.newest(topic)
+        try:
+            return Ok(_changes(body, start))
+        except (struct.error, UnicodeDecodeError) as exc:
+            return Err(_unreadable(exc))
+
+    async def put(
+        self, topic: str, key: str, content: bytes
+    ) -> Result[None, Problem]:
+        """Write a key's newest record; an error may have taken effect."""
+        name = key.encode()
+        record = bytes((len(name),)) + name + content
+        body = LENGTH.pack(len(record)) + record
+        query = {'topic': topic, 'part': '0'}
+        answer = await self._call('/log-append', query, body=body)
+        return answer.map(_nothing)
+
+    def close(self) -> None:
+        """Drop the kept connections."""
+        for channel in self._idle:
+            channel.abort()
+        self._idle.clear()
+
+    async def _call(
+        self,
+        path: str,
+        query: Mapping[str, str],
+        extra_s: float = 0,
+        body: bytes = b'',
+    ) -> Result[tuple[int, bytes], Problem]:
+        self.calls += 1
+        target = f'{path}?{urlencode(query)}'.encode()
+        host = f'{self._address}:{self._port}'.encode()
+        method = b'POST' if body else b'GET'
+        outgoing = Outgoing(method, target, [(b'Host', host)], body)
+        channel: Channel | None = None
+        kept = False
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S + extra_s):
+                channel = await self._open()
+                await channel.send(outgoing)
+                head = await channel.head()
+                content = await channel.body(MAX_ANSWER)
+            kept = channel.release()
+        except LOST as exc:
+            return Err(self._lost(exc))
+        finally:
+            if channel is not None:
+                self._keep(channel, kept)
+        if head.status not in {HTTPStatus.OK, HTTPStatus.GONE}:
+            return Err(self._refused(head.status))
+        return Ok((head.status, content))
+
+    async def _open(self) -> Channel:
+        while self._idle:
+            channel = self._idle.pop()
+            if channel.usable:
+                return channel
+            channel.abort()
+        return await connect(self._address, self._port, self._clock)
+
+    def _keep(self, channel: Channel, kept: bool) -> None:
+        if kept:
+            self._idle.append(channel)
+            return
+        # A channel whose answer failed to come may be silent for good.
+        with suppress(OSError):
+            channel.abort()
+
+    def _lost(self, exc: Exception) -> Problem:
+        return Problem(
+            ErrorKind.LOG_UNAVAILABLE,
+            f'the store at {self._address}:{self._port} gave no answer: '
+            f'{exc or type(exc).__name__}',
+            'what is known stays in force; see whether other VMs reach it',
+        )
+
+    def _refused(self, status: int) -> Problem:
+        return Problem(
+            ErrorKind.LOG_REFUSED,
+            f'the store answered {status}',
+            'it is asked again soon; see whether it is overloaded',
+        )
+
+
+def _record(item: _Item) -> KeyedRecord:
+    return KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
+
+
+def _changes(body: bytes, start: int) -> Page:
+    end, first = ENDS.unpack_from(body)
+    at = ENDS.size
+    offset = max(start, first)
+    records: list[KeyedRecord] = []
+    while at < len(body):
+        (size,) = LENGTH.unpack_from(body, at)
+        at += LENGTH.size
+        records.append(_keyed(offset, body[at : at + size]))
+        at += size
+        offset += 1
+    # The call may hold less than all there is; the next one reads on.
+    return Page(
+        tuple(records), offset if records else max(end, start), whole=False
+    )
+
+
+def _keyed(offset: int, record: bytes) -> KeyedRecord:
+    size = record[0] if record else 0
+    key = record[1 : size + 1].decode(errors='replace')
+    return KeyedRecord(offset, key, record[size + 1 :])
+
+
+def _unreadable(exc: Exception) -> Problem:
+    return Problem(
+        ErrorKind.BAD_RECORD,
+        f'the store sent what cannot be read: {exc!r}',
+        'see whether its version and ours fit',
+    )
+
+
+def _nothing(_: object) -> None:
+    """Drop an answer that tells no more than that it came."""
--- a/bramleybend/settings.py
+++ b/bramleybend/settings.py
@@ -4,24 +4,16 @@
 docs/operators/SETTINGS.md are all derived from it, so none can drift.
 """
 
-import argparse
-from collections.abc import Iterable, Iterator, Mapping, Sequence
-from difflib import get_close_matches
+from collections.abc import Iterator, Mapping, Sequence
 from enum import StrEnum
-from typing import Annotated, Any, Final, Literal, NoReturn
+from typing import Annotated, Final, Literal
 
-from pydantic import (
-    BaseModel,
-    BeforeValidator,
-    ConfigDict,
-    Field,
-    ValidationError,
-)
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 from pydantic.fields import FieldInfo
-from pydantic_core import ErrorDetails
-from result import Err, Ok, Result
+from result import Result
 
-from bramleybend.errors import ErrorKind, Problem, ProblemError
+from bramleybend.errors import Problem
+from bramleybend.settings_parsing import Program, parse
 from bramleybend.settings_types import (
     Address,
     HostPort,
@@ -32,7 +24,6 @@
     split_host_port,
 )
 
-ENV_PREFIX: Final = 'BRAMLEYBEND_'
 HTTP_PORT: Final = 8080
 GATEWAY_PORT: Final = 7001
 SCHEDULER_PORT: Final = 7002
@@ -123,22 +114,15 @@
     )
 
 
-def flag_of(name: str) -> str:
-    """Return the one spelling of a field's flag."""
-    hyphened = name.replace('_', '-')
-    return f'--{hyphened}'
-
-
-def env_of(name: str) -> str:
-    """Return the one spelling of a field's environment variable."""
-    return ENV_PREFIX + name.upper()
+def program_of(kind: ProcessKind) -> Program[Settings]:
+    """Return a program and what it offers."""
+    hidden = frozenset() if kind is ProcessKind.GATEWAY else GATEWAY_ONLY
+    return Program(f'bramleybend-{kind.value}', Settings, hidden)
 
 
 def fields_of(kind: ProcessKind) -> Iterator[tuple[str, FieldInfo]]:
     """Yield the fields that a program offers, in the order of the help."""
-    for name, info in Settings.model_fields.items():
-        if kind is ProcessKind.GATEWAY or name not in GATEWAY_ONLY:
-            yield name, info
+    return program_of(kind).fields()
 
 
 def parse_settings(
@@ -146,119 +130,5 @@
     args: Sequence[str],
     env: Mapping[str, str],
 ) -> Result[Settings, Problem]:
-    """Return the settings, flags before variables, or the first wrong one.
-
-    `--help` prints and leaves through `SystemExit`, as argparse does.
-    """
-    unknown = _unknown_variable(env)
-    if unknown:
-        return Err(unknown)
-    try:
-        parsed = _parser(kind).parse_args(args)
-    except ProblemError as exc:
-        return Err(exc.problem)
-    flags = {
-        name: getattr(parsed, name, None) for name in Settings.model_fields
-    }
-    given = _from_env(env) | {
-        name: text for name, text in flags.items() if text is not None
-    }
-    try:
-        return Ok(Settings.model_validate(given))
-    except ValidationError as exc:
-        return Err(_problem(exc.errors(include_url=False)[0], flags, env))
-
-
-class _Parser(argparse.ArgumentParser):
-    """Reports a wrong flag instead of ending the process."""
-
-    def error(self, message: str) -> NoReturn:
-        problem = Problem(ErrorKind.BAD_SETTING, message, 'see --help')
-        raise ProblemError(problem)
-
-
-def _parser(kind: ProcessKind) -> argparse.ArgumentParser:
-    parser = _Parser(
-        prog=f'bramleybend-{kind.value}',
-        description='Each flag can also be set by its environment variable; '
-        'the flag goes first.',
-        epilog=_example(kind),
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-        allow_abbrev=False,
-    )
-    for name, info in fields_of(kind):
-        parser.add_argument(
-            flag_of(name),
-            metavar='VALUE',
-            help=_help(name, info).replace('%', '%%'),
-        )
-    return parser
-
-
-def _help(name: str, info: FieldInfo) -> str:
-    default = 'required' if info.is_required() else f'default: {info.default}'
-    example = example_of(info)
-    return f'{info.description} ({env_of(name)}; {default}; e.g. {example})'
-
-
-def example_of(info: FieldInfo) -> str:
-    """Return a field's example, as it is written in a shell."""
-    return str((info.examples or [''])[0])
-
-
-def _example(kind: ProcessKind) -> str:
-    required = (
-        f'{flag_of(name)} {example_of(info)}'
-        for name, info in fields_of(kind)
-        if info.is_required()
-    )
-    flags = ' '.join(required)
-    return f'example:\n  bramleybend-{kind.value} {flags}'
-
-
-def _from_env(env: Mapping[str, str]) -> dict[str, Any]:
-    """Take the variables that are set; an empty one counts as not set."""
-    given = {name: env.get(env_of(name)) for name in Settings.model_fields}
-    return {name: text for name, text in given.items() if text}
-
-
-def _unknown_variable(env: Mapping[str, str]) -> Problem | None:
-    known = [env_of(name) for name in Settings.model_fields]
-    ours = {variable for variable in env if variable.startswith(ENV_PREFIX)}
-    unknown = sorted(ours.difference(known))
-    if not unknown:
-        return None
-    return Problem(
-        ErrorKind.BAD_SETTING,
-        f'the environment variable {unknown[0]} is not known',
-        _nearest(unknown[0], known),
-    )
-
-
-def _nearest(variable: str, known: Iterable[str]) -> str:
-    near = get_close_matches(variable, known, n=1)
-    return f'did you mean {near[0]}?' if near else 'unset it, or see --help'
-
-
-def _problem(
-    detail: ErrorDetails,
-    flags: Mapping[str, str | None],
-    env: Mapping[str, str],
-) -> Problem:
-    name = str(detail['loc'][0])
-    flag, variable = flag_of(name), env_of(name)
-    example = example_of(Settings.model_fields[name])
-    if detail['type'] == 'missing':
-        fact = f'{flag} is not set'
-        remedy = f'give {flag} or set {variable}, for example {flag} {example}'
-        return Problem(ErrorKind.BAD_SETTING, fact, remedy)
-    if flags.get(name) is None:
-        spelled = f'{variable}={env[variable]}'
-    else:
-        spelled = f'{flag} {flags[name]}'
-    message = detail['msg']
-    return Problem(
-        ErrorKind.BAD_SETTING,
-        f'{spelled}: {message}',
-        f'write for example {flag} {example}',
-    )
+    """Return the settings, flags before variables, or the first wrong one."""
+    return parse(program_of(kind), args, env)
--- a/bramleybend/settings_page.py
+++ b/bramleybend/settings_page.py
@@ -6,14 +6,8 @@
 
 from pydantic.fields import FieldInfo
 
-from bramleybend.settings import (
-    GATEWAY_ONLY,
-    ProcessKind,
-    env_of,
-    example_of,
-    fields_of,
-    flag_of,
-)
+from bramleybend.settings import GATEWAY_ONLY, ProcessKind, fields_of
+from bramleybend.settings_parsing import env_of, example_of, flag_of
 
 INTRODUCTION: Final = """# Settings of the serving programs
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,11 +7,10 @@
 from bramleybend.errors import ErrorKind
 from bramleybend.settings import (
     ProcessKind,
-    env_of,
     fields_of,
-    flag_of,
     parse_settings,
 )
+from bramleybend.settings_parsing import env_of, flag_of
 from bramleybend.settings_page import settings_page
 from bramleybend.settings_types import HostPort
 
