Hear of runners and the manifest through other VMs; keep running at SIGHUP

Ruled out: late news within a VM that reads the store; its polls took 0.8 s. Change: heartbeats tell how far each VM has read; the two that rank first read the store, others fetch from them, and read themselves what grows old.

--- a/bramleybend/cli/serving.py
+++ b/bramleybend/cli/serving.py
@@ -26,6 +26,9 @@
     async def start(self) -> None:
         """Listen."""
 
+    def reload(self) -> None:
+        """Take in settings that may have changed."""
+
     async def stop(self) -> None:
         """Let what is in flight end, then close."""
 
@@ -65,6 +68,8 @@
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, server.stopping.set)
+    # Unhandled, this signal ends a process together with all it serves.
+    loop.add_signal_handler(signal.SIGHUP, server.reload)
     try:
         await server.start()
     except OSError as exc:
--- /dev/null
+++ b/bramleybend/direct/feed.py
@@ -0,0 +1,288 @@
+"""Follows one keyed log of the platform, by own reads or through other VMs.
+
+Load pattern: many VMs want the same news within two seconds, every call to
+the store is paid for, and the store may turn some VMs away.
+Without it: the calls grow with the VMs, and a VM that is turned away goes on
+sending work to runners that have left.
+
+The `READERS` VMs that rank first among those the store answers read it; all
+others hear from every heartbeat how far the sender has read and how old that
+is, and fetch what they lack from the sender. A VM whose news grows older than
+`stale_s`, by whatever it hears, reads the store itself.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from math import inf
+from random import Random
+from typing import Final, Protocol
+
+from result import Err, Ok, Result
+
+from bramleybend.clock import Clock
+from bramleybend.direct.messages import FeedNews
+from bramleybend.errors import Problem
+from bramleybend.events import EventLog
+
+# Two, as one may be frozen or cut off the moment it has the news; the others
+# notice by its age, a second later.
+READERS: Final = 2
+# Records kept for other VMs; 2,000 are a minute of 40 runners' heartbeats.
+KEPT_RECORDS: Final = 2000
+# After a failed read: soon, but not in step with the other VMs.
+RETRY_S: Final = (0.15, 0.4)
+# While others have fresh news the store is tried less often.
+REFUSED_RETRY_S: Final = (0.6, 1.2)
+WAKE_S: Final = 0.1
+
+
+@dataclass(frozen=True)
+class KeyedRecord:
+    """One change of a key; without content the key is gone."""
+
+    offset: int
+    key: str
+    content: bytes
+
+    @property
+    def gone(self) -> bool:
+        """Whether the record drops its key."""
+        return not self.content
+
+
+@dataclass(frozen=True)
+class Page:
+    """Records in order, and the offset to read on from."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+    whole: bool  # the newest of every key, not only what changed
+
+
+class FeedSource(Protocol):
+    """Where a log can be read."""
+
+    async def newest(self, name: str) -> Result[Page, Problem]:
+        """Return the newest record of each key."""
+
+    async def changes(
+        self, name: str, start: int, wait_s: float
+    ) -> Result[Page, Problem]:
+        """Return what came at or after an offset, waiting for it a while."""
+
+
+@dataclass(frozen=True)
+class FeedTerms:
+    """How one log is followed."""
+
+    name: str
+    wait_s: float  # of a read that waits for news; 0: it returns at once
+    every_s: float  # least time between two reads
+    stale_s: float  # news older than this is read by whoever holds it
+
+
+class FeedCopy:
+    """What was read of a log, as far as it may be asked for again."""
+
+    def __init__(self) -> None:
+        """Start with nothing read."""
+        self.end: int | None = None
+        self._newest: dict[str, KeyedRecord] = {}
+        self._recent: deque[KeyedRecord] = deque(maxlen=KEPT_RECORDS)
+
+    def take(self, page: Page) -> None:
+        """Add what was read."""
+        if page.whole:
+            self._newest.clear()
+            self._recent.clear()
+        for record in page.records:
+            self._newest[record.key] = record
+            if not page.whole:
+                self._recent.append(record)
+        # A key without content is kept: it tells others that it is gone.
+        self.end = page.end
+
+    def changes(self, start: int) -> Page | None:
+        """Return what came since, or nothing if that is no longer held."""
+        if self.end is None or start > self.end:
+            return None
+        first = self._recent[0].offset if self._recent else self.end
+        if start < first:
+            return None
+        records = tuple(one for one in self._recent if one.offset >= start)
+        return Page(records, self.end, whole=False)
+
+    def newest(self) -> Page | None:
+        """Return the newest record of each key that is there."""
+        if self.end is None:
+            return None
+        records = tuple(one for one in self._newest.values() if not one.gone)
+        return Page(records, self.end, whole=True)
+
+
+@dataclass
+class _Peer:
+    """How far another VM has read."""
+
+    address: str
+    end: int
+    confirmed_at: float
+    reads: bool
+
+
+class Feed:
+    """One log, followed."""
+
+    def __init__(
+        self,
+        terms: FeedTerms,
+        store: FeedSource,
+        peer_source: Callable[[str], FeedSource],
+        clock: Clock,
+        events: EventLog,
+        rng: Random,
+    ) -> None:
+        """Know nothing yet."""
+        self.terms = terms
+        self.copy = FeedCopy()
+        self.confirmed_at = -inf
+        self.take: Callable[[Page], None] = _ignore
+        self.confirmed: Callable[[float], None] = _ignore
+        self.ranks_first: Callable[[str, Mapping[str, bool], int], bool] = (
+            _always
+        )
+        self._store = store
+        self._peer_source = peer_source
+        self._clock = clock
+        self._events = events
+        self._rng = rng
+        self._peers: dict[str, _Peer] = {}
+        self._store_answers = True
+        self._try_store_at = -inf
+        self._next_read_at = -inf
+        self._wake = asyncio.Event()
+
+    def news(self) -> FeedNews:
+        """Tell how far this VM has read."""
+        end = -1 if self.copy.end is None else self.copy.end
+        age_s = self._clock.monotonic() - self.confirmed_at
+        return FeedNews(
+            self.terms.name, end, min(age_s, MOST_AGE_S), self._store_answers
+        )
+
+    def heard(self, vm: str, address: str, news: FeedNews) -> None:
+        """Hear how far another VM has read."""
+        at = self._clock.monotonic() - news.age_s
+        self._peers[vm] = _Peer(address, news.end, at, news.reads)
+        own_end = -1 if self.copy.end is None else self.copy.end
+        if news.end > own_end:
+            self._wake.set()
+        elif news.end == own_end:
+            self._confirm(at)
+
+    def lost(self, vm: str) -> None:
+        """Drop a VM that is silent."""
+        self._peers.pop(vm, None)
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            ahead = self._ahead()
+            if ahead is not None and not self._is_due():
+                await self._read_peer(ahead)
+            elif self._is_due():
+                await self._read_store()
+            else:
+                await self._sleep()
+
+    def _is_due(self) -> bool:
+        """Tell whether this VM reads the store now."""
+        now = self._clock.monotonic()
+        if now < max(self._try_store_at, self._next_read_at):
+            return False
+        if now - self.confirmed_at > self.terms.stale_s:
+            return True
+        reading = {vm: peer.reads for vm, peer in self._peers.items()}
+        return self._store_answers and self.ranks_first(
+            self.terms.name, reading, READERS
+        )
+
+    def _ahead(self) -> _Peer | None:
+        own_end = -1 if self.copy.end is None else self.copy.end
+        ahead = [peer for peer in self._peers.values() if peer.end > own_end]
+        return max(ahead, key=lambda peer: peer.end, default=None)
+
+    async def _read_store(self) -> None:
+        started = self._clock.monotonic()
+        page = await self._read(self._store, self.terms.wait_s)
+        now = self._clock.monotonic()
+        self._note(page)
+        if isinstance(page, Err):
+            fresh = now - self.confirmed_at <= self.terms.stale_s
+            pause = REFUSED_RETRY_S if fresh else RETRY_S
+            self._try_store_at = now + self._rng.uniform(*pause)
+            return
+        self._next_read_at = started + self.terms.every_s
+        self._took(page.ok_value, started)
+
+    async def _read_peer(self, peer: _Peer) -> None:
+        page = await self._read(self._peer_source(peer.address), 0)
+        if isinstance(page, Ok):
+            self._took(page.ok_value, peer.confirmed_at)
+            return
+        # It says again what it has with its next heartbeat.
+        peer.end = -1
+        self._events.record(
+            'peer_feed_failed', feed=self.terms.name, why=str(page.err_value)
+        )
+
+    async def _read(
+        self, source: FeedSource, wait_s: float
+    ) -> Result[Page, Problem]:
+        if self.copy.end is None:
+            return await source.newest(self.terms.name)
+        return await source.changes(self.terms.name, self.copy.end, wait_s)
+
+    def _took(self, page: Page, at: float) -> None:
+        if self.copy.end is not None and page.end < self.copy.end:
+            return  # a VM that is behind answered
+        self.copy.take(page)
+        self.take(page)
+        self._confirm(at)
+
+    def _confirm(self, at: float) -> None:
+        if at > self.confirmed_at:
+            self.confirmed_at = at
+            self.confirmed(at)
+
+    async def _sleep(self) -> None:
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(WAKE_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _note(self, page: Result[Page, Problem]) -> None:
+        match page:
+            case Err(problem) if self._store_answers:
+                self._store_answers = False
+                self._events.record(
+                    'store_lost', feed=self.terms.name, why=str(problem)
+                )
+            case Ok() if not self._store_answers:
+                self._store_answers = True
+                self._events.record('store_regained', feed=self.terms.name)
+
+
+MOST_AGE_S: Final = 1e6  # stands for never
+
+
+def _ignore(_: object) -> None:
+    """Do nothing until a listener is set."""
+
+
+def _always(name: str, reading: Mapping[str, bool], most: int) -> bool:
+    return True
--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 
 from bramleybend.decisions.allotments import AllotmentBook
+from bramleybend.direct.feed import Feed
 from bramleybend.direct.members import Member, Members
 from bramleybend.direct.messages import Beat, Message, RunNews
 from bramleybend.direct.peers import member_news
 from bramleybend.direct.placing import Placer, Queues
 
-State = Callable[[], tuple[bool, bool, int]]  # ready, leaving, version
+State = Callable[[], tuple[bool, bool]]  # ready, leaving
 
 
 class PeerListener:
@@ -29,25 +30,30 @@
         self._queues = queues
         self._allotments = allotments
         self._state = state
+        self.feeds: list[Feed] = []
 
     def make_beat(self) -> Beat:
         """Return what to tell all others now."""
         own = self._members.own
-        ready, leaving, version = self._state()
+        ready, leaving = self._state()
         return Beat(
             own.vm,
             own.incarnation,
             own.front,
             ready,
             leaving,
-            version,
+            [feed.news() for feed in self.feeds],
             member_news(self._members),
             self._allotments.used,
             self._placer.runs(),
         )
 
-    def take_beat(self, beat: Beat) -> None:
+    def take_beat(self, beat: Beat, address: str) -> None:
         """Take in a heartbeat."""
+        for news in beat.feeds:
+            for feed in self.feeds:
+                if feed.terms.name == news.name:
+                    feed.heard(beat.vm, address, news)
         self._allotments.heard(_peer(beat.vm, beat.incarnation), beat.used)
         by_service: dict[str, list[RunNews]] = defaultdict(list)
         for run in beat.runs:
@@ -66,6 +72,11 @@
         """Take in any other message."""
         self._placer.take(message, vm, reply)
 
+    def silent(self, vm: str) -> None:
+        """Hear that a VM was not heard for a while."""
+        for feed in self.feeds:
+            feed.lost(vm)
+
     def lost(self, member: Member) -> None:
         """Free what a VM had running; it is gone or began anew."""
         self._allotments.forget(_peer(member.vm, member.incarnation))
--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -4,7 +4,7 @@
 within `ALIVE_S`; longer than that, and asks go elsewhere.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -104,6 +104,14 @@
         """Ask a VM nothing for a while: it did not answer."""
         self._distrusted[vm] = until
 
+    def ranks_first(
+        self, work: str, able: Mapping[str, bool], most: int
+    ) -> bool:
+        """Tell whether we are among the first for some work."""
+        ours = _rank(work, self.own.vm)
+        ahead = [vm for vm, is_able in able.items() if is_able]
+        return sum(_rank(work, vm) > ours for vm in ahead) < most
+
     def owner(self, service: str, now: float, able: bool) -> Member | None:
         """Return who orders a service's work; none: we do ourselves.
 
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -33,6 +33,15 @@
     prompt_tokens: int
 
 
+class FeedNews(msgspec.Struct, array_like=True):
+    """How far a VM has read one of the platform's logs."""
+
+    name: str
+    end: int  # -1: nothing yet
+    age_s: float  # since it was sure that there was nothing newer
+    reads: bool  # whether the store answers it
+
+
 class Beat(msgspec.Struct, tag='beat', array_like=True):
     """What a VM tells all others, several times a second."""
 
@@ -41,7 +50,7 @@
     front: str  # ip:port for callers
     ready: bool
     leaving: bool
-    manifest_version: int
+    feeds: list[FeedNews]
     members: list[MemberNews]
     used: dict[str, float]  # by workspace, units admitted since its start
     runs: list[RunNews]
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -36,7 +36,7 @@
     def make_beat(self) -> Beat:
         """Return what to tell all others now."""
 
-    def take_beat(self, beat: Beat) -> None:
+    def take_beat(self, beat: Beat, address: str) -> None:
         """Take in a heartbeat."""
 
     def take(
@@ -44,6 +44,9 @@
     ) -> None:
         """Take in any other message."""
 
+    def silent(self, vm: str) -> None:
+        """Hear that a VM was not heard for a while."""
+
     def lost(self, member: Member) -> None:
         """Hear that a VM is taken for gone."""
 
@@ -166,12 +169,13 @@
             )
             # A VM that has just come up learns of us now, not a beat later.
             self.send(self._listener.make_beat(), address)
-        self._listener.take_beat(beat)
+        self._listener.take_beat(beat, address)
 
     def _note_silent(self, now: float) -> None:
         alive = {member.vm for member in self._members.alive(now)}
         for vm in self._alive - alive:
             self._events.record('peer_silent', peer=vm)
+            self._listener.silent(vm)
         self._alive &= alive
 
     def _write(self, payload: bytes, address: str) -> None:
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from random import Random
-from typing import Any, Final, Protocol
+from typing import Any, Final
+
+from result import Err, Ok
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.allotments import AllotmentBook
@@ -12,6 +14,7 @@
 from bramleybend.direct.book import Book
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.dialect import Dialect
+from bramleybend.direct.feed import Feed
 from bramleybend.direct.ingress import Ingress
 from bramleybend.direct.intake import Intake
 from bramleybend.direct.listener import PeerListener
@@ -20,9 +23,10 @@
 from bramleybend.direct.peers import Peers
 from bramleybend.direct.placing import Placer, Queues
 from bramleybend.direct.service import DirectService, Parts
-from bramleybend.entry_settings import EntrySettings
+from bramleybend.entry_settings import ENTRY, EntrySettings
 from bramleybend.events import EventLog
 from bramleybend.identity import make_identity
+from bramleybend.settings_parsing import FILE_FIELD, env_of, parse
 
 SWEEP_S: Final = 0.2
 # Callers keep an answer of the directory for up to three times its lifetime;
@@ -37,13 +41,6 @@
 logger = logging.getLogger(__name__)
 
 
-class Follower(Protocol):
-    """Keeps the book up to date."""
-
-    async def run(self) -> None:
-        """Follow until cancelled."""
-
-
 class EntryProcess:
     """The composition; starts and stops its parts."""
 
@@ -97,6 +94,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.stopping = asyncio.Event()
         self.leaving = False
+        self.swept: Callable[[], None] = _nothing
         self.book.listen(self._book_changed)
 
     def is_ready(self) -> bool:
@@ -118,12 +116,28 @@
         self.spawn(self._sweep())
         self.events.record('started', **self._cfg.shown())
 
+    def follow(self, feed: Feed) -> None:
+        """Follow a log of the platform, and tell the others of it."""
+        feed.ranks_first = self.members.ranks_first
+        self._listener.feeds.append(feed)
+        self.spawn(feed.run())
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a part until the process stops; its failure stops it."""
         task = asyncio.create_task(work)
         task.add_done_callback(self._part_ended)
         self._tasks.append(task)
 
+    def reload(self) -> None:
+        """Learn of further seeds; all else holds for a process's life."""
+        variables = {env_of(FILE_FIELD): self._cfg.settings}
+        match parse(ENTRY, (), variables):
+            case Ok(cfg):
+                self.peers.add_addresses(cfg.seed_addresses())
+                self.events.record('reloaded', seeds=cfg.seeds)
+            case Err(problem):
+                self.events.record('reload_refused', why=str(problem))
+
     async def stop(self) -> None:
         """Let callers go elsewhere, end what is in flight, then close."""
         began = self._clock.monotonic()
@@ -194,10 +208,8 @@
     def _may_own(self) -> bool:
         return self.is_ready()
 
-    def _state(self) -> tuple[bool, bool, int]:
-        manifest = self.book.manifest
-        version = manifest.version if manifest else 0
-        return self.is_ready(), self.leaving, version
+    def _state(self) -> tuple[bool, bool]:
+        return self.is_ready(), self.leaving
 
     def _book_changed(self) -> None:
         self._queues.take_runners()
@@ -213,8 +225,13 @@
             await asyncio.sleep(SWEEP_S)
             for _, queue in self._queues:
                 queue.sweep()
+            self.swept()
 
 
 # Of the connections that a runner takes from all VMs; the rest is left to
 # VMs that come up and to connections that only one end has closed.
 CONNECTION_SHARE: Final = 0.8
+
+
+def _nothing() -> None:
+    """Do nothing until a listener is set."""
--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -103,6 +103,10 @@
         await self._http.start(self._cfg.address, self._cfg.http_port)
         self.events.record('started', vm=self._cfg.vm)
 
+    def reload(self) -> None:
+        """Keep the settings: flags and variables stay as they were."""
+        self.events.record('reload_ignored')
+
     async def stop(self) -> None:
         """Take nothing new, let everything in flight end, then leave."""
         self.intake.draining = True
--- a/bramleybend/platform/program.py
+++ b/bramleybend/platform/program.py
@@ -3,13 +3,21 @@
 from random import Random
 
 from bramleybend.clock import Clock
+from bramleybend.direct.feed import Feed, FeedTerms
 from bramleybend.direct.ingress import Ingress
 from bramleybend.direct.models import IngressLimits
 from bramleybend.direct.process import EntryProcess
+from bramleybend.direct.runner_list import RunnerList
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.platform.directory import Directory
-from bramleybend.platform.follow import ManifestFollower, RunnerFollower
+from bramleybend.platform.follow import (
+    MANIFEST_FEED,
+    RUNNER_FEED,
+    ManifestPages,
+)
 from bramleybend.platform.headers import make_dialect
+from bramleybend.platform.mirror import Mirror
+from bramleybend.platform.runner_entry import decode_runner
 from bramleybend.platform.store import StoreClient
 
 
@@ -18,35 +26,81 @@
 
     def __init__(self, cfg: EntrySettings, clock: Clock) -> None:
         """Put both together."""
-        rng = Random()
-        self._entry = EntryProcess(cfg, clock, make_dialect(), rng)
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = Random()
+        self._entry = EntryProcess(cfg, clock, make_dialect(), self._rng)
         self.stopping = self._entry.stopping
+        self.reload = self._entry.reload
         self._store = StoreClient(cfg.store.host, cfg.store.port, clock)
-        book, events = self._entry.book, self._entry.events
-        self._followers = (
-            ManifestFollower(self._store, book, events, rng),
-            RunnerFollower(self._store, book, events, clock),
-        )
-        directory = Directory(self._entry.fronts, self._entry.is_ready)
-        self._side_doors = [
-            (Ingress(directory.handle, IngressLimits, clock), where)
-            for where in (cfg.ready, cfg.directory)
-        ]
+        self._mirrors: dict[str, StoreClient] = {}
+        self._feeds = (self._manifest_feed(), self._runner_feed())
+        self._doors = self._make_doors()
 
     async def start(self) -> None:
         """Listen on all ports and follow the store."""
-        for door, where in self._side_doors:
-            await door.start(where.host, where.port)
-        for follower in self._followers:
-            self._entry.spawn(follower.run())
+        for door, host, port in self._doors:
+            await door.start(host, port)
+        for feed in self._feeds:
+            self._entry.follow(feed)
         await self._entry.start()
 
     async def stop(self) -> None:
         """Stop serving callers first, then the rest."""
         await self._entry.stop()
-        for door, _ in self._side_doors:
+        for door, _, _ in self._doors:
             await door.stop()
-        self._store.close()
+        for client in (self._store, *self._mirrors.values()):
+            client.close()
+
+    def _manifest_feed(self) -> Feed:
+        feed = self._feed(MANIFEST_FEED)
+        book = self._entry.book
+        feed.take = ManifestPages(book, self._entry.events).take
+        feed.confirmed = book.confirm_manifest
+        return feed
+
+    def _runner_feed(self) -> Feed:
+        feed = self._feed(RUNNER_FEED)
+        runners = RunnerList(
+            self._entry.book, decode_runner, self._entry.events
+        )
+        feed.take = runners.take
+        feed.confirmed = runners.confirmed
+        self._entry.swept = runners.drop_lapsed
+        return feed
+
+    def _feed(self, terms: FeedTerms) -> Feed:
+        return Feed(
+            terms,
+            self._store,
+            self._mirror_at,
+            self._clock,
+            self._entry.events,
+            self._rng,
+        )
+
+    def _mirror_at(self, address: str) -> StoreClient:
+        """Return the client of another VM's copy."""
+        client = self._mirrors.get(address)
+        if client is None:
+            client = StoreClient(address, self._cfg.peer_port, self._clock)
+            self._mirrors[address] = client
+        return client
+
+    def _make_doors(self) -> list[tuple[Ingress, str, int]]:
+        cfg = self._cfg
+        directory = Directory(self._entry.fronts, self._entry.is_ready)
+        mirror = Mirror({feed.terms.name: feed.copy for feed in self._feeds})
+        doors = (
+            (directory.handle, cfg.ready.host, cfg.ready.port),
+            (directory.handle, cfg.directory.host, cfg.directory.port),
+            (mirror.handle, cfg.address, cfg.peer_port),
+        )
+        return [
+            (Ingress(handler, IngressLimits, self._clock), host, port)
+            for handler, host, port in doors
+        ]
 
 
 def make_platform_process(cfg: EntrySettings, clock: Clock) -> PlatformProcess:
--- a/bramleybend/platform/store.py
+++ b/bramleybend/platform/store.py
@@ -10,7 +10,6 @@
 import struct
 from collections.abc import Mapping
 from contextlib import suppress
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
 from urllib.parse import urlencode
@@ -21,6 +20,7 @@
 
 from bramleybend.clients.channel import Channel, Outgoing, connect
 from bramleybend.clock import Clock
+from bramleybend.direct.feed import KeyedRecord, Page
 from bramleybend.errors import ErrorKind, Problem
 
 # The store answers in 4 ms, and in 60 times that on a slow day.
@@ -31,29 +31,6 @@
 LOST: Final = (OSError, EOFError, h11.ProtocolError)
 
 
-@dataclass(frozen=True)
-class KeyedRecord:
-    """One change of a key; without a value the key is gone."""
-
-    offset: int
-    key: str
-    content: bytes
-
-    @property
-    def gone(self) -> bool:
-        """Whether the record drops its key."""
-        return not self.content
-
-
-@dataclass(frozen=True)
-class Page:
-    """Records in order, and the offset to read on from."""
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-    whole: bool  # the newest of every key, not only what changed
-
-
 class _Item(msgspec.Struct):
     key: str
     value: str  # base64
@@ -228,6 +205,18 @@
     )
 
 
+def pack_page(page: Page) -> bytes:
+    """Write records as the store does."""
+    start = page.records[0].offset if page.records else page.end
+    parts = [ENDS.pack(page.end, start)]
+    for record in page.records:
+        name = record.key.encode()
+        size = 1 + len(name) + len(record.content)
+        parts.append(LENGTH.pack(size) + bytes((len(name),)) + name)
+        parts.append(record.content)
+    return b''.join(parts)
+
+
 def _keyed(offset: int, record: bytes) -> KeyedRecord:
     size = record[0] if record else 0
     key = record[1 : size + 1].decode(errors='replace')
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -86,6 +86,10 @@
         self._spawn_all()
         self.events.record('started', vm=self._cfg.vm)
 
+    def reload(self) -> None:
+        """Keep the settings: flags and variables stay as they were."""
+        self.events.record('reload_ignored')
+
     async def stop(self) -> None:
         """Hand every shard on, then leave."""
         self.events.record('draining')
