Keep requests while no manifest is known, and tell a spread time to return

Change: a request waits for the manifest for 0.4 of its patience, then is told to return within a third of the rest, spread.

--- a/bramleybend/direct/book.py
+++ b/bramleybend/direct/book.py
@@ -1,5 +1,6 @@
 """What this VM knows of the manifest and the runners, and how old it is."""
 
+import asyncio
 from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
 from math import inf
@@ -26,6 +27,7 @@
         self.manifest: Manifest | None = None
         self.runners: Runners = {}
         self.runners_known = False
+        self._completed = asyncio.Event()
 
     def now(self) -> float:
         """Return monotonic seconds."""
@@ -48,6 +50,17 @@
         """Call a listener after each change."""
         self._listeners.append(listener)
 
+    async def completed(self, timeout_s: float) -> bool:
+        """Wait until requests can be served; tells whether they can."""
+        if self.complete:
+            return True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._completed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def confirm_manifest(self, at: float) -> None:
         """Note that nothing newer had been accepted at a time."""
         self._confirmed_at = max(self._confirmed_at, at)
@@ -96,5 +109,7 @@
                 )
 
     def _tell(self) -> None:
+        if self.complete:
+            self._completed.set()
         for listener in self._listeners:
             listener()
--- a/bramleybend/direct/intake.py
+++ b/bramleybend/direct/intake.py
@@ -28,8 +28,13 @@
 
 # A long poll of the store and its timeout: an older manifest may be outdated.
 SURE_AGE_S: Final = 4.0
-# A VM without a manifest asks for it several times a second.
-UNREADY_RETRY_S: Final = 0.3
+# A VM that has just started has the manifest within milliseconds, unless the
+# store is away; a caller that is sent off at once uses up its one retry on a
+# VM that knows no more. It is kept for this part of its patience, and told to
+# come back within the part of the rest that callers are ready to wait.
+HOLD_SHARE: Final = 0.4
+RETURN_SHARES: Final = (0.15, 0.33)
+UNSTATED_PATIENCE_S: Final = 1.0
 # An unsure denial is settled by the next answer of the store.
 UNSURE_RETRY_S: Final = 0.5
 
@@ -70,7 +75,7 @@
             return own_reply(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'this VM knows no manifest yet; nothing was run',
-                UNREADY_RETRY_S,
+                retry_in(facts, self._rng),
             )
         route = manifest.route_of(req.host, req.path)
         if route is None:
@@ -125,6 +130,24 @@
         )
 
 
+def hold_s(facts: RequestFacts) -> float:
+    """Return how long a request waits for a manifest."""
+    return HOLD_SHARE * _patience_s(facts)
+
+
+def retry_in(facts: RequestFacts, rng: Random) -> float:
+    """Return when a request that waited in vain should come back.
+
+    Spread, or all callers of an outage would be back in the same moment.
+    """
+    left_s = (1 - HOLD_SHARE) * _patience_s(facts)
+    return left_s * rng.uniform(*RETURN_SHARES)
+
+
+def _patience_s(facts: RequestFacts) -> float:
+    return facts.patience_s or UNSTATED_PATIENCE_S
+
+
 def choose_target(targets: Sequence[Target], rng: Random) -> str:
     """Pick a service by the weights of the split."""
     if len(targets) == 1:
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -173,6 +173,7 @@
 
     def _parts(self, dialect: Dialect, rng: Random) -> Parts:
         return Parts(
+            self.book,
             Intake(self.book, self.members, self._allotments, self._clock, rng),
             self.placer,
             self._channels,
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -18,6 +18,7 @@
     Fate,
     WholeAnswer,
 )
+from bramleybend.direct.book import Book
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.dialect import Dialect, Onward
 from bramleybend.direct.ingress import (
@@ -26,7 +27,7 @@
     Responder,
     own_reply,
 )
-from bramleybend.direct.intake import Admitted, Intake
+from bramleybend.direct.intake import Admitted, Intake, hold_s
 from bramleybend.direct.models import RequestFacts, RunnerEntry
 from bramleybend.direct.placing import NoSlot, Placement, Placer
 from bramleybend.direct.sse import Event
@@ -67,6 +68,7 @@
 class Parts:
     """What serving a request needs."""
 
+    book: Book
     intake: Intake
     placer: Placer
     channels: RunnerChannels
@@ -99,6 +101,7 @@
             )
             await responder.reply(reply)
             return
+        await self._parts.book.completed(hold_s(facts))
         admitted = self._parts.intake.admit(req, facts)
         if isinstance(admitted, Reply):
             self._log_denied(facts, admitted, req)
