Send on to another runner after a failure; find peers faster at a start

Cause: an idempotent request that a runner failed went to the same runner again; a VM that started before the one it knew by its seeds was found a second late.

--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -23,6 +23,8 @@
 
 Endpoint: TypeAlias = tuple[str, int]
 
+# A VM that starts finds the others at once, also those that start with it.
+FIRST_BEATS: Final = 25  # five seconds
 # Addresses that were never heard are tried less often than members are told:
 # a seed may be stale, and a VM that was replaced never answers.
 STRANGER_EVERY: Final = 5  # heartbeats
@@ -96,7 +98,9 @@
             self._listener.lost(member)
         self._note_silent(now)
         payload = encode(self._listener.make_beat())
-        stranger_turn = self._beats % STRANGER_EVERY == 0
+        stranger_turn = (
+            self._beats < FIRST_BEATS or self._beats % STRANGER_EVERY == 0
+        )
         self._beats += 1
         heard = {member.address for member in self._members.alive(now)}
         for address in self._addresses:
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -149,6 +149,8 @@
                 return self._no_slot(job, placed)
             outcome = await self._one_plain(job, placed)
             if isinstance(outcome, WholeAnswer):
+                # A runner that fails requests may fail this one again.
+                job.excluded |= {placed.runner.incarnation}
                 if not self._worth_resending(job, outcome.head.status):
                     headers = self._parts.dialect.caller_headers(outcome.head)
                     return Reply(outcome.head.status, headers, outcome.body)
