--- a/bramleybend/cli/serving.py
+++ b/bramleybend/cli/serving.py
@@ -11,7 +11,7 @@
 
 from bramleybend.clock import Clock, SystemClock
 from bramleybend.events import setup_logging
-from bramleybend.settings_parsing import Model, Program, parse
+from bramleybend.settings_parsing import Model, Program, parse_program
 from bramleybend.status import ExitStatus
 
 DEFAULT_LEVEL = 'INFO'
@@ -49,7 +49,7 @@
     env: Environment,
 ) -> ExitStatus:
     """Read the settings and serve until told to stop."""
-    match parse(program, args, env.variables):
+    match parse_program(program, args, env.variables):
         case Err(problem):
             print(f'{program.name}: error: {problem}', file=env.stderr)
             return ExitStatus.USAGE
--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -189,15 +189,7 @@
 
     def release(self) -> bool:
         """End an exchange; tells whether the connection stays open."""
-        clean = (
-            self.broken is None
-            and not self.transport.is_closing()
-            and not self.transport.get_write_buffer_size()
-            and self.http.our_state is h11.DONE
-            and self.http.their_state is h11.DONE
-            and not self.http.trailing_data[0]
-        )
-        if not clean:
+        if not (self._is_open() and self._is_between_exchanges()):
             self.abort()
             return False
         self.http.start_next_cycle()
@@ -205,6 +197,17 @@
         self._used_at = self._clock.monotonic()
         return True
 
+    def _is_open(self) -> bool:
+        return self.broken is None and not self.transport.is_closing()
+
+    def _is_between_exchanges(self) -> bool:
+        """Tell whether both sides ended theirs and said nothing more."""
+        states = {self.http.our_state, self.http.their_state}
+        unsent = self.transport.get_write_buffer_size()
+        return states == {h11.DONE} and not (
+            unsent or self.http.trailing_data[0]
+        )
+
 
 async def connect(
     address: str,
--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -15,7 +15,7 @@
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.sse import Event, EventSplitter
 
-MAX_ANSWER: Final = 2**25  # bytes of an answer that is no stream
+MAX_ANSWER: Final = 33_554_432  # bytes, 32 MiB of an answer that is no stream
 # Answers of earlier requests that are passed over before a connection is
 # given up; a runner sends one late or second answer, not a series.
 MOST_FOREIGN: Final = 2
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -60,6 +60,7 @@
     headers: HeaderList = field(default_factory=tuple)
     body: bytes = b''
     close: bool = False
+    reason: str = ''  # of an answer of our own, for the log
 
 
 def own_reply(
@@ -76,7 +77,7 @@
         text = f'{retry_after_s:.2f}'
         headers.append((b'Retry-After', text.encode()))
         body['retry_after_s'] = float(text)
-    return Reply(status, headers, json.dumps(body).encode(), close)
+    return Reply(status, headers, json.dumps(body).encode(), close, reason)
 
 
 class Responder:
--- /dev/null
+++ b/bramleybend/direct/job.py
@@ -0,0 +1,48 @@
+"""One request under way, and the parts that serve it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleybend.clock import Clock
+from bramleybend.decisions.resends import ResendBudget
+from bramleybend.direct.attempt import Failure
+from bramleybend.direct.book import Book
+from bramleybend.direct.channels import RunnerChannels
+from bramleybend.direct.dialect import Dialect
+from bramleybend.direct.ingress import RawRequest
+from bramleybend.direct.intake import Admitted, Intake
+from bramleybend.direct.models import RequestFacts
+from bramleybend.direct.placing import Placer
+from bramleybend.events import EventLog
+
+
+@dataclass
+class Job:
+    """A request that was let in, until it is answered."""
+
+    req: RawRequest
+    facts: RequestFacts
+    terms: Admitted
+    ends_at: float  # monotonic; by then the caller has an answer
+    excluded: frozenset[str] = frozenset()  # runners that failed it
+    ran_on: int = 0  # runners that may have run it
+    refusals: int = 0  # runners that surely did not
+    last_event: str = ''  # the newest that was passed on
+    last_failure: Failure | None = None
+    trail: list[str] = field(default_factory=list)  # runners it was sent to
+
+
+@dataclass(frozen=True)
+class Parts:
+    """What serving a request needs."""
+
+    book: Book
+    intake: Intake
+    placer: Placer
+    channels: RunnerChannels
+    dialect: Dialect
+    resends: ResendBudget
+    vm_count: Callable[[], int]
+    event_tokens: Callable[[str], int]
+    clock: Clock
+    events: EventLog
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -33,6 +33,7 @@
 UNCONFIRMED_S: Final = 0.6
 # An ask that is not said again is withdrawn: its VM is gone.
 ASK_LAPSE_S: Final = 1.0
+SHORTEST_TIMER_S: Final = 0.001  # a timer that fires early would spin
 # Engines are not preempted: a stream that is cut after its head was sent
 # can't be answered any more.
 SWITCHES: Final = Switches(preemption=False, limits=False)
@@ -158,7 +159,9 @@
         due = self._policy.next_wake(now)
         if due is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(max(due - now, 0.001), self._tick)
+            self._timer = loop.call_later(
+                max(due - now, SHORTEST_TIMER_S), self._tick
+            )
 
     def _tick(self) -> None:
         self._timer = None
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -93,19 +93,14 @@
     def beat(self) -> None:
         """Send one heartbeat to every VM."""
         now = self._clock.monotonic()
-        for member in self._members.forget_old(now):
-            self._addresses.pop(member.address, None)
-            self._listener.lost(member)
+        for old in self._members.forget_old(now):
+            self._addresses.pop(old.address, None)
+            self._listener.lost(old)
         self._note_silent(now)
         payload = encode(self._listener.make_beat())
-        stranger_turn = (
-            self._beats < FIRST_BEATS or self._beats % STRANGER_EVERY == 0
-        )
+        for address in self._due(now):
+            self._write(payload, address)
         self._beats += 1
-        heard = {member.address for member in self._members.alive(now)}
-        for address in self._addresses:
-            if address in heard or stranger_turn:
-                self._write(payload, address)
 
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Learn where further VMs may be."""
@@ -146,6 +141,11 @@
         """Note a refused datagram; silence tells the rest."""
         logger.debug('a datagram was refused: %s', exc)
 
+    def _due(self, now: float) -> Iterable[str]:
+        if self._beats < FIRST_BEATS or self._beats % STRANGER_EVERY == 0:
+            return tuple(self._addresses)
+        return [member.address for member in self._members.alive(now)]
+
     def _heard(self, beat: Beat, address: str) -> None:
         if beat.vm == self._members.own.vm:
             return
--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from itertools import count
 from random import Random
 from typing import Final
@@ -199,13 +200,12 @@
         loop = asyncio.get_running_loop()
         fut: asyncio.Future[Grant | Refuse] = loop.create_future()
         queue = self._queues.of(ask.service)
-        queue.ask(ask, lambda action: _settle(fut, action))
+        reply = partial(_settle, fut)
         try:
-            while True:
-                done, _ = await asyncio.wait((fut,), timeout=REFRESH_S)
-                if done:
-                    return self._placed(ask, fut.result(), None)
-                queue.ask(ask, lambda action: _settle(fut, action))
+            while not fut.done():
+                queue.ask(ask, reply)
+                await asyncio.wait((fut,), timeout=REFRESH_S)
+            return self._placed(ask, fut.result(), None)
         except asyncio.CancelledError:
             queue.withdraw(ask.request_id)
             raise
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -22,11 +22,12 @@
 from bramleybend.direct.models import IngressLimits, RunnerEntry
 from bramleybend.direct.peers import Peers
 from bramleybend.direct.placing import Placer, Queues
-from bramleybend.direct.service import DirectService, Parts
+from bramleybend.direct.job import Parts
+from bramleybend.direct.service import DirectService
 from bramleybend.entry_settings import ENTRY, EntrySettings
 from bramleybend.events import EventLog
 from bramleybend.identity import make_identity
-from bramleybend.settings_parsing import FILE_FIELD, env_of, parse
+from bramleybend.settings_parsing import FILE_FIELD, env_of, parse_program
 
 SWEEP_S: Final = 0.2
 # Callers keep an answer of the directory for up to three times its lifetime;
@@ -131,7 +132,7 @@
     def reload(self) -> None:
         """Learn of further seeds; all else holds for a process's life."""
         variables = {env_of(FILE_FIELD): self._cfg.settings}
-        match parse(ENTRY, (), variables):
+        match parse_program(ENTRY, (), variables):
             case Ok(cfg):
                 self.peers.add_addresses(cfg.seed_addresses())
                 self.events.record('reloaded', seeds=cfg.seeds)
--- /dev/null
+++ b/bramleybend/direct/relay.py
@@ -0,0 +1,92 @@
+"""Passes one runner's stream of events on to a caller."""
+
+from contextlib import aclosing
+from http import HTTPStatus
+
+from bramleybend.clients.channel import Head
+from bramleybend.direct.attempt import (
+    Attempt,
+    BrokenStreamError,
+    Failure,
+    Fate,
+)
+from bramleybend.direct.dialect import Dialect
+from bramleybend.direct.ingress import Reply, Responder
+from bramleybend.direct.job import Job
+from bramleybend.direct.placing import Placement, Placer
+from bramleybend.direct.sse import Event
+
+
+class StreamRelay:
+    """Relays one run; a job whose run broke off gets another relay."""
+
+    def __init__(
+        self,
+        job: Job,
+        responder: Responder,
+        dialect: Dialect,
+        placer: Placer,
+        placed: Placement,
+    ) -> None:
+        """Relay to a responder."""
+        self._job = job
+        self._responder = responder
+        self._dialect = dialect
+        self._placer = placer
+        self._placed = placed
+        self.events = 0  # that came from the runner
+
+    async def run(self, attempt: Attempt, head: Head) -> Failure | None:
+        """Relay to the end; `None` once the caller has its final answer."""
+        if head.status >= HTTPStatus.MULTIPLE_CHOICES:
+            return await self._pass_failure(attempt, head)
+        try:
+            async with aclosing(attempt.events()) as events:
+                async for event in events:
+                    await self._pass(head, event)
+        except BrokenStreamError as exc:
+            return Failure(Fate.MAY_HAVE_RUN, f'the stream broke: {exc}')
+        attempt.finish()
+        if not self._responder.begun:
+            await self._begin(head)
+        await self._responder.end()
+        return None
+
+    async def _pass_failure(
+        self, attempt: Attempt, head: Head
+    ) -> Failure | None:
+        """Pass on a failure of the runner's own, as it is."""
+        answer = await attempt.whole(head)
+        if isinstance(answer, Failure):
+            return answer
+        if self._responder.begun:
+            return Failure(
+                Fate.MAY_HAVE_RUN, f'the runner answered {head.status}'
+            )
+        headers = self._dialect.caller_headers(head)
+        await self._responder.reply(Reply(head.status, headers, answer.body))
+        return None
+
+    async def _pass(self, head: Head, event: Event) -> None:
+        if not self.events:
+            self._placer.filled(self._placed)
+        self.events += 1
+        # The head waits for the first event: until then a failure can still
+        # be answered as what it is, or the request sent on.
+        if not self._responder.begun:
+            await self._begin(head)
+        if is_repeat(event.number, self._job.last_event):
+            return
+        await self._responder.part(event.raw)
+        self._job.last_event = event.number or self._job.last_event
+
+    async def _begin(self, head: Head) -> None:
+        headers = self._dialect.caller_headers(head)
+        await self._responder.stream(head.status, headers)
+
+
+def is_repeat(number: str, last: str) -> bool:
+    """Tell whether the caller has an event already."""
+    if not (number.isdecimal() and last.isdecimal()):
+        return False
+    return int(number) <= int(last)
--- /dev/null
+++ b/bramleybend/direct/tries.py
@@ -0,0 +1,200 @@
+"""Sends a job to runners, one after another, within its bounds."""
+
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Final
+
+from bramleybend.clients.channel import Outgoing
+from bramleybend.decisions.actions import RunReport
+from bramleybend.direct.attempt import (
+    Attempt,
+    Failure,
+    Fate,
+    WholeAnswer,
+)
+from bramleybend.direct.dialect import Onward
+from bramleybend.direct.ingress import Reply, own_reply
+from bramleybend.direct.job import Job, Parts
+from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.placing import NoSlot, Placement
+from bramleybend.models import Ask
+
+# Sends of one request that no runner began to run. A refusal is answered in
+# about a millisecond; after three the service is full, and the caller waits
+# better than the request does.
+MOST_REFUSALS: Final = 3
+# What is left of a caller's patience when an answer must be on its way.
+ANSWER_MARGIN_S: Final = 0.02
+OUTPUT_COST: Final = 8  # of a token made, in prompt tokens
+# Runners that turned a request away are full for about one run's time.
+RETRY_REFUSED_S: Final = 0.3
+TIMEOUT: Final = 'timeout'
+DONE: Final = 'done'
+FAILED: Final = 'failed'
+
+
+class Tries:
+    """Places a job, and decides whether it may go on to another runner."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Serve by these parts."""
+        self._parts = parts
+
+    async def place(self, job: Job) -> Placement | NoSlot:
+        """Wait for a slot at a runner."""
+        ask = self._ask(job)
+        placed = await self._parts.placer.place(ask)
+        if isinstance(placed, Placement):
+            job.trail.append(placed.runner.name)
+            self._parts.events.record(
+                'placed',
+                req=job.facts.attempt_id,
+                service=job.terms.service,
+                runner=placed.runner.name,
+                owner=placed.owner.vm if placed.owner else 'own',
+                waited_ms=self.ms_since(job.req.received_at),
+            )
+        return placed
+
+    def attempt(self, job: Job, placed: Placement) -> Attempt:
+        """Prepare to send a job to a runner."""
+        return Attempt(
+            self._parts.channels,
+            self._parts.dialect,
+            placed.runner,
+            job.facts.attempt_id,
+        )
+
+    def outgoing(self, job: Job, runner: RunnerEntry) -> Outgoing:
+        """Return the request as the runner gets it."""
+        onward = Onward(
+            runner,
+            job.terms.workspace,
+            max(self.left(job), 0),
+            job.last_event or job.facts.resume_after,
+        )
+        headers = self._parts.dialect.runner_headers(job.req.headers, onward)
+        return Outgoing(job.req.method, job.req.target, headers, job.req.body)
+
+    def ended(
+        self,
+        job: Job,
+        placed: Placement,
+        outcome: WholeAnswer | Failure | None,
+        started: float,
+        events: int = 0,
+    ) -> None:
+        """Give the slot back and tell how the run went."""
+        failure = outcome if isinstance(outcome, Failure) else None
+        if failure is None or failure.fate is Fate.MAY_HAVE_RUN:
+            job.ran_on += 1
+        job.excluded |= {placed.runner.incarnation}
+        if failure is not None:
+            self._note_failure(job, placed, failure)
+        made = events * self._parts.event_tokens(job.terms.service)
+        report = RunReport(
+            FAILED if failure else DONE,
+            refused=bool(failure and failure.full),
+            crashed=bool(failure and failure.unreachable),
+            prompt_tokens=job.facts.prompt_tokens,
+            completion_tokens=made or 1,
+            seconds=self.now() - started,
+        )
+        self._parts.placer.ended(placed, report)
+
+    def may_resend(self, job: Job, failure: Failure) -> bool:
+        """Tell whether a job without an answer may go to another runner."""
+        if failure.fate is Fate.MAY_HAVE_RUN:
+            return job.terms.route.may_repeat and self.within_bounds(job)
+        job.refusals += 1
+        if job.refusals >= MOST_REFUSALS or self.left(job) <= 0:
+            return False
+        # What reached no runner counts as no arrival anywhere.
+        return failure.unreachable or self._spend(job)
+
+    def within_bounds(self, job: Job) -> bool:
+        """Tell whether one more run is allowed, and count it."""
+        return (
+            job.ran_on < job.terms.route.most_runners
+            and self.left(job) > ANSWER_MARGIN_S
+            and self._spend(job)
+        )
+
+    def no_slot(self, job: Job, refusal: NoSlot) -> Reply:
+        """Answer a job that no runner took."""
+        if job.ran_on:
+            return own_reply(
+                HTTPStatus.BAD_GATEWAY,
+                'a runner failed it and no other was free; it may have run',
+            )
+        self._parts.intake.give_back(job.terms)
+        return own_reply(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            f'{refusal.reason}; nothing was run',
+            refusal.retry_after_s,
+        )
+
+    def failed(self, job: Job, failure: Failure) -> Reply:
+        """Answer a job whose last try failed."""
+        if not job.ran_on:
+            return self.no_slot(job, NoSlot(failure.reason, RETRY_REFUSED_S))
+        status = (
+            HTTPStatus.GATEWAY_TIMEOUT
+            if failure.reason == TIMEOUT
+            else HTTPStatus.BAD_GATEWAY
+        )
+        return own_reply(status, f'{failure.reason}; it may have run')
+
+    def left(self, job: Job) -> float:
+        """Return the seconds until the caller must have an answer."""
+        return job.ends_at - self.now()
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self._parts.clock.monotonic()
+
+    def ms_since(self, moment: float) -> int:
+        """Return the milliseconds since a moment, for the log."""
+        passed = timedelta(seconds=self.now() - moment)
+        return passed // timedelta(milliseconds=1)
+
+    def _ask(self, job: Job) -> Ask:
+        facts = job.facts
+        output = facts.likely_output or facts.most_output
+        return Ask(
+            request_id=self._parts.placer.next_id(),
+            service=job.terms.service,
+            tier=job.terms.tier,
+            workspace=job.terms.workspace,
+            cost=float(max(facts.prompt_tokens + output * OUTPUT_COST, 1)),
+            prompt_tokens=facts.prompt_tokens,
+            prefixes=(),
+            deadline=job.ends_at,
+            cancellable=False,
+            excluded=job.excluded,
+        )
+
+    def _spend(self, job: Job) -> bool:
+        return self._parts.resends.spend(
+            job.terms.service, self._parts.vm_count(), self.now()
+        )
+
+    def _note_failure(
+        self, job: Job, placed: Placement, failure: Failure
+    ) -> None:
+        self._parts.events.record(
+            'try_failed',
+            req=job.facts.attempt_id,
+            runner=placed.runner.name,
+            fate=failure.fate,
+            why=failure.reason,
+        )
+
+
+def timed_out(attempt: Attempt) -> Failure:
+    """Tell what is certain of a try whose time is up."""
+    fate = Fate.MAY_HAVE_RUN if attempt.sent else Fate.NOT_RUN
+    return Failure(fate, TIMEOUT)
+
+
+LEFT: Final = Failure(Fate.MAY_HAVE_RUN, 'its caller left')
--- a/bramleybend/platform/follow.py
+++ b/bramleybend/platform/follow.py
@@ -18,15 +18,18 @@
 # connection that fell silent is noticed when the read fails to come back, so
 # its wait and a call's timeout stay under the two seconds that a change has
 # to be in force, beside the three after which silence excuses nothing.
+MANIFEST_WAIT_S: Final = 1.5
+MANIFEST_EVERY_S: Final = 0.05
+MANIFEST_STALE_S: Final = 2.2
 MANIFEST_FEED: Final = FeedTerms(
-    MANIFEST_TOPIC, wait_s=1.5, every_s=0.05, stale_s=2.2
+    MANIFEST_TOPIC, MANIFEST_WAIT_S, MANIFEST_EVERY_S, MANIFEST_STALE_S
 )
 # The runners write about every second each, so a read that waits would come
 # back for each heartbeat; the log is polled. A runner that leaves gets
 # nothing new within two seconds: a poll, a heartbeat and a call's time.
-RUNNER_FEED: Final = FeedTerms(
-    RUNNER_TOPIC, wait_s=0, every_s=0.7, stale_s=1.25
-)
+RUNNER_EVERY_S: Final = 0.7
+RUNNER_STALE_S: Final = 1.25
+RUNNER_FEED: Final = FeedTerms(RUNNER_TOPIC, 0, RUNNER_EVERY_S, RUNNER_STALE_S)
 
 
 class ManifestPages:
--- a/bramleybend/platform/manifest.py
+++ b/bramleybend/platform/manifest.py
@@ -19,68 +19,20 @@
 )
 from bramleybend.errors import ErrorKind, Problem
 from bramleybend.models import Repeat, Tier
+from bramleybend.platform.manifest_wire import (
+    WireLimits,
+    WireManifest,
+    WireRoute,
+    WireService,
+    WireTenant,
+)
 
 MILLISECONDS: Final = 1000
 UNBOUNDED: Final = 1_000_000
 TOKEN_UNIT: Final = 'tokens'
 
 
-class _Split(msgspec.Struct):
-    service: str
-    weight: float = 1
-
-
-class _Route(msgspec.Struct, rename='camel'):
-    host: str
-    path_prefix: str
-    kind: str
-    timeout_ms: float
-    name: str = ''
-    service: str = ''
-    traffic_split: list[_Split] = []
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    public: bool = False
-    resumable: bool = False
-
-
-class _Engine(msgspec.Struct):
-    stride: int = 1  # tokens in one event of a stream
-
-
-class _Service(msgspec.Struct, rename='camel'):
-    name: str
-    max_conns: int = 0
-    engine: _Engine | None = None
-
-
-class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = 0
-    max_body_bytes: int = 0
-    header_timeout_ms: float = 0
-    idle_timeout_ms: float = 0
-
-
-class _Tenant(msgspec.Struct, rename='camel'):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-    unit: str = ''
-    plain_tokens: float = 0
-    rate_per_s: float = 0
-    burst: float = 0
-
-
-class _Manifest(msgspec.Struct):
-    version: int
-    routes: list[_Route] = []
-    services: list[_Service] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
-
-
-_decoder: Final = msgspec.json.Decoder(_Manifest)
+_decoder: Final = msgspec.json.Decoder(WireManifest)
 
 _REPEATS: Final = MappingProxyType(
     {
@@ -111,7 +63,7 @@
     )
 
 
-def _manifest(wire: _Manifest) -> Manifest:
+def _manifest(wire: WireManifest) -> Manifest:
     by_host: dict[str, list[Route]] = defaultdict(list)
     for route in wire.routes:
         by_host[route.host.lower()].append(_route(route))
@@ -132,7 +84,7 @@
     return -len(route.prefix)
 
 
-def _route(wire: _Route) -> Route:
+def _route(wire: WireRoute) -> Route:
     timeout_s = wire.timeout_ms / MILLISECONDS
     targets = [Target(part.service, part.weight) for part in wire.traffic_split]
     return Route(
@@ -156,7 +108,7 @@
     return Tier(min(max(rank + Tier.CRITICAL, Tier.CRITICAL), Tier.BULK))
 
 
-def _service(wire: _Service) -> ServiceFacts:
+def _service(wire: WireService) -> ServiceFacts:
     return ServiceFacts(
         wire.name,
         wire.max_conns or UNBOUNDED,
@@ -165,7 +117,7 @@
     )
 
 
-def _key_holders(tenants: list[_Tenant]) -> Mapping[str, KeyHolder]:
+def _key_holders(tenants: list[WireTenant]) -> Mapping[str, KeyHolder]:
     return {
         key: KeyHolder(
             tenant.name,
@@ -177,7 +129,7 @@
     }
 
 
-def _allotment(tenant: _Tenant) -> Allotment | None:
+def _allotment(tenant: WireTenant) -> Allotment | None:
     if not tenant.rate_per_s:
         return None
     return Allotment(
@@ -188,7 +140,7 @@
     )
 
 
-def _limits(wire: _Limits) -> IngressLimits:
+def _limits(wire: WireLimits) -> IngressLimits:
     usual = IngressLimits()
     return IngressLimits(
         wire.max_header_bytes or usual.header_bytes,
--- a/bramleybend/platform/mirror.py
+++ b/bramleybend/platform/mirror.py
@@ -3,7 +3,6 @@
 It answers the calls that the store answers, so the same client reads both.
 """
 
-import base64
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final
@@ -18,7 +17,7 @@
     Responder,
     own_reply,
 )
-from bramleybend.platform.store import pack_page
+from bramleybend.platform.records import pack_page
 
 NEWEST: Final = '/log-newest'
 
@@ -56,7 +55,7 @@
     items = [
         {
             'key': record.key,
-            'value': base64.b64encode(record.content).decode(),
+            'value': record.content,
             'offset': record.offset,
         }
         for record in page.records
--- a/bramleybend/platform/store.py
+++ b/bramleybend/platform/store.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import base64
-import struct
 from collections.abc import Mapping
 from contextlib import suppress
 from http import HTTPStatus
@@ -22,18 +20,21 @@
 from bramleybend.clock import Clock
 from bramleybend.direct.feed import KeyedRecord, Page
 from bramleybend.errors import ErrorKind, Problem
+from bramleybend.platform.records import (
+    UNREADABLE,
+    pack_record,
+    unpack_page,
+)
 
 # The store answers in 4 ms, and in 60 times that on a slow day.
 CALL_TIMEOUT_S: Final = 1.0
-MAX_ANSWER: Final = 2**25  # bytes
-LENGTH: Final = struct.Struct('>I')
-ENDS: Final = struct.Struct('>QQ')
+MAX_ANSWER: Final = 33_554_432  # bytes, 32 MiB
 LOST: Final = (OSError, EOFError, h11.ProtocolError)
 
 
 class _Item(msgspec.Struct):
     key: str
-    value: str  # base64
+    value: bytes  # base64 on the wire
     offset: int
 
 
@@ -63,26 +64,19 @@
         Pages are no snapshot, so `end` is the first page's: what changed
         meanwhile is read again from there.
         """
-        found: list[KeyedRecord] = []
-        end: int | None = None
-        after = ''
-        more = True
-        while more:
-            query = {'topic': topic, 'part': '0'}
-            if after:
-                query['after'] = after
-            answer = await self._call('/log-newest', query)
-            if isinstance(answer, Err):
-                return answer
-            try:
-                page = _newest.decode(answer.ok_value[1])
-                found.extend(_record(item) for item in page.items)
-            except (msgspec.MsgspecError, ValueError) as exc:
-                return Err(_unreadable(exc))
-            end = page.end if end is None else end
-            more = page.has_more and bool(page.items)
-            after = page.items[-1].key if page.items else ''
-        return Ok(Page(tuple(found), end or 0, whole=True))
+        first = await self._newest_page(topic, '')
+        if isinstance(first, Err):
+            return first
+        page = first.ok_value
+        items = list(page.items)
+        while page.has_more and page.items:
+            following = await self._newest_page(topic, page.items[-1].key)
+            if isinstance(following, Err):
+                return following
+            page = following.ok_value
+            items.extend(page.items)
+        records = tuple(_record(item) for item in items)
+        return Ok(Page(records, first.ok_value.end, whole=True))
 
     async def changes(
         self,
@@ -101,18 +95,16 @@
         if status == HTTPStatus.GONE:
             return await self.newest(topic)
         try:
-            return Ok(_changes(body, start))
-        except (struct.error, UnicodeDecodeError) as exc:
+            return Ok(unpack_page(body, start))
+        except UNREADABLE as exc:
             return Err(_unreadable(exc))
 
     async def put(
         self, topic: str, key: str, content: bytes
     ) -> Result[None, Problem]:
         """Write a key's newest record; an error may have taken effect."""
-        name = key.encode()
-        record = bytes((len(name),)) + name + content
-        body = LENGTH.pack(len(record)) + record
         query = {'topic': topic, 'part': '0'}
+        body = pack_record(key, content)
         answer = await self._call('/log-append', query, body=body)
         return answer.map(_nothing)
 
@@ -122,6 +114,20 @@
             channel.abort()
         self._idle.clear()
 
+    async def _newest_page(
+        self, topic: str, after: str
+    ) -> Result[_Newest, Problem]:
+        query = {'topic': topic, 'part': '0'}
+        if after:
+            query['after'] = after
+        answer = await self._call('/log-newest', query)
+        if isinstance(answer, Err):
+            return answer
+        try:
+            return Ok(_newest.decode(answer.ok_value[1]))
+        except msgspec.MsgspecError as exc:
+            return Err(_unreadable(exc))
+
     async def _call(
         self,
         path: str,
@@ -185,42 +191,7 @@
 
 
 def _record(item: _Item) -> KeyedRecord:
-    return KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
-
-
-def _changes(body: bytes, start: int) -> Page:
-    end, first = ENDS.unpack_from(body)
-    at = ENDS.size
-    offset = max(start, first)
-    records: list[KeyedRecord] = []
-    while at < len(body):
-        (size,) = LENGTH.unpack_from(body, at)
-        at += LENGTH.size
-        records.append(_keyed(offset, body[at : at + size]))
-        at += size
-        offset += 1
-    # The call may hold less than all there is; the next one reads on.
-    return Page(
-        tuple(records), offset if records else max(end, start), whole=False
-    )
-
-
-def pack_page(page: Page) -> bytes:
-    """Write records as the store does."""
-    start = page.records[0].offset if page.records else page.end
-    parts = [ENDS.pack(page.end, start)]
-    for record in page.records:
-        name = record.key.encode()
-        size = 1 + len(name) + len(record.content)
-        parts.append(LENGTH.pack(size) + bytes((len(name),)) + name)
-        parts.append(record.content)
-    return b''.join(parts)
-
-
-def _keyed(offset: int, record: bytes) -> KeyedRecord:
-    size = record[0] if record else 0
-    key = record[1 : size + 1].decode(errors='replace')
-    return KeyedRecord(offset, key, record[size + 1 :])
+    return KeyedRecord(item.offset, item.key, item.value)
 
 
 def _unreadable(exc: Exception) -> Problem:
--- a/bramleybend/settings.py
+++ b/bramleybend/settings.py
@@ -13,7 +13,7 @@
 from result import Result
 
 from bramleybend.errors import Problem
-from bramleybend.settings_parsing import Program, parse
+from bramleybend.settings_parsing import Program, parse_program
 from bramleybend.settings_types import (
     Address,
     HostPort,
@@ -131,4 +131,4 @@
     env: Mapping[str, str],
 ) -> Result[Settings, Problem]:
     """Return the settings, flags before variables, or the first wrong one."""
-    return parse(program_of(kind), args, env)
+    return parse_program(program_of(kind), args, env)
--- a/bramleybend/settings_parsing.py
+++ b/bramleybend/settings_parsing.py
@@ -55,7 +55,7 @@
     return str((info.examples or [''])[0])
 
 
-def parse(
+def parse_program(
     program: Program[Model],
     args: Sequence[str],
     env: Mapping[str, str],
