--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -76,12 +76,18 @@
         """Hear that a VM was not heard for a while."""
         for feed in self.feeds:
             feed.lost(vm)
+        # Its runs end with its connections. Kept as taken, the slots that it
+        # had would be missing until it is back or forgotten.
+        self._free_runs(vm)
 
     def lost(self, member: Member) -> None:
         """Free what a VM had running; it is gone or began anew."""
         self._allotments.forget(_peer(member.vm, member.incarnation))
+        self._free_runs(member.vm)
+
+    def _free_runs(self, vm: str) -> None:
         for _, queue in self._queues:
-            queue.heard_runs(member.vm, ())
+            queue.heard_runs(vm, ())
 
 
 def _peer(vm: str, incarnation: str) -> str:
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -139,8 +139,8 @@
             case Err(problem):
                 self.events.record('reload_refused', why=str(problem))
 
-    async def stop(self) -> None:
-        """Let callers go elsewhere, end what is in flight, then close."""
+    async def drain(self) -> None:
+        """Let callers go elsewhere, then end what is in flight."""
         began = self._clock.monotonic()
         self.events.record('stopping', in_flight=self.ingress.busy)
         self.leaving = True
@@ -155,9 +155,9 @@
         while self.ingress.busy and self._clock.monotonic() < ends_at:
             await asyncio.sleep(STOP_POLL_S)
         self.events.record('stopped', in_flight=self.ingress.busy)
-        await self._close()
 
-    async def _close(self) -> None:
+    async def close(self) -> None:
+        """Close everything as it stands."""
         await self.ingress.stop()
         for task in self._tasks:
             task.remove_done_callback(self._part_ended)
--- a/bramleybend/platform/program.py
+++ b/bramleybend/platform/program.py
@@ -29,54 +29,57 @@
         self._cfg = cfg
         self._clock = clock
         self._rng = Random()
-        self._entry = EntryProcess(cfg, clock, make_dialect(), self._rng)
-        self.stopping = self._entry.stopping
-        self.reload = self._entry.reload
-        self._store = StoreClient(cfg.store.host, cfg.store.port, clock)
+        self.entry = EntryProcess(cfg, clock, make_dialect(), self._rng)
+        self.stopping = self.entry.stopping
+        self.reload = self.entry.reload
+        self.store = StoreClient(cfg.store.host, cfg.store.port, clock)
         self._mirrors: dict[str, StoreClient] = {}
-        self._feeds = (self._manifest_feed(), self._runner_feed())
+        self.feeds = (self._manifest_feed(), self._runner_feed())
         self._doors = self._make_doors()
 
     async def start(self) -> None:
         """Listen on all ports and follow the store."""
         for door, host, port in self._doors:
             await door.start(host, port)
-        for feed in self._feeds:
-            self._entry.follow(feed)
-        await self._entry.start()
+        for feed in self.feeds:
+            self.entry.follow(feed)
+        await self.entry.start()
 
     async def stop(self) -> None:
         """Stop serving callers first, then the rest."""
-        await self._entry.stop()
+        await self.entry.drain()
+        await self.kill()
+
+    async def kill(self) -> None:
+        """Close everything as it stands."""
+        await self.entry.close()
         for door, _, _ in self._doors:
             await door.stop()
-        for client in (self._store, *self._mirrors.values()):
+        for client in (self.store, *self._mirrors.values()):
             client.close()
 
     def _manifest_feed(self) -> Feed:
         feed = self._feed(MANIFEST_FEED)
-        book = self._entry.book
-        feed.take = ManifestPages(book, self._entry.events).take
+        book = self.entry.book
+        feed.take = ManifestPages(book, self.entry.events).take
         feed.confirmed = book.confirm_manifest
         return feed
 
     def _runner_feed(self) -> Feed:
         feed = self._feed(RUNNER_FEED)
-        runners = RunnerList(
-            self._entry.book, decode_runner, self._entry.events
-        )
+        runners = RunnerList(self.entry.book, decode_runner, self.entry.events)
         feed.take = runners.take
         feed.confirmed = runners.confirmed
-        self._entry.swept = runners.drop_lapsed
+        self.entry.swept = runners.drop_lapsed
         return feed
 
     def _feed(self, terms: FeedTerms) -> Feed:
         return Feed(
             terms,
-            self._store,
+            self.store,
             self._mirror_at,
             self._clock,
-            self._entry.events,
+            self.entry.events,
             self._rng,
         )
 
@@ -90,8 +93,8 @@
 
     def _make_doors(self) -> list[tuple[Ingress, str, int]]:
         cfg = self._cfg
-        directory = Directory(self._entry.fronts, self._entry.is_ready)
-        mirror = Mirror({feed.terms.name: feed.copy for feed in self._feeds})
+        directory = Directory(self.entry.fronts, self.entry.is_ready)
+        mirror = Mirror({feed.terms.name: feed.copy for feed in self.feeds})
         doors = (
             (directory.handle, cfg.ready.host, cfg.ready.port),
             (directory.handle, cfg.directory.host, cfg.directory.port),
--- a/bramleybend/platform/store.py
+++ b/bramleybend/platform/store.py
@@ -52,8 +52,8 @@
 
     def __init__(self, address: str, port: int, clock: Clock) -> None:
         """Name the store; nothing is opened yet."""
-        self._address = address
-        self._port = port
+        self.address = address
+        self.port = port
         self._clock = clock
         self._idle: list[Channel] = []
         self.calls = 0
@@ -137,7 +137,7 @@
     ) -> Result[tuple[int, bytes], Problem]:
         self.calls += 1
         target = f'{path}?{urlencode(query)}'.encode()
-        host = f'{self._address}:{self._port}'.encode()
+        host = f'{self.address}:{self.port}'.encode()
         method = b'POST' if body else b'GET'
         outgoing = Outgoing(method, target, [(b'Host', host)], body)
         channel: Channel | None = None
@@ -164,7 +164,7 @@
             if channel.usable:
                 return channel
             channel.abort()
-        return await connect(self._address, self._port, self._clock)
+        return await connect(self.address, self.port, self._clock)
 
     def _keep(self, channel: Channel, kept: bool) -> None:
         if kept:
@@ -177,7 +177,7 @@
     def _lost(self, exc: Exception) -> Problem:
         return Problem(
             ErrorKind.LOG_UNAVAILABLE,
-            f'the store at {self._address}:{self._port} gave no answer: '
+            f'the store at {self.address}:{self.port} gave no answer: '
             f'{exc or type(exc).__name__}',
             'what is known stays in force; see whether other VMs reach it',
         )
--- /dev/null
+++ b/tests/decisions/test_resends.py
@@ -0,0 +1,47 @@
+"""The budget of second sends, over all VMs together."""
+
+from bramleybend.decisions.resends import ResendBudget, ResendTerms
+
+TERMS = ResendTerms(ratio=0.2, extra=52, window_s=10)
+STEP_S = 0.01
+
+
+def test_an_outage_adds_no_more_arrivals_than_the_budget() -> None:
+    """Every request fails and asks to be sent again, on six VMs.
+
+    In any window the resends stay within the ratio of the requests plus the
+    fixed allowance, though no VM hears of the others.
+    """
+    vms, per_s = 6, 10
+    budgets = [ResendBudget(TERMS) for _ in range(vms)]
+    spent: list[float] = []
+    requests: list[float] = []
+    for step in range(int(40 / STEP_S)):
+        now = step * STEP_S
+        if step % int(1 / STEP_S / per_s):
+            continue
+        for budget in budgets:
+            requests.append(now)
+            budget.requested('s', vms, now)
+            while budget.spend('s', vms, now):
+                spent.append(now)
+    for start in range(30):
+        window = range(start, start + int(TERMS.window_s))
+        asked = sum(int(at) in window for at in requests)
+        again = sum(int(at) in window for at in spent)
+        assert again <= TERMS.ratio * asked + TERMS.extra
+
+
+def test_a_quiet_vm_may_resend_a_failed_request() -> None:
+    """Its part of the fixed allowance is there without any traffic."""
+    budget = ResendBudget(TERMS)
+    assert budget.spend('s', 6, 0)
+
+
+def test_many_vms_share_the_fixed_allowance() -> None:
+    """With 78 VMs a part is under one; resends then come from requests."""
+    budget = ResendBudget(TERMS)
+    assert not budget.spend('s', 78, 0)
+    for _ in range(5):
+        budget.requested('s', 78, 0)
+    assert budget.spend('s', 78, 0)
--- /dev/null
+++ b/tests/direct/__init__.py
@@ -0,0 +1,1 @@
+"""The raw path: plain HTTP requests by host and path."""
--- /dev/null
+++ b/tests/direct/test_news.py
@@ -0,0 +1,223 @@
+"""Pages of records: what is read, what is refused, who reads."""
+
+import json
+from random import Random
+
+import pytest
+from result import Err, Ok
+
+from bramleybend.clock import ManualClock, SystemClock
+from bramleybend.direct.book import Book
+from bramleybend.direct.feed import FeedCopy, KeyedRecord, Page
+from bramleybend.direct.members import Member, Members, Self
+from bramleybend.direct.models import RunnerState
+from bramleybend.direct.runner_list import RunnerList
+from bramleybend.events import EventLog
+from bramleybend.models import Repeat, Tier
+from bramleybend.platform.manifest import decode_manifest
+from bramleybend.platform.records import pack_page, unpack_page
+from bramleybend.platform.runner_entry import decode_runner
+from bramleybend.platform.store import StoreClient
+from tests.direct.world import HOST, manifest, route
+from tests.utils.instants import START
+from tests.utils.platform_store import PlatformStore
+
+ENTRY = {
+    'service': 'app',
+    'addr': '10.0.0.1:80',
+    'state': 'ready',
+    'slots': 4,
+    'zone': 'walton',
+}
+
+
+def record(offset: int, key: str, content: object = '') -> KeyedRecord:
+    """Return a record; without content the key is gone."""
+    text = json.dumps(content).encode() if content else b''
+    return KeyedRecord(offset, key, text)
+
+
+def page(*records: KeyedRecord, whole: bool = False) -> Page:
+    """Return a page that ends with its last record."""
+    return Page(records, records[-1].offset + 1 if records else 0, whole)
+
+
+def test_the_longest_prefix_of_the_host_decides() -> None:
+    """A host's longer path goes first; another host has none of them."""
+    declared = manifest(
+        routes=[
+            route('/a/', 'idempotent', 'short'),
+            route('/a/b/', 'non_idempotent', 'long'),
+        ]
+    )
+    found = decode_manifest(json.dumps(declared).encode()).unwrap()
+    long = found.route_of(HOST, '/a/b/c')
+    short = found.route_of(HOST, '/a/bc')
+    assert long is not None
+    assert short is not None
+    assert (long.repeat, short.repeat) == (
+        Repeat.NON_IDEMPOTENT,
+        Repeat.IDEMPOTENT,
+    )
+    assert long.tier is Tier.HIGH
+    assert found.route_of('other.example', '/a/b/c') is None
+    assert found.route_of(HOST, '/ab') is None
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'',
+        b'[]',
+        b'{"version":"x"}',
+        b'{"version":1,"routes":[{}]}',
+        json.dumps(manifest(routes=[route('/a/', 'odd', 's')])).encode(),
+    ],
+)
+def test_a_manifest_is_applied_whole_or_not_at_all(text: bytes) -> None:
+    """What can't be read names the fault and the remedy."""
+    refused = decode_manifest(text)
+    assert isinstance(refused, Err)
+    assert 'last good one' in str(refused.err_value)
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'addr': 'nowhere'},
+        {'addr': '10.0.0.1:0'},
+        {'addr': 5},
+        {'state': 'dreaming'},
+        {'service': None},
+        {'slots': 0},
+        {'slots': '4'},
+        {'born': 1.5},
+    ],
+)
+def test_a_foreign_entry_names_no_runner(changed: dict[str, object]) -> None:
+    """Fields of another type or an unknown state: the entry is refused."""
+    text = json.dumps({**ENTRY, **changed}).encode()
+    assert isinstance(decode_runner('r1', text), Err)
+    assert isinstance(decode_runner('r1', b'\xff\x00'), Err)
+
+
+def test_a_runner_that_starts_again_under_its_name_is_another() -> None:
+    """What was believed of the one that ended doesn't carry over."""
+    first = decode_runner('r1', json.dumps({**ENTRY, 'born': 1}).encode())
+    again = decode_runner('r1', json.dumps({**ENTRY, 'born': 2}).encode())
+    assert isinstance(first, Ok)
+    assert isinstance(again, Ok)
+    assert first.ok_value.incarnation != again.ok_value.incarnation
+    assert first.ok_value.state is RunnerState.READY
+
+
+def test_records_are_read_as_they_were_written() -> None:
+    """Offsets go on from the first; a key without content is gone."""
+    written = page(record(7, 'a', 'x'), record(8, 'b'))
+    read = unpack_page(pack_page(written), 7)
+    assert read == written
+    assert read.records[1].gone
+
+
+def test_a_copy_tells_what_came_since_an_offset() -> None:
+    """Older offsets than it holds are read anew, whole."""
+    copy = FeedCopy()
+    assert copy.newest() is None
+    copy.take(page(record(4, 'a', 'x'), whole=True))
+    copy.take(page(record(5, 'b', 'y'), record(6, 'a')))
+    since = copy.changes(6)
+    assert since is not None
+    assert [one.key for one in since.records] == ['a']
+    assert copy.changes(2) is None
+    assert copy.changes(9) is None
+    newest = copy.newest()
+    assert newest is not None
+    assert [one.key for one in newest.records] == ['b']
+
+
+def test_the_same_two_vms_read_whoever_is_asked() -> None:
+    """All VMs rank alike, so two say that they read and the rest don't."""
+    names = [f'entry-{number}' for number in range(6)]
+    reading = [
+        name
+        for name in names
+        if Members(Self(name, 'i', '10.0.0.1', '')).ranks_first(
+            'feed', {other: True for other in names if other != name}, 2
+        )
+    ]
+    assert len(reading) == 2
+
+
+def test_a_silent_vm_owns_nothing() -> None:
+    """Work goes to the next in rank once a heartbeat has been missed."""
+    members = Members(Self('entry-1', 'i', '10.0.0.1', ''))
+    for number in range(2, 7):
+        name = f'entry-{number}'
+        members.heard(Member(name, 'i', '10.0.0.2', '', True, False, 100, 0))
+    owner = members.owner('service', 100.1, able=False)
+    assert owner is not None
+    assert members.owner('service', 102, able=True) is None
+
+
+async def test_a_lapse_without_an_outage_counts_at_once() -> None:
+    """A runner that left in order is gone with its entry."""
+    clock = ManualClock(START)
+    book = Book(clock, EventLog('vm', 'i', clock, kept=0))
+    runners = RunnerList(book, decode_runner, EventLog('vm', 'i', clock, 0))
+    runners.take(page(record(0, 'r1', ENTRY), whole=True))
+    assert [one.name for one in book.runners['app']] == ['r1']
+    clock.advance(0.7)
+    runners.confirmed(book.now())
+    clock.advance(0.7)
+    runners.take(page(record(1, 'r1')))
+    assert not book.runners.get('app')
+
+
+async def test_pages_are_put_together_and_read_on_from_the_first() -> None:
+    """Changes made while the pages were read are not missed."""
+    store = PlatformStore('127.0.0.1')
+    store.page_size = 2
+    await store.server.start()
+    for number in range(5):
+        store.put('t', f'k{number}', number)
+    client = StoreClient('127.0.0.1', store.server.port, SystemClock())
+    whole = (await client.newest('t')).unwrap()
+    assert [one.key for one in whole.records] == [
+        f'k{number}' for number in range(5)
+    ]
+    assert whole.end == 5
+    store.topic('t').first = 3
+    assert (await client.changes('t', 1, 0)).unwrap().whole
+    client.close()
+    await store.server.stop()
+
+
+async def test_a_store_that_falls_silent_is_given_up() -> None:
+    """The call ends with a problem that names the remedy, in about a second.
+
+    The connection stays open and nothing comes; no error would ever tell.
+    """
+    store = PlatformStore('127.0.0.1')
+    await store.server.start()
+    client = StoreClient('127.0.0.1', store.server.port, SystemClock())
+    (await client.newest('t')).unwrap()
+    store.silent = True
+    refused = await client.newest('t')
+    assert isinstance(refused, Err)
+    assert 'stays in force' in str(refused.err_value)
+    store.silent = False
+    (await client.newest('t')).unwrap()
+    client.close()
+    await store.server.stop()
+
+
+def test_random_bytes_are_no_page() -> None:
+    """A page that was cut anywhere is an error or a shorter page."""
+    rng = Random(3)
+    packed = pack_page(page(record(0, 'key', 'x' * 50), record(1, 'b', 'y')))
+    for _ in range(50):
+        cut = packed[: rng.randrange(len(packed))]
+        try:
+            unpack_page(cut, 0)
+        except Exception as exc:  # noqa: BLE001
+            assert type(exc).__name__ in {'error', 'UnicodeDecodeError'}
--- /dev/null
+++ b/tests/direct/test_whole_path.py
@@ -0,0 +1,124 @@
+"""A request from its caller to a runner and back, over real sockets."""
+
+import asyncio
+
+from tests.direct.world import ENGINE, PLAIN, manifest, playing
+from tests.utils.raw_runner import Seen, answers, chunk, event, streams
+from tests.utils.waiting import wait_until
+
+
+async def test_a_plain_request_comes_back_as_its_runner_answered() -> None:
+    """Status, body and proof are the runner's; the key stays with us."""
+    async with playing() as world:
+        runner = await world.add_runner('r1', PLAIN)
+        await world.knows(PLAIN)
+        answer = await world.call('/book/x?day=1', body=b'slot', X_Other='1')
+        assert (answer.status, answer.body) == (200, b'done')
+        assert answer.headers['x-bramleybend-response-stamp'] == 's1'
+        (seen,) = runner.seen
+        assert (seen.method, seen.target) == ('POST', '/book/x?day=1')
+        assert seen.body == b'slot'
+        assert seen.headers['x-other'] == '1'
+        assert seen.headers['x-bramleybend-expect-instance'] == 'r1'
+        assert seen.headers['x-bramleybend-tenant'] == 'school'
+        assert 'authorization' not in seen.headers
+        assert 0 < int(seen.headers['x-bramleybend-deadline-ms']) <= 4000
+
+
+async def test_what_only_the_system_may_set_is_dropped() -> None:
+    """A caller can't name a workspace or reserve an engine's memory."""
+    async with playing() as world:
+        runner = await world.add_runner('r1', ENGINE, streams)
+        await world.knows(ENGINE)
+        await world.call(
+            '/draft/x',
+            X_Bramleybend_Tenant='other',
+            X_Bramleybend_Hold='h',
+            X_Bramleybend_Pin_Ms='100',
+            Kv_From='10.0.0.1:1/x',
+            X_Bramleybend_Expect_Instance='i-9',
+        )
+        headers = runner.seen[0].headers
+        assert headers['x-bramleybend-tenant'] == 'school'
+        assert headers['x-bramleybend-expect-instance'] == 'r1'
+        for name in ('x-bramleybend-hold', 'x-bramleybend-pin-ms', 'kv-from'):
+            assert name not in headers
+
+
+async def test_a_stream_reaches_its_caller_event_by_event() -> None:
+    """The first event is there before the runner makes the second."""
+    go_on = asyncio.Event()
+
+    async def slow(seen: Seen) -> None:
+        seen.writer.write(seen.stream_head() + chunk(event(1)))
+        await go_on.wait()
+        seen.writer.write(chunk(event(2)) + chunk(b''))
+
+    async with playing() as world:
+        await world.add_runner('r1', ENGINE, slow)
+        await world.knows(ENGINE)
+        caller = await world.connect()
+        await caller.send('/draft/x')
+        async with asyncio.timeout(2):
+            await caller.reader.readuntil(b'piece 1\n\n')
+        go_on.set()
+        async with asyncio.timeout(2):
+            await caller.reader.readuntil(b'0\r\n\r\n')
+        caller.close()
+
+
+async def test_unknown_hosts_paths_and_keys_are_told_apart() -> None:
+    """404 without a route, 401 without a key that is known."""
+    async with playing() as world:
+        assert (await world.call('/nothing/x')).status == 404
+        assert (await world.call('/read/x', key='')).status == 401
+        assert (await world.call('/read/x', key='gone')).status == 401
+        refused = await world.call('/read/x')
+        assert refused.status == 503
+        assert float(refused.headers['retry-after']) >= 0
+
+
+async def test_a_vm_without_a_manifest_keeps_requests_then_refuses() -> None:
+    """The caller sees 503 with a time to return, never 404.
+
+    A VM starts while the store is silent. It knows no route, so it can't
+    tell that there is none. The request waits a part of its patience.
+    """
+    async with playing() as world:
+        world.store.silent = True
+        await world.vms.pop().kill()
+        world.cfgs.clear()
+        await world.add_vm()
+        answer = await world.call('/read/x', X_Bramleybend_Deadline_Ms='500')
+        assert answer.status == 503
+        assert 0 < float(answer.headers['retry-after']) <= 0.1
+        assert not world.vms[0].entry.is_ready()
+
+
+async def test_a_new_manifest_is_in_force_at_once_and_an_older_never() -> None:
+    """Routes follow the highest version, whatever order they come in."""
+    async with playing() as world:
+        book = world.vms[0].entry.book
+        world.publish(manifest(7, routes=[]))
+        await wait_until(
+            lambda: book.manifest is not None and book.manifest.version == 7,
+            'the new version',
+            limit_s=1,
+        )
+        world.publish(manifest(3))
+        feed = world.vms[0].feeds[0]
+        await wait_until(lambda: feed.copy.end == 3, 'the older version')
+        assert (await world.call('/read/x')).status == 404
+
+
+async def test_a_manifest_that_cannot_be_read_leaves_the_last_one() -> None:
+    """Nothing of it is applied, and callers are served as before."""
+    async with playing() as world:
+        await world.add_runner('r1', PLAIN, answers)
+        world.publish({'version': 9, 'routes': [{'host': 5}]})
+        world.publish({'version': 'x'})
+        await world.knows(PLAIN)
+        assert (await world.call('/read/x')).status == 200
+        book = world.vms[0].entry.book
+        assert book.manifest is not None
+        assert book.manifest.version == 1
--- /dev/null
+++ b/tests/direct/world.py
@@ -0,0 +1,265 @@
+"""Entry VMs, a store and runners in one event loop, over loopback."""
+
+import asyncio
+import itertools
+import json
+import os
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from bramleybend.clock import SystemClock
+from bramleybend.entry_settings import EntrySettings
+from bramleybend.platform.program import PlatformProcess, make_platform_process
+from bramleybend.settings_types import HostPort
+from tests.utils.platform_store import PlatformStore
+from tests.utils.raw_runner import Behaviour, RawRunner, answers
+from tests.utils.waiting import wait_until
+
+ENGINE, PLAIN = 'engine-service', 'plain-service'
+KEY = 'key-1'
+HOST = 'desk.example'
+# Tests run beside each other, each process with a network of its own.
+_SUBNET = 20 + os.getpid() % 200
+_PORTS = itertools.count(21_000)
+
+
+def route(prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Return one route of a manifest."""
+    return {
+        'name': prefix.strip('/'),
+        'host': HOST,
+        'pathPrefix': prefix,
+        'kind': kind,
+        'timeoutMs': 4000,
+        'targetLatencyMs': 800,
+        'priority': 1,
+        'service': service,
+        'maxAttempts': 2,
+        'public': False,
+        **more,
+    }
+
+
+def manifest(version: int = 1, **more: Any) -> dict[str, Any]:
+    """Return a manifest with one route of each kind."""
+    return {
+        'version': version,
+        'routes': [
+            route('/read/', 'idempotent', PLAIN),
+            route('/book/', 'non_idempotent', PLAIN),
+            route('/draft/', 'streaming', ENGINE, maxAttempts=1),
+            route('/check/', 'streaming', ENGINE, resumable=True),
+        ],
+        'services': [
+            {
+                'name': ENGINE,
+                'healthPath': '/healthz',
+                'maxConns': 360,
+                'engine': {'slots': 4, 'stride': 6},
+            },
+            {'name': PLAIN, 'healthPath': '/healthz', 'maxConns': 96},
+        ],
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 100_000,
+            'headerTimeoutMs': 500,
+            'idleTimeoutMs': 5000,
+        },
+        'tenants': [{'name': 'school', 'apiKeys': [KEY], 'ratePerS': 0}],
+        **more,
+    }
+
+
+@dataclass
+class World:
+    """What a test plays with."""
+
+    store: PlatformStore
+    vms: list[PlatformProcess] = field(default_factory=list)
+    cfgs: list[EntrySettings] = field(default_factory=list)
+    runners: dict[str, RawRunner] = field(default_factory=dict)
+
+    def publish(self, declared: Mapping[str, Any]) -> None:
+        """Put a manifest into the store."""
+        self.store.put('keyed.op', 'config', declared)
+
+    async def add_runner(
+        self, name: str, service: str, behave: Behaviour = answers
+    ) -> RawRunner:
+        """Start a runner and register it."""
+        runner = RawRunner(f'127.{_SUBNET}.9.1', name, behave)
+        await runner.start()
+        self.runners[name] = runner
+        self.store.put('keyed.servers', name, runner.entry(service))
+        return runner
+
+    async def add_vm(self) -> PlatformProcess:
+        """Start an entry VM that knows the first as its seed."""
+        cfg = self._settings(len(self.vms) + 1)
+        vm = make_platform_process(cfg, SystemClock())
+        await vm.start()
+        self.vms.append(vm)
+        self.cfgs.append(cfg)
+        return vm
+
+    async def ready(self) -> None:
+        """Wait until every VM is ready and hears all others."""
+        await wait_until(
+            lambda: all(
+                len(vm.entry.fronts()) == len(self.vms) for vm in self.vms
+            ),
+            'all VMs ready',
+        )
+
+    async def knows(self, service: str, count: int = 1) -> None:
+        """Wait until every VM knows so many runners of a service."""
+        await wait_until(
+            lambda: all(
+                len(vm.entry.book.runners.get(service, ())) == count
+                for vm in self.vms
+            ),
+            f'{count} runners of {service}',
+        )
+
+    async def call(
+        self, target: str, vm: int = 0, **options: Any
+    ) -> 'RawAnswer':
+        """Send one request on a connection of its own."""
+        caller = await self.connect(vm)
+        await caller.send(target, **options)
+        try:
+            return await caller.answer()
+        finally:
+            caller.close()
+
+    async def connect(self, vm: int = 0) -> 'RawCaller':
+        """Open a caller's connection."""
+        cfg = self.cfgs[vm]
+        return await connect(cfg.front.host, cfg.front.port)
+
+    def _settings(self, number: int) -> EntrySettings:
+        address = f'127.{_SUBNET}.1.{number}'
+        port = next(_PORTS) if not self.cfgs else self.cfgs[0].front.port
+        return EntrySettings(
+            vm=f'entry-{number}',
+            domain='walton',
+            address=address,
+            front=HostPort(host=address, port=port),
+            ready=HostPort(host=address, port=port + 1000),
+            directory=HostPort(host=address, port=port + 2000),
+            peer_port=port + 3000,
+            seeds=f'127.{_SUBNET}.1.1:1',
+            store=HostPort(
+                host=self.store.server.host, port=self.store.server.port
+            ),
+        )
+
+
+@dataclass
+class RawAnswer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    def json(self) -> Any:
+        """Read the body as JSON."""
+        return json.loads(self.body)
+
+
+class RawCaller:
+    """A caller's connection, by plain bytes."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Take over an open connection."""
+        self.reader = reader
+        self.writer = writer
+
+    async def send(
+        self,
+        target: str,
+        *,
+        method: str = 'POST',
+        key: str = KEY,
+        attempt: str = 'a1',
+        body: bytes = b'{}',
+        **headers: str,
+    ) -> None:
+        """Send one request; header names are written with underscores."""
+        lines = [
+            f'{method} {target} HTTP/1.1',
+            f'Host: {HOST}',
+            f'X-Bramleybend-Attempt-Id: {attempt}',
+            f'Content-Length: {len(body)}',
+        ]
+        if key:
+            lines.append(f'Authorization: Token {key}')
+        for name, text in headers.items():
+            hyphened = name.replace('_', '-')
+            lines.append(f'{hyphened}: {text}')
+        head = '\r\n'.join(lines)
+        self.writer.write(f'{head}\r\n\r\n'.encode() + body)
+        await self.writer.drain()
+
+    async def answer(self, timeout_s: float = 8) -> RawAnswer:
+        """Read one answer; a torn one isn't whole."""
+        async with asyncio.timeout(timeout_s):
+            head = (await self.reader.readuntil(b'\r\n\r\n')).decode()
+            first, *lines = head.strip().split('\r\n')
+            headers = {}
+            for line in lines:
+                name, _, text = line.partition(':')
+                headers[name.lower()] = text.strip()
+            body, whole = await self._body(headers)
+        return RawAnswer(int(first.split()[1]), headers, body, whole)
+
+    def close(self) -> None:
+        """Leave."""
+        self.writer.close()
+
+    async def _body(self, headers: Mapping[str, str]) -> tuple[bytes, bool]:
+        body = b''
+        try:
+            if 'content-length' in headers:
+                length = int(headers['content-length'])
+                return await self.reader.readexactly(length), True
+            while True:
+                size = int(await self.reader.readuntil(b'\r\n'), 16)
+                part = await self.reader.readexactly(size + 2)
+                if not size:
+                    return body, True
+                body += part[:-2]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+
+async def connect(host: str, port: int) -> RawCaller:
+    """Open a connection."""
+    return RawCaller(*await asyncio.open_connection(host, port))
+
+
+@asynccontextmanager
+async def playing(vms: int = 1) -> AsyncIterator[World]:
+    """Start a store with a manifest, and entry VMs; end all of it."""
+    store = PlatformStore(f'127.{_SUBNET}.8.1')
+    await store.server.start()
+    world = World(store)
+    world.publish(manifest())
+    store.topic('keyed.servers')
+    try:
+        for _ in range(vms):
+            await world.add_vm()
+        await world.ready()
+        yield world
+    finally:
+        for vm in world.vms:
+            await vm.kill()
+        for runner in world.runners.values():
+            await runner.stop()
+        await store.server.stop()
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The translation between the platform and the product."""
