--- a/tests/direct/test_callers.py
+++ b/tests/direct/test_callers.py
@@ -148,8 +148,7 @@
         runner = await world.add_runner('r1', PLAIN)
         await world.knows(PLAIN)
         hidden = b'POST /book/hidden HTTP/1.1\r\nHost: desk.example\r\n\r\n'
-        body = f'{len(hidden):x}\r\n'.encode() + hidden
-            + body
+        body = b'%x\r\n%b\r\n0\r\n\r\n' % (len(hidden), hidden)
         caller = await world.connect()
         caller.writer.write(
             f'POST /book/x HTTP/1.1\r\nHost: {HOST}\r\n'
