--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -17,6 +17,9 @@
 from dataclasses import dataclass, field
 
 
+DEBT_FROM = 0.05
+
+
 @dataclass(frozen=True)
 class Allowance:
     """What a workspace may use, as it now stands."""
@@ -49,8 +52,7 @@
     ) -> float:
         """Spend units and return 0, or return the seconds to come back in."""
         bucket = self._refilled(workspace, allowance, now, share)
-        # A request larger than the burst passes a full bucket, or never.
-        needed = min(units, allowance.burst)
+        needed = min(units, allowance.burst * DEBT_FROM)
         if bucket.level < needed:
             rate = max(allowance.rate_per_s * share, 1)
             return (needed - bucket.level) / rate
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -29,6 +29,7 @@
     refusals: int = 0  # runners that surely did not
     last_event: str = ''  # the newest that was passed on
     last_failure: Failure | None = None
+    first_event_at: float | None = None  # monotonic
     trail: list[str] = field(default_factory=list)  # runners it was sent to
 
 
--- a/bramleybend/direct/relay.py
+++ b/bramleybend/direct/relay.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from bramleybend.clients.channel import Head
+from bramleybend.clock import Clock
 from bramleybend.direct.attempt import (
     Attempt,
     BrokenStreamError,
@@ -27,6 +28,7 @@
         dialect: Dialect,
         placer: Placer,
         placed: Placement,
+        clock: Clock,
     ) -> None:
         """Relay to a responder."""
         self._job = job
@@ -34,6 +36,7 @@
         self._dialect = dialect
         self._placer = placer
         self._placed = placed
+        self._clock = clock
         self.events = 0  # that came from the runner
 
     async def run(self, attempt: Attempt, head: Head) -> Failure | None:
@@ -70,6 +73,8 @@
     async def _pass(self, head: Head, event: Event) -> None:
         if not self.events:
             self._placer.filled(self._placed)
+            if self._job.first_event_at is None:
+                self._job.first_event_at = self._clock.monotonic()
         self.events += 1
         # The head waits for the first event: until then a failure can still
         # be answered as what it is, or the request sent on.
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -18,6 +18,7 @@
 from bramleybend.direct.relay import StreamRelay
 from bramleybend.direct.tries import LEFT, Tries, timed_out
 
+MILLISECONDS: Final = 1000
 SERVER_ERRORS: Final = 500  # statuses from here on tell of a runner's failure
 
 
@@ -146,7 +147,12 @@
         attempt = self._tries.attempt(job, placed)
         started = self._tries.now()
         relay = StreamRelay(
-            job, responder, self._parts.dialect, self._parts.placer, placed
+            job,
+            responder,
+            self._parts.dialect,
+            self._parts.placer,
+            placed,
+            self._parts.clock,
         )
         outcome: Failure | None = LEFT
         try:
@@ -192,6 +198,7 @@
 
     def _log_answer(self, job: Job, status: int) -> None:
         failure = job.last_failure
+        first_at = job.first_event_at
         self._parts.events.record(
             'answered',
             req=job.facts.attempt_id,
@@ -201,6 +208,9 @@
             status=int(status),
             runners=','.join(job.trail),
             why=failure.reason if failure else '',
+            first_event_ms=''
+            if first_at is None
+            else int((first_at - job.req.received_at) * MILLISECONDS),
             ms=self._tries.ms_since(job.req.received_at),
         )
 
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -50,6 +50,8 @@
                 'placed',
                 req=job.facts.attempt_id,
                 service=job.terms.service,
+                tokens=job.facts.prompt_tokens,
+                output=job.facts.likely_output or job.facts.most_output,
                 runner=placed.runner.name,
                 owner=placed.owner.vm if placed.owner else 'own',
                 waited_ms=self.ms_since(job.req.received_at),
