--- a/bramleybend/direct/book.py
+++ b/bramleybend/direct/book.py
@@ -38,6 +38,10 @@
         """Whether requests can be served."""
         return self.manifest is not None and self.runners_known
 
+    def version(self) -> int:
+        """Return the manifest's version; 0 before the first."""
+        return self.manifest.version if self.manifest else 0
+
     def manifest_age(self) -> float:
         """Return for how long a newer manifest may have been missed."""
         return self._clock.monotonic() - self._confirmed_at
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -7,7 +7,7 @@
 import asyncio
 import json
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from math import ceil
@@ -63,6 +63,7 @@
     body: bytes = b''
     close: bool = False
     reason: str = ''  # of an answer of our own, for the log
+    inputs: Mapping[str, str] = field(default_factory=dict)  # what decided it
 
 
 def own_reply(
@@ -71,6 +72,7 @@
     retry_after_s: float | None = None,
     *,
     close: bool = False,
+    inputs: Mapping[str, str] | None = None,
 ) -> Reply:
     """Make an answer that tells what was wrong and when to come back."""
     body: dict[str, object] = {'reason': reason}
@@ -80,7 +82,14 @@
         seconds = ceil(retry_after_s * HUNDREDTHS) / HUNDREDTHS
         headers.append((b'Retry-After', f'{seconds:.2f}'.encode()))
         body['retry_after_s'] = seconds
-    return Reply(status, headers, json.dumps(body).encode(), close, reason)
+    return Reply(
+        status,
+        headers,
+        json.dumps(body).encode(),
+        close,
+        reason,
+        inputs or {},
+    )
 
 
 class Responder:
--- a/bramleybend/direct/intake.py
+++ b/bramleybend/direct/intake.py
@@ -98,18 +98,25 @@
             terms = holder.allotment
             units = facts.units(terms)
             now = self._clock.monotonic()
+            share = self._members.share(now)
             wait_s = self._allotments.admit(
                 holder.name,
                 Allowance(terms.rate_per_s, terms.burst),
                 units,
                 now,
-                self._members.share(now),
+                share,
             )
             if wait_s:
                 return own_reply(
                     HTTPStatus.TOO_MANY_REQUESTS,
                     'the workspace is over its allotment; nothing was run',
                     wait_s,
+                    inputs={
+                        'workspace': holder.name,
+                        'units': f'{units:.0f}',
+                        'vms_heard': f'{share:.2f}',
+                        'retry_after_s': f'{wait_s:.2f}',
+                    },
                 )
         tier = route.tier
         return Admitted(
@@ -121,14 +128,22 @@
         )
 
     def _denied(self, status: HTTPStatus, reason: str) -> Reply:
+        inputs = self._manifest_inputs()
         if self._book.manifest_age() <= SURE_AGE_S:
-            return own_reply(status, reason)
+            return own_reply(status, reason, inputs=inputs)
         return own_reply(
             HTTPStatus.SERVICE_UNAVAILABLE,
             f'{reason}, by a manifest that may be outdated; nothing was run',
             UNSURE_RETRY_S,
+            inputs=inputs,
         )
 
+    def _manifest_inputs(self) -> dict[str, str]:
+        return {
+            'manifest': str(self._book.version()),
+            'manifest_age_s': f'{self._book.manifest_age():.2f}',
+        }
+
 
 def hold_s(facts: RequestFacts) -> float:
     """Return how long a request waits for a manifest."""
--- a/bramleybend/direct/meters.py
+++ b/bramleybend/direct/meters.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 from prometheus_client import (
@@ -19,6 +20,18 @@
 # patience between 1 and 8.
 BUCKETS: Final = (0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8)
 
+GAUGES: Final = MappingProxyType(
+    {
+        'manifest_age_seconds': 'Seconds for which a newer manifest may have '
+        'been missed.',
+        'manifest_version': 'Version of the manifest in force; 0 before the '
+        'first.',
+        'runners': 'Runners known, leaving ones included.',
+        'peers_alive': 'Other entry VMs heard within the last heartbeats.',
+        'in_flight': 'Connections of callers with a request on them.',
+    }
+)
+
 
 class Meters:
     """All meters of one process."""
@@ -60,10 +73,13 @@
             'Seconds from a request to its slot at a runner.',
         )
 
-    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
-        """Add a gauge that is read when it is asked for."""
-        made = Gauge(name, text, namespace=PREFIX, registry=self.registry)
-        made.set_function(read)
+    def read_gauges(self, readings: Mapping[str, Callable[[], float]]) -> None:
+        """Read each of `GAUGES` when it is asked for."""
+        for name, meaning in GAUGES.items():
+            gauge = Gauge(
+                name, meaning, namespace=PREFIX, registry=self.registry
+            )
+            gauge.set_function(readings[name])
 
     def text(self) -> bytes:
         """Return all meters in the text form of their library."""
@@ -80,9 +96,11 @@
         )
 
 
-def rows(meters: Meters) -> Mapping[str, str]:
+def meters_of_an_entry_vm() -> Mapping[str, str]:
     """Return every meter's name and meaning, for the operators' page."""
-    return {
+    families = {
         family.name: family.documentation
-        for family in meters.registry.collect()
+        for family in Meters().registry.collect()
     }
+    gauges = {f'{PREFIX}_{name}': text for name, text in GAUGES.items()}
+    return families | gauges
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -99,7 +99,7 @@
         self.leaving = False
         self.swept: Callable[[], None] = _nothing
         self.book.listen(self._book_changed)
-        self._add_gauges()
+        self.meters.read_gauges(self._readings())
 
     def is_ready(self) -> bool:
         """Tell whether callers should come here."""
@@ -196,33 +196,16 @@
             self.meters,
         )
 
-    def _add_gauges(self) -> None:
-        gauge = self.meters.gauge
-        gauge(
-            'manifest_age_seconds',
-            'Seconds for which a newer manifest may have been missed.',
-            self.book.manifest_age,
-        )
-        gauge(
-            'manifest_version',
-            'Version of the manifest in force; 0 before the first.',
-            lambda: self.book.manifest.version if self.book.manifest else 0,
-        )
-        gauge(
-            'runners',
-            'Runners known, leaving ones included.',
-            lambda: sum(map(len, self.book.runners.values())),
-        )
-        gauge(
-            'peers_alive',
-            'Other entry VMs heard within the last heartbeats.',
-            lambda: len(self.members.alive(self._clock.monotonic())),
-        )
-        gauge(
-            'in_flight',
-            'Connections of callers with a request on them.',
-            lambda: self.ingress.busy,
-        )
+    def _readings(self) -> dict[str, Callable[[], float]]:
+        return {
+            'manifest_age_seconds': self.book.manifest_age,
+            'manifest_version': self.book.version,
+            'runners': lambda: sum(map(len, self.book.runners.values())),
+            'peers_alive': lambda: len(
+                self.members.alive(self._clock.monotonic())
+            ),
+            'in_flight': lambda: self.ingress.busy,
+        }
 
     def _limits(self) -> IngressLimits:
         manifest = self.book.manifest
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -193,8 +193,8 @@
             req=facts.attempt_id,
             status=int(reply.status),
             path=req.path,
-            manifest_age_s=round(self._parts.book.manifest_age(), 2),
             why=reply.reason,
+            **reply.inputs,
         )
 
     def _log_answer(self, job: Job, status: int) -> None:
--- a/bramleybend/metrics_page.py
+++ b/bramleybend/metrics_page.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Final
 
+from bramleybend.direct.meters import meters_of_an_entry_vm
 from bramleybend.metric_types import MetricInfo, MetricType
 from bramleybend.metrics import PREFIX, Metric
 
@@ -31,11 +32,31 @@
 """
 
 
+ENTRY_INTRODUCTION: Final = """
+## bramleybend-entry
+
+Served as text on the address of `--metrics`, and beside the readiness check.
+Counters carry `_total`, histograms `_bucket`, `_sum` and `_count`. Labels:
+`service`, `tier` (1 is the most important), `status` and `cause` or `fate`
+(`not_run`: no runner ran it; `may_have_run`: one may have).
+
+| Name | Meaning |
+|---|---|
+"""
+
+
 def metrics_page() -> str:
     """Return the whole page."""
     sent = _names_sent()
     rows = (_row(metric.value, metric.name in sent) for metric in Metric)
-    return INTRODUCTION + ''.join(rows)
+    return INTRODUCTION + ''.join(rows) + ENTRY_INTRODUCTION + _entry_rows()
+
+
+def _entry_rows() -> str:
+    names = meters_of_an_entry_vm()
+    return ''.join(
+        f'| `{name}` | {meaning} |\n' for name, meaning in names.items()
+    )
 
 
 def _names_sent() -> frozenset[str]:
--- a/bramleybend/settings_page.py
+++ b/bramleybend/settings_page.py
@@ -6,6 +6,7 @@
 
 from pydantic.fields import FieldInfo
 
+from bramleybend.entry_settings import ENTRY
 from bramleybend.settings import GATEWAY_ONLY, ProcessKind, fields_of
 from bramleybend.settings_parsing import env_of, example_of, flag_of
 
@@ -24,25 +25,46 @@
 """
 
 
+ENTRY_INTRODUCTION: Final = """
+## bramleybend-entry
+
+The program of an entry VM on the users' platform. Its settings may also stand
+in a file, which `--settings` names: lines `BRAMLEYBEND_NAME=value`, which flags
+and variables go before. At `SIGHUP` it learns new seeds from that file; all
+else holds until the next start.
+
+| Flag | Variable | Programs | Default | Example | Meaning |
+|---|---|---|---|---|---|
+"""
+
+
 def settings_page() -> str:
     """Return the whole page."""
-    return INTRODUCTION + ''.join(_rows())
+    both = ''.join(
+        _row(name, info, 'gateway' if name in GATEWAY_ONLY else 'both')
+        for name, info in fields_of(ProcessKind.GATEWAY)
+    )
+    entry = ''.join(_row(name, info, 'entry') for name, info in ENTRY.fields())
+    return INTRODUCTION + both + ENTRY_INTRODUCTION + entry
 
 
-def _rows() -> Iterator[str]:
-    for name, info in fields_of(ProcessKind.GATEWAY):
-        cells = ' | '.join(_cells(name, info))
-        yield f'| {cells} |\n'
+def _row(name: str, info: FieldInfo, programs: str) -> str:
+    cells = ' | '.join(_cells(name, info, programs))
+    return f'| {cells} |\n'
 
 
-def _cells(name: str, info: FieldInfo) -> Iterator[str]:
+def _cells(name: str, info: FieldInfo, programs: str) -> Iterator[str]:
     yield f'`{flag_of(name)}`'
     yield f'`{env_of(name)}`'
-    yield 'gateway' if name in GATEWAY_ONLY else 'both'
-    yield 'required' if info.is_required() else str(info.default or 'none')
+    yield programs
+    yield _default(info)
     yield f'`{example_of(info)}`'
     yield str(info.description)
 
 
+def _default(info: FieldInfo) -> str:
+    return 'required' if info.is_required() else str(info.default or 'none')
+
+
 if __name__ == '__main__':
     sys.stdout.write(settings_page())
