Listen for callers before the program's libraries are loaded

Cause: after a loss of power a VM refused connections for the half second that its imports take; callers used up their one retry on the next such VM. Ruled out: the store (the manifest was there 10 ms after the start). Change: the front port is bound and listens first; requests wait in the kernel.

--- a/bramleybend/cli/entry_vm.py
+++ b/bramleybend/cli/entry_vm.py
@@ -2,22 +2,17 @@
 
 import os
 import sys
-from collections.abc import Sequence
+from importlib import import_module
 
-from bramleybend.cli.serving import Environment, serve, system_environment
-from bramleybend.entry_settings import ENTRY
-from bramleybend.platform.program import make_platform_process
-from bramleybend.status import ExitStatus
-
-
-def main(args: Sequence[str], env: Environment) -> ExitStatus:
-    """Serve until told to stop; return what the shell gets."""
-    return serve(ENTRY, make_platform_process, args, env)
+from bramleybend.early_listener import listen_early
 
 
 def run() -> None:
     """Start as a console script."""
-    sys.exit(main(sys.argv[1:], system_environment(os.environ)))
+    listen_early(os.environ)
+    # Imported only now; `early_listener` tells why.
+    program = import_module('bramleybend.cli.entry_program')
+    sys.exit(program.main_from_console())
 
 
 if __name__ == '__main__':
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -20,10 +20,10 @@
 from bramleybend.clock import Clock
 from bramleybend.direct.dialect import header
 from bramleybend.direct.models import IngressLimits
+from bramleybend.early_listener import BACKLOG, open_listener
 
 logger = logging.getLogger(__name__)
 
-BACKLOG: Final = 1024
 # Longer than a slow client takes for the largest body that is allowed.
 BODY_TIMEOUT_S: Final = 10.0
 # How long a connection that ends is read on, or the last answer may be lost.
@@ -347,7 +347,9 @@
         """Listen."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), address, port, backlog=BACKLOG
+            lambda: CallerConnection(self),
+            sock=open_listener(address, port),
+            backlog=BACKLOG,
         )
 
     @property
--- a/bramleybend/settings_page.py
+++ b/bramleybend/settings_page.py
@@ -1,6 +1,7 @@
 """Writes docs/operators/SETTINGS.md: `python -m bramleybend.settings_page`."""
 
 import sys
+from itertools import starmap
 from typing import Final
 
 from pydantic.fields import FieldInfo
@@ -39,14 +40,19 @@
 
 def settings_page() -> str:
     """Return the whole page."""
-    both = ''.join(
-        _row(name, info, 'gateway' if name in GATEWAY_ONLY else 'both')
-        for name, info in fields_of(ProcessKind.GATEWAY)
-    )
-    entry = ''.join(_row(name, info, 'entry') for name, info in ENTRY.fields())
+    both = ''.join(starmap(_shared_row, fields_of(ProcessKind.GATEWAY)))
+    entry = ''.join(starmap(_entry_row, ENTRY.fields()))
     return INTRODUCTION + both + ENTRY_INTRODUCTION + entry
 
 
+def _shared_row(name: str, info: FieldInfo) -> str:
+    return _row(name, info, 'gateway' if name in GATEWAY_ONLY else 'both')
+
+
+def _entry_row(name: str, info: FieldInfo) -> str:
+    return _row(name, info, 'entry')
+
+
 def _row(name: str, info: FieldInfo, programs: str) -> str:
     default = str(info.default or 'none')
     cells = [
--- /dev/null
+++ b/tests/direct/test_program.py
@@ -0,0 +1,106 @@
+"""The real program, as a process of its own."""
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from tests.direct.world import PLAIN, World, connect, playing
+from tests.utils.processes import Process
+from tests.utils.waiting import wait_until
+
+
+@asynccontextmanager
+async def program(world: World, folder: Path) -> AsyncIterator[Process]:
+    """Run the program in the place of the world's only VM."""
+    await world.vms.pop().kill()
+    cfg = world.cfgs[0]
+    settings = folder / 'settings.conf'
+    settings.write_text(
+        f'BRAMLEYBEND_VM=entry-9\nBRAMLEYBEND_DOMAIN=walton\n'
+        f'BRAMLEYBEND_ADDRESS={cfg.address}\n'
+        f'BRAMLEYBEND_FRONT={cfg.front.host}:{cfg.front.port}\n'
+        f'BRAMLEYBEND_READY={cfg.ready.host}:{cfg.ready.port}\n'
+        f'BRAMLEYBEND_DIRECTORY={cfg.directory.host}:{cfg.directory.port}\n'
+        f'BRAMLEYBEND_PEER_PORT={cfg.peer_port}\n'
+        f'BRAMLEYBEND_STORE={cfg.store.host}:{cfg.store.port}\n'
+        'BRAMLEYBEND_SEEDS=\nOTHER=x\n'
+    )
+    process = Process(
+        'entry-9',
+        ['tests.direct.entry_process', str(settings)],
+        folder / 'entry.log',
+    )
+    await process.start()
+    try:
+        yield process
+    finally:
+        await process.kill()
+
+
+async def test_a_caller_that_comes_while_the_program_loads_is_served(
+    tmp_path: Path,
+) -> None:
+    """The first connection that stands is answered, not reset.
+
+    The program listens before its libraries are loaded; the request waits in
+    the kernel until it is read.
+    """
+    async with playing() as world:
+        await world.add_runner('r1', PLAIN)
+        async with program(world, tmp_path) as process:
+            cfg = world.cfgs[0]
+            caller = None
+            while caller is None:
+                process.check_running()
+                try:
+                    caller = await connect(cfg.front.host, cfg.front.port)
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.005)
+            assert 'event=started' not in process.log_text()
+            await caller.send('/read/x')
+            assert (await caller.answer()).status == 200
+            caller.close()
+
+
+async def test_signals_reload_and_stop_without_cutting_anything(
+    tmp_path: Path,
+) -> None:
+    """SIGHUP changes nothing for callers; SIGTERM ends with exit code 0."""
+    async with playing() as world:
+        await world.add_runner('r1', PLAIN)
+        async with program(world, tmp_path) as process:
+            await wait_until(
+                lambda: 'event=runner ' in process.log_text(), 'the runner'
+            )
+            process.send_signal(signal.SIGHUP)
+            await wait_until(
+                lambda: 'event=reloaded' in process.log_text(), 'the reload'
+            )
+            assert (await world.call('/read/x')).status == 200
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+            assert 'event=stopped' in process.log_text()
+
+
+async def test_no_key_or_body_stands_in_the_log(tmp_path: Path) -> None:
+    """What callers send in confidence is in no line, refused or served."""
+    async with playing() as world:
+        await world.add_runner('r1', PLAIN)
+        async with program(world, tmp_path) as process:
+            await wait_until(
+                lambda: 'event=runner ' in process.log_text(), 'the runner'
+            )
+            secret = b'a very private body'
+            await world.call('/read/x', body=secret)
+            await world.call('/read/x', key='stolen-key', body=secret)
+            await wait_until(
+                lambda: (
+                    'event=answered' in process.log_text()
+                    and 'event=denied' in process.log_text()
+                ),
+                'the lines',
+            )
+            for word in ('key-1', 'stolen-key', secret.decode()):
+                assert word not in process.log_text()
