--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -35,7 +35,8 @@
 RETRY_S: Final = (0.15, 0.4)
 # While others have fresh news the store is tried less often.
 REFUSED_RETRY_S: Final = (0.6, 1.2)
-WAKE_S: Final = 0.1
+WAKE_S: Final = 0.1  # between two looks at who reads and how old it is
+MOST_AGE_S: Final = 1e6  # stands for never
 
 
 @dataclass(frozen=True)
@@ -277,9 +278,6 @@
                 self._events.record('store_regained', feed=self.terms.name)
 
 
-MOST_AGE_S: Final = 1e6  # stands for never
-
-
 def _ignore(_: object) -> None:
     """Do nothing until a listener is set."""
 
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -5,21 +5,18 @@
 """
 
 import asyncio
-import json
 import logging
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from math import ceil
 from typing import Final
 
 import h11
 
-from bramleybend.clients.channel import HeaderList
 from bramleybend.clients.h11_protocol import H11Protocol
 from bramleybend.clock import Clock
-from bramleybend.direct.dialect import header
 from bramleybend.direct.models import IngressLimits
+from bramleybend.direct.replies import RawRequest, Reply, own_reply
+from bramleybend.direct.responder import Responder
 from bramleybend.early_listener import BACKLOG, open_listener
 
 logger = logging.getLogger(__name__)
@@ -28,118 +25,6 @@
 BODY_TIMEOUT_S: Final = 10.0
 # How long a connection that ends is read on, or the last answer may be lost.
 LINGER_S: Final = 0.5
-HUNDREDTHS: Final = 100
-JSON_TYPE: Final = b'application/json'
-
-
-@dataclass(frozen=True)
-class RawRequest:
-    """A whole request; header names as the caller wrote them."""
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes
-    received_at: float  # monotonic seconds, when its head was read
-
-    @property
-    def path(self) -> str:
-        """The target without its query."""
-        return self.target.partition(b'?')[0].decode('latin-1')
-
-    @property
-    def host(self) -> str:
-        """The host asked for, without a port, in lower case."""
-        text = header(self.headers, b'host').decode('latin-1').strip()
-        return text.partition(':')[0].lower()
-
-
-@dataclass(frozen=True)
-class Reply:
-    """An answer of our own, or a whole one of a runner."""
-
-    status: int
-    headers: HeaderList = field(default_factory=tuple)
-    body: bytes = b''
-    close: bool = False
-    reason: str = ''  # of an answer of our own, for the log
-    inputs: Mapping[str, str] = field(default_factory=dict)  # what decided it
-
-
-def own_reply(
-    status: HTTPStatus,
-    reason: str,
-    retry_after_s: float | None = None,
-    *,
-    close: bool = False,
-    inputs: Mapping[str, str] | None = None,
-) -> Reply:
-    """Make an answer that tells what was wrong and when to come back."""
-    body: dict[str, object] = {'reason': reason}
-    headers = [(b'Content-Type', JSON_TYPE)]
-    if retry_after_s is not None:
-        # Rounded up: who returns a moment too soon is refused again.
-        seconds = ceil(retry_after_s * HUNDREDTHS) / HUNDREDTHS
-        headers.append((b'Retry-After', f'{seconds:.2f}'.encode()))
-        body['retry_after_s'] = seconds
-    return Reply(
-        status,
-        headers,
-        json.dumps(body).encode(),
-        close,
-        reason,
-        inputs or {},
-    )
-
-
-class Responder:
-    """Writes one answer; owned by the request that it answers."""
-
-    def __init__(self, conn: 'CallerConnection') -> None:
-        """Answer on a connection."""
-        self._conn = conn
-        self.begun = False
-        self.torn = False
-
-    async def reply(self, reply: Reply) -> None:
-        """Send a whole answer."""
-        length = str(len(reply.body)).encode()
-        headers = [*reply.headers, (b'Content-Length', length)]
-        await self._head(reply.status, headers, reply.close)
-        await self._send(h11.Data(data=reply.body), h11.EndOfMessage())
-
-    async def stream(self, status: int, headers: HeaderList) -> None:
-        """Begin an answer whose parts follow."""
-        framed = [*headers, (b'Transfer-Encoding', b'chunked')]
-        await self._head(status, framed, close=False)
-
-    async def part(self, payload: bytes) -> None:
-        """Send one part."""
-        await self._send(h11.Data(data=payload))
-
-    async def end(self) -> None:
-        """Tell that the answer is whole."""
-        await self._send(h11.EndOfMessage())
-
-    def tear(self) -> None:
-        """End the connection so that the answer doesn't look whole."""
-        self.torn = True
-        self._conn.tear()
-
-    async def _head(
-        self, status: int, headers: HeaderList, close: bool
-    ) -> None:
-        self.begun = True
-        closing = [(b'Connection', b'close')] if self._conn.ends(close) else []
-        response = h11.Response(
-            status_code=status, headers=[*headers, *closing]
-        )
-        self._conn.queue(response)
-
-    async def _send(self, *events: h11.Event) -> None:
-        for event in events:
-            self._conn.queue(event)
-        await self._conn.flush()
 
 
 Handler = Callable[[RawRequest, Responder], Awaitable[None]]
--- a/bramleybend/direct/intake.py
+++ b/bramleybend/direct/intake.py
@@ -14,9 +14,8 @@
 from typing import Final
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.allotments import Allowance, AllotmentBook
+from bramleybend.decisions.allotments import AllotmentBook, Allowance
 from bramleybend.direct.book import Book
-from bramleybend.direct.ingress import RawRequest, Reply, own_reply
 from bramleybend.direct.members import Members
 from bramleybend.direct.models import (
     KeyHolder,
@@ -24,6 +23,7 @@
     Route,
     Target,
 )
+from bramleybend.direct.replies import RawRequest, Reply, own_reply
 from bramleybend.models import Tier
 
 # A long poll of the store and its timeout: an older manifest may be outdated.
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -9,11 +9,11 @@
 from bramleybend.direct.book import Book
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.dialect import Dialect
-from bramleybend.direct.ingress import RawRequest
 from bramleybend.direct.intake import Admitted, Intake
 from bramleybend.direct.meters import Meters
 from bramleybend.direct.models import RequestFacts
 from bramleybend.direct.placing import Placer
+from bramleybend.direct.replies import RawRequest
 from bramleybend.events import EventLog
 
 
--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -8,7 +8,8 @@
 from bramleybend.direct.members import Member, Members
 from bramleybend.direct.messages import Beat, Message, RunNews
 from bramleybend.direct.peers import member_news
-from bramleybend.direct.placing import Placer, Queues
+from bramleybend.direct.placing import Placer
+from bramleybend.direct.queues import Queues
 
 State = Callable[[], tuple[bool, bool]]  # ready, leaving
 
--- a/bramleybend/direct/models.py
+++ b/bramleybend/direct/models.py
@@ -1,9 +1,9 @@
 """What a manifest declares and what the store says of the runners."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from types import MappingProxyType
-from collections.abc import Mapping
 
 from bramleybend.models import Repeat, Tier
 
--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -7,15 +7,21 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from itertools import count
-from random import Random
 from typing import Final
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.actions import Grant, Refuse, RunReport
+from bramleybend.direct.ask_messages import (
+    ask_from,
+    ask_news,
+    ended_news,
+    report_from,
+    told,
+)
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Member, Members
 from bramleybend.direct.messages import (
@@ -30,9 +36,9 @@
     Withdrawn,
 )
 from bramleybend.direct.models import RunnerEntry
-from bramleybend.direct.owner import ServiceQueue, make_queue
+from bramleybend.direct.queues import Queues
 from bramleybend.events import EventLog
-from bramleybend.models import Ask, Tier
+from bramleybend.models import Ask
 
 # A round trip between failure domains takes 1 ms and a busy owner some more.
 ACK_S: Final = 0.04
@@ -61,48 +67,6 @@
     retry_after_s: float
 
 
-class Queues:
-    """This VM's queue of each service."""
-
-    def __init__(self, book: Book, clock: Clock, rng: Random) -> None:
-        """Start without services; they come with the manifest."""
-        self._book = book
-        self._clock = clock
-        self._rng = rng
-        self._queues: dict[str, ServiceQueue] = {}
-
-    def __iter__(self) -> Iterator[tuple[str, ServiceQueue]]:
-        """Go over the queues by service."""
-        return iter(self._queues.items())
-
-    def of(self, service: str) -> ServiceQueue:
-        """Return a service's queue."""
-        queue = self._queues.get(service)
-        if queue is None:
-            queue = make_queue(
-                service,
-                is_engine=self.is_engine(service),
-                clock=self._clock,
-                rng=self._rng,
-            )
-            self._queues[service] = queue
-            entries = self._book.runners.get(service, ())
-            queue.take_runners(entries, warm=True)
-        return queue
-
-    def is_engine(self, service: str) -> bool:
-        """Tell whether a service's work is ordered by one owner."""
-        manifest = self._book.manifest
-        facts = manifest.services.get(service) if manifest else None
-        return facts is not None and facts.is_engine
-
-    def take_runners(self) -> None:
-        """Tell every queue which runners it has now."""
-        for service, queue in self._queues.items():
-            entries = self._book.runners.get(service, ())
-            queue.take_runners(entries, warm=True)
-
-
 class Placer:
     """Places this VM's requests, and answers the asks of the others."""
 
@@ -163,7 +127,7 @@
         self._runs.pop(ask.request_id, None)
         self._queues.of(ask.service).ended(ask.request_id, report)
         if placement.owner is not None:
-            self.send(_ended(ask, report), placement.owner.address)
+            self.send(ended_news(ask, report), placement.owner.address)
 
     def take(
         self, message: Message, vm: str, reply: Callable[[Message], None]
@@ -179,7 +143,7 @@
                 queue.filled(message.request_id, message.prompt_tokens)
             case Ended():
                 queue = self._queues.of(message.service)
-                queue.ended(message.request_id, _report(message))
+                queue.ended(message.request_id, report_from(message))
             case Queued() | Granted() | Refused():
                 inbox = self._waiting.get(message.request_id)
                 if inbox is not None:
@@ -190,8 +154,8 @@
     ) -> None:
         queue = self._queues.of(news.service)
         queue.ask(
-            _ask(news, self._clock.monotonic()),
-            lambda action: reply(_told(action)),
+            ask_from(news, self._clock.monotonic()),
+            lambda action: reply(told(action)),
         )
         if queue.waits(news.request_id):
             reply(Queued(news.request_id))
@@ -241,7 +205,7 @@
     ) -> Message | None:
         silent = 0
         while silent < ASKS:
-            self.send(_news(ask, self._clock.monotonic()), owner.address)
+            self.send(ask_news(ask, self._clock.monotonic()), owner.address)
             message = await _next(inbox, ACK_S)
             silent += 1
             while isinstance(message, Queued):
@@ -270,7 +234,7 @@
         if owner is None:
             self._queues.of(ask.service).ended(ask.request_id, report)
         else:
-            self.send(_ended(ask, report), owner.address)
+            self.send(ended_news(ask, report), owner.address)
 
     def _begin(self, placement: Placement) -> None:
         ask = placement.ask
@@ -306,66 +270,6 @@
         fut.set_result(action)
 
 
-def _told(action: Grant | Refuse) -> Message:
-    if isinstance(action, Grant):
-        return Granted(action.request_id, action.runner)
-    wait_s = action.retry_after.total_seconds()
-    return Refused(action.request_id, action.reason, wait_s)
-
-
-def _news(ask: Ask, now: float) -> AskNews:
-    return AskNews(
-        ask.request_id,
-        ask.service,
-        int(ask.tier),
-        ask.workspace,
-        ask.cost,
-        ask.prompt_tokens,
-        ask.deadline - now,
-        sorted(ask.excluded),
-    )
-
-
-def _ask(news: AskNews, now: float) -> Ask:
-    return Ask(
-        news.request_id,
-        news.service,
-        Tier(news.tier),
-        news.workspace,
-        news.cost,
-        news.prompt_tokens,
-        (),
-        now + news.patience_s,
-        cancellable=False,
-        excluded=frozenset(news.excluded),
-    )
-
-
-def _ended(ask: Ask, report: RunReport) -> Ended:
-    return Ended(
-        ask.request_id,
-        ask.service,
-        report.outcome,
-        report.refused,
-        report.crashed,
-        report.prompt_tokens,
-        report.completion_tokens,
-        report.seconds,
-    )
-
-
-def _report(news: Ended) -> RunReport:
-    return RunReport(
-        news.outcome,
-        news.refused,
-        news.crashed,
-        news.prompt_tokens,
-        0,
-        news.completion_tokens,
-        news.seconds,
-    )
-
-
 def _send_nowhere(message: Message, address: str) -> None:
     """Drop a message before the socket is open."""
 
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -17,13 +17,14 @@
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.ingress import Ingress
 from bramleybend.direct.intake import Intake
+from bramleybend.direct.job import Parts
 from bramleybend.direct.listener import PeerListener
 from bramleybend.direct.members import Members, Self
 from bramleybend.direct.meters import Meters
 from bramleybend.direct.models import IngressLimits, RunnerEntry
 from bramleybend.direct.peers import Peers
-from bramleybend.direct.placing import Placer, Queues
-from bramleybend.direct.job import Parts
+from bramleybend.direct.placing import Placer
+from bramleybend.direct.queues import Queues
 from bramleybend.direct.service import DirectService
 from bramleybend.entry_settings import ENTRY, EntrySettings
 from bramleybend.events import EventLog
@@ -39,6 +40,9 @@
 STOP_POLL_S: Final = 0.05
 # Before the platform kills the process.
 KILL_MARGIN_S: Final = 0.5
+# Of the connections that a runner takes from all VMs; the rest is left to
+# VMs that come up and to connections that only one end has closed.
+CONNECTION_SHARE: Final = 0.8
 
 logger = logging.getLogger(__name__)
 
@@ -244,10 +248,5 @@
             self.swept()
 
 
-# Of the connections that a runner takes from all VMs; the rest is left to
-# VMs that come up and to connections that only one end has closed.
-CONNECTION_SHARE: Final = 0.8
-
-
 def _nothing() -> None:
     """Do nothing until a listener is set."""
--- a/bramleybend/direct/relay.py
+++ b/bramleybend/direct/relay.py
@@ -12,9 +12,10 @@
     Fate,
 )
 from bramleybend.direct.dialect import Dialect
-from bramleybend.direct.ingress import Reply, Responder
 from bramleybend.direct.job import Job
 from bramleybend.direct.placing import Placement, Placer
+from bramleybend.direct.replies import Reply
+from bramleybend.direct.responder import Responder
 from bramleybend.direct.sse import Event
 
 
--- /dev/null
+++ b/bramleybend/direct/replies.py
@@ -0,0 +1,74 @@
+"""A caller's whole request, and whole answers to one."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from math import ceil
+from typing import Final
+
+from bramleybend.clients.channel import HeaderList
+from bramleybend.direct.dialect import header
+
+HUNDREDTHS: Final = 100
+JSON_TYPE: Final = b'application/json'
+
+
+@dataclass(frozen=True)
+class RawRequest:
+    """A whole request; header names as the caller wrote them."""
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    received_at: float  # monotonic seconds, when its head was read
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition(b'?')[0].decode('latin-1')
+
+    @property
+    def host(self) -> str:
+        """The host asked for, without a port, in lower case."""
+        text = header(self.headers, b'host').decode('latin-1').strip()
+        return text.partition(':')[0].lower()
+
+
+@dataclass(frozen=True)
+class Reply:
+    """An answer of our own, or a whole one of a runner."""
+
+    status: int
+    headers: HeaderList = field(default_factory=tuple)
+    body: bytes = b''
+    close: bool = False
+    reason: str = ''  # of an answer of our own, for the log
+    inputs: Mapping[str, str] = field(default_factory=dict)  # what decided it
+
+
+def own_reply(
+    status: HTTPStatus,
+    reason: str,
+    retry_after_s: float | None = None,
+    *,
+    close: bool = False,
+    inputs: Mapping[str, str] | None = None,
+) -> Reply:
+    """Make an answer that tells what was wrong and when to come back."""
+    body: dict[str, object] = {'reason': reason}
+    headers = [(b'Content-Type', JSON_TYPE)]
+    if retry_after_s is not None:
+        # Rounded up: who returns a moment too soon is refused again.
+        seconds = ceil(retry_after_s * HUNDREDTHS) / HUNDREDTHS
+        headers.append((b'Retry-After', f'{seconds:.2f}'.encode()))
+        body['retry_after_s'] = seconds
+    return Reply(
+        status,
+        headers,
+        json.dumps(body).encode(),
+        close,
+        reason,
+        inputs or {},
+    )
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -5,17 +5,13 @@
 from typing import Final
 
 from bramleybend.direct.attempt import Failure, WholeAnswer
-from bramleybend.direct.ingress import (
-    RawRequest,
-    Reply,
-    Responder,
-    own_reply,
-)
 from bramleybend.direct.intake import Admitted, hold_s
 from bramleybend.direct.job import Job, Parts
 from bramleybend.direct.models import RequestFacts
 from bramleybend.direct.placing import NoSlot, Placement
 from bramleybend.direct.relay import StreamRelay
+from bramleybend.direct.replies import RawRequest, Reply, own_reply
+from bramleybend.direct.responder import Responder
 from bramleybend.direct.tries import LEFT, Tries, timed_out
 
 MILLISECONDS: Final = 1000
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -13,10 +13,10 @@
     WholeAnswer,
 )
 from bramleybend.direct.dialect import Onward
-from bramleybend.direct.ingress import Reply, own_reply
 from bramleybend.direct.job import Job, Parts
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.placing import NoSlot, Placement
+from bramleybend.direct.replies import Reply, own_reply
 from bramleybend.models import Ask
 
 # Sends of one request that no runner began to run. A refusal is answered in
@@ -31,6 +31,7 @@
 TIMEOUT: Final = 'timeout'
 DONE: Final = 'done'
 FAILED: Final = 'failed'
+LEFT: Final = Failure(Fate.MAY_HAVE_RUN, 'its caller left')
 
 
 class Tries:
@@ -218,6 +219,3 @@
     """Tell what is certain of a try whose time is up."""
     fate = Fate.MAY_HAVE_RUN if attempt.sent else Fate.NOT_RUN
     return Failure(fate, TIMEOUT)
-
-
-LEFT: Final = Failure(Fate.MAY_HAVE_RUN, 'its caller left')
--- a/bramleybend/platform/directory.py
+++ b/bramleybend/platform/directory.py
@@ -5,12 +5,8 @@
 from http import HTTPStatus
 from typing import Final
 
-from bramleybend.direct.ingress import (
-    RawRequest,
-    Reply,
-    Responder,
-    own_reply,
-)
+from bramleybend.direct.replies import RawRequest, Reply, own_reply
+from bramleybend.direct.responder import Responder
 
 RESOLVE: Final = '/resolve'
 READY: Final = '/readyz'
--- a/bramleybend/platform/mirror.py
+++ b/bramleybend/platform/mirror.py
@@ -11,12 +11,8 @@
 import msgspec
 
 from bramleybend.direct.feed import FeedCopy, Page
-from bramleybend.direct.ingress import (
-    RawRequest,
-    Reply,
-    Responder,
-    own_reply,
-)
+from bramleybend.direct.replies import RawRequest, Reply, own_reply
+from bramleybend.direct.responder import Responder
 from bramleybend.platform.records import pack_page
 
 NEWEST: Final = '/log-newest'
