--- a/bramleybend/direct/models.py
+++ b/bramleybend/direct/models.py
@@ -54,7 +54,7 @@
     """A workspace as its callers' keys name it."""
 
     name: str
-    tier: Tier | None  # goes before the route's
+    tier: Tier | None  # declared; requests are ranked by their route
     allotment: Allotment | None  # none: no limit
 
 
