--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -4,20 +4,23 @@
 Without it: its work takes the slots of the others, who sent no more than
 they had been promised.
 
-Every VM keeps a token bucket of the whole allotment and takes out of it what
-it admits and what the others say that they admitted. News is as old as a
-heartbeat, so together they go beyond the allotment by what arrives in that
-time, and pay it back, as a bucket may go below zero. While some VMs are
-silent, the others use only their own part of the rate: the silent ones may
-still be admitting, and two halves that both used the whole rate would admit
-twice the allotment.
-
-A request is let in while the bucket holds `LEAST_SHARE` of the burst, and may
-take it below zero. Asked to hold a whole request, a bucket that a busy
+Every VM keeps account of what each workspace has taken of its burst, by its
+own admissions and by what the others say that they admitted; the rate pays
+it back. News is as old as a heartbeat, so together they go beyond the
+allotment by what arrives in that time, and pay that back too. While some VMs
+are silent, the others use only their own part of the rate: the silent ones
+may still be admitting, and two halves that both used the whole rate would
+admit twice the allotment.
+
+A request is let in while `LEAST_SHARE` of the burst is left, and may take
+more than is left. Asked to hold a whole request, an account that a busy
 workspace keeps near empty lets small ones through and no large one ever.
 Trials without processor time counted, one run each of a day with two busy
 workspaces: worth 0.763 to 0.787 and 0.833 to 0.840. The workspace goes beyond
 its allotment by one request at most, and pays it back.
+
+The contracts tolerate more than the allotment. What lies beyond it is let in
+while runners stand idle: refused, it would have helped nobody.
 """
 
 from collections.abc import Mapping
@@ -27,6 +30,23 @@
 # Of the burst, for VMs that hear few others. Six VMs that hear nobody then
 # let in three bursts at most, which the contracts' tolerance covers.
 LEAST_BURST = 0.5
+# Of what the contracts tolerate, for work on idle runners. The rest covers
+# what VMs admit at once without knowing of each other: the arrivals between
+# two heartbeats (0.2 s), and a cut between VMs that begins just then.
+IDLE_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class Tolerance:
+    """What the contracts let go beyond an allotment, over all VMs."""
+
+    window_s: float = 1  # any span of this length counts
+    overage: float = 0  # of the allotment in a window
+    slack: float = 0  # units in a window
+
+    def units(self, rate_per_s: float, burst: float) -> float:
+        """Return the units that may go beyond an allotment in a window."""
+        return self.overage * (rate_per_s * self.window_s + burst) + self.slack
 
 
 @dataclass(frozen=True)
@@ -37,19 +57,41 @@
     burst: float
 
 
+@dataclass(frozen=True)
+class Spending:
+    """What one VM tells of a workspace's account."""
+
+    used: float = 0  # admitted by that VM since its start
+    beyond: float = 0  # of it, what lay beyond the allotment
+    debt: float = 0  # of the burst over all VMs, not paid back yet
+    beyond_debt: float = 0  # of the tolerance, likewise
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What becomes of a request."""
+
+    is_let_in: bool
+    is_beyond: bool = False  # let in, as the runners are idle
+    retry_after_s: float = 0  # until the allotment has room again
+
+
 @dataclass
-class _Bucket:
-    level: float
+class _Account:
     at: float
+    debt: float = 0
+    beyond_debt: float = 0
+    used: float = 0  # by us
+    beyond: float = 0  # by us
 
 
 @dataclass
 class AllotmentBook:
-    """All buckets of one VM."""
+    """All accounts of one VM."""
 
-    used: dict[str, float] = field(default_factory=dict)  # by us, ever
-    _buckets: dict[str, _Bucket] = field(default_factory=dict)
-    _heard: dict[str, Mapping[str, float]] = field(default_factory=dict)
+    tolerance: Tolerance = field(default_factory=Tolerance)
+    _accounts: dict[str, _Account] = field(default_factory=dict)
+    _heard: dict[str, Mapping[str, Spending]] = field(default_factory=dict)
 
     def admit(
         self,
@@ -58,53 +100,111 @@
         units: float,
         now: float,
         share: float = 1,
-    ) -> float:
-        """Spend units and return 0, or return the seconds to come back in."""
-        bucket = self._refilled(workspace, allowance, now, share)
+        *,
+        are_runners_idle: bool = False,
+    ) -> Verdict:
+        """Let a request in and count it, or tell when to come back.
+
+        `share` is the part of all VMs that this one hears.
+        """
+        account = self._account(workspace, now)
+        self._pay_back(account, allowance, now, share)
         needed = min(units, allowance.burst * LEAST_SHARE)
-        if bucket.level < needed:
-            rate = max(allowance.rate_per_s * share, 1)
-            return (needed - bucket.level) / rate
-        bucket.level -= units
-        self.used[workspace] = self.used.get(workspace, 0) + units
-        return 0
-
-    def give_back(self, workspace: str, units: float) -> None:
+        left = allowance.burst - account.debt
+        if left >= needed:
+            account.debt += units
+            account.used += units
+            return Verdict(is_let_in=True)
+        # While some VMs are silent, the tolerance covers what they admit.
+        if are_runners_idle and share >= 1:
+            if account.beyond_debt + units <= self._held(allowance):
+                account.beyond_debt += units
+                account.beyond += units
+                return Verdict(is_let_in=True, is_beyond=True)
+        rate = max(allowance.rate_per_s * share, 1)
+        return Verdict(is_let_in=False, retry_after_s=(needed - left) / rate)
+
+    def give_back(
+        self, workspace: str, units: float, *, is_beyond: bool = False
+    ) -> None:
         """Undo an admission of what then didn't run."""
-        bucket = self._buckets.get(workspace)
-        if bucket is not None:
-            bucket.level += units
-            self.used[workspace] = self.used.get(workspace, 0) - units
-
-    def heard(self, peer: str, used: Mapping[str, float]) -> None:
-        """Take out what a peer says it has admitted since it last said so.
-
-        What it admitted before it was first heard of is past.
+        account = self._accounts.get(workspace)
+        if account is None:
+            return
+        if is_beyond:
+            account.beyond_debt -= units
+            account.beyond -= units
+        else:
+            account.debt -= units
+            account.used -= units
+
+    def spendings(self) -> dict[str, Spending]:
+        """Return what to tell the other VMs."""
+        return {
+            workspace: Spending(
+                account.used,
+                account.beyond,
+                account.debt,
+                account.beyond_debt,
+            )
+            for workspace, account in self._accounts.items()
+        }
+
+    def heard(
+        self, peer: str, told: Mapping[str, Spending], now: float
+    ) -> None:
+        """Take over what a peer has admitted since it last said so.
+
+        A VM that has just started knows nothing of what was admitted before;
+        with a full burst from each restart, a rolling restart of six VMs
+        would let in six. So it begins with the debts that its peers know.
         """
-        before = self._heard.get(peer, used)
-        for workspace, total in used.items():
-            bucket = self._buckets.get(workspace)
-            if bucket is not None:
-                bucket.level -= total - before.get(workspace, 0)
-        self._heard[peer] = used
+        before = self._heard.get(peer)
+        for workspace, spending in told.items():
+            account = self._account(workspace, now)
+            if before is None:
+                account.debt = max(account.debt, spending.debt)
+                account.beyond_debt = max(
+                    account.beyond_debt, spending.beyond_debt
+                )
+                continue
+            known = before.get(workspace, Spending())
+            account.debt += spending.used - known.used
+            account.beyond_debt += spending.beyond - known.beyond
+        self._heard[peer] = told
 
     def forget(self, peer: str) -> None:
         """Drop a peer that has ended."""
         self._heard.pop(peer, None)
 
-    def _refilled(
+    def _account(self, workspace: str, now: float) -> _Account:
+        account = self._accounts.get(workspace)
+        if account is None:
+            account = _Account(now)
+            self._accounts[workspace] = account
+        return account
+
+    def _pay_back(
         self,
-        workspace: str,
+        account: _Account,
         allowance: Allowance,
         now: float,
         share: float,
-    ) -> _Bucket:
-        bucket = self._buckets.get(workspace)
-        if bucket is None:
-            bucket = _Bucket(allowance.burst, now)
-            self._buckets[workspace] = bucket
-        passed = max(now - bucket.at, 0)
-        level = bucket.level + passed * allowance.rate_per_s * share
-        bucket.level = min(level, allowance.burst * max(share, LEAST_BURST))
-        bucket.at = max(now, bucket.at)
-        return bucket
+    ) -> None:
+        passed = max(now - account.at, 0)
+        account.at = max(now, account.at)
+        unheard = 1 - max(share, LEAST_BURST)
+        account.debt = max(
+            account.debt - passed * allowance.rate_per_s * share,
+            allowance.burst * unheard,
+        )
+        paid = passed * self._held(allowance) / self.tolerance.window_s
+        account.beyond_debt = max(account.beyond_debt - paid, 0)
+
+    def _held(self, allowance: Allowance) -> float:
+        """Return the most that is let in beyond an allotment at once.
+
+        As much again is paid back within a window.
+        """
+        units = self.tolerance.units(allowance.rate_per_s, allowance.burst)
+        return units * IDLE_SHARE / 2
--- a/bramleybend/direct/intake.py
+++ b/bramleybend/direct/intake.py
@@ -14,15 +14,21 @@
 from typing import Final
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.allotments import AllotmentBook, Allowance
+from bramleybend.decisions.allotments import (
+    AllotmentBook,
+    Allowance,
+    Verdict,
+)
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Members
 from bramleybend.direct.models import (
+    Allotment,
     KeyHolder,
     RequestFacts,
     Route,
     Target,
 )
+from bramleybend.direct.queues import Queues
 from bramleybend.direct.replies import RawRequest, Reply, own_reply
 from bramleybend.models import Tier
 
@@ -48,6 +54,7 @@
     workspace: str
     tier: Tier
     units: float  # counted against the workspace's allotment; 0: none
+    is_beyond: bool = False  # let in beyond it, as runners stood idle
 
 
 class Intake:
@@ -58,6 +65,7 @@
         book: Book,
         members: Members,
         allotments: AllotmentBook,
+        queues: Queues,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -65,6 +73,7 @@
         self._book = book
         self._members = members
         self._allotments = allotments
+        self._queues = queues
         self._clock = clock
         self._rng = rng
 
@@ -88,45 +97,57 @@
     def give_back(self, admitted: Admitted) -> None:
         """Undo the count of a request that did not run."""
         if admitted.units:
-            self._allotments.give_back(admitted.workspace, admitted.units)
+            self._allotments.give_back(
+                admitted.workspace,
+                admitted.units,
+                is_beyond=admitted.is_beyond,
+            )
 
     def _within_allotment(
         self, route: Route, holder: KeyHolder | None, facts: RequestFacts
     ) -> Admitted | Reply:
-        units = float(0)
-        if holder is not None and holder.allotment is not None:
-            terms = holder.allotment
-            units = facts.units(terms)
-            now = self._clock.monotonic()
-            share = self._members.share(now)
-            wait_s = self._allotments.admit(
+        service = choose_target(route.targets, self._rng)
+        if holder is None or holder.allotment is None:
+            name = holder.name if holder else ''
+            return Admitted(route, service, name, route.tier, 0)
+        units = facts.units(holder.allotment)
+        verdict = self._verdict(holder.name, holder.allotment, units, service)
+        if verdict.is_let_in:
+            return Admitted(
+                route,
+                service,
                 holder.name,
-                Allowance(terms.rate_per_s, terms.burst),
+                route.tier,
                 units,
-                now,
-                share,
+                verdict.is_beyond,
             )
-            if wait_s:
-                return own_reply(
-                    HTTPStatus.TOO_MANY_REQUESTS,
-                    'the workspace is over its allotment; nothing was run',
-                    wait_s,
-                    inputs={
-                        'workspace': holder.name,
-                        'units': f'{units:.0f}',
-                        'vms_heard': f'{share:.2f}',
-                        'retry_after_s': f'{wait_s:.2f}',
-                    },
-                )
-        tier = route.tier
-        return Admitted(
-            route,
-            choose_target(route.targets, self._rng),
-            holder.name if holder else '',
-            tier,
+        return own_reply(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            'the workspace is over its allotment; nothing was run',
+            verdict.retry_after_s,
+            inputs={
+                'workspace': holder.name,
+                'units': f'{units:.0f}',
+                'vms_heard': f'{self._share():.2f}',
+                'retry_after_s': f'{verdict.retry_after_s:.2f}',
+            },
+        )
+
+    def _verdict(
+        self, workspace: str, terms: Allotment, units: float, service: str
+    ) -> Verdict:
+        return self._allotments.admit(
+            workspace,
+            Allowance(terms.rate_per_s, terms.burst),
             units,
+            self._clock.monotonic(),
+            self._share(),
+            are_runners_idle=self._queues.of(service).is_idle(),
         )
 
+    def _share(self) -> float:
+        return self._members.share(self._clock.monotonic())
+
     def _denied(self, status: HTTPStatus, reason: str) -> Reply:
         inputs = self._manifest_inputs()
         if self._book.manifest_age() <= SURE_AGE_S:
--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -2,11 +2,18 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import astuple
 
-from bramleybend.decisions.allotments import AllotmentBook
+from bramleybend.clock import Clock
+from bramleybend.decisions.allotments import AllotmentBook, Spending
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.members import Member, Members
-from bramleybend.direct.messages import Beat, Message, RunNews
+from bramleybend.direct.messages import (
+    Beat,
+    Message,
+    RunNews,
+    SpendingNews,
+)
 from bramleybend.direct.peers import member_news
 from bramleybend.direct.placing import Placer
 from bramleybend.direct.queues import Queues
@@ -24,6 +31,7 @@
         queues: Queues,
         allotments: AllotmentBook,
         state: State,
+        clock: Clock,
     ) -> None:
         """Tell of these tables."""
         self._members = members
@@ -31,6 +39,7 @@
         self._queues = queues
         self._allotments = allotments
         self._state = state
+        self._clock = clock
         self.feeds: list[Feed] = []
 
     def make_beat(self) -> Beat:
@@ -45,7 +54,10 @@
             leaving,
             [feed.news() for feed in self.feeds],
             member_news(self._members),
-            self._allotments.used,
+            [
+                SpendingNews(workspace, *astuple(spending))
+                for workspace, spending in self._allotments.spendings().items()
+            ],
             self._placer.runs(),
         )
 
@@ -55,7 +67,11 @@
             for feed in self.feeds:
                 if feed.terms.name == news.name:
                     feed.heard(beat.vm, address, news)
-        self._allotments.heard(_peer(beat.vm, beat.incarnation), beat.used)
+        self._allotments.heard(
+            _peer(beat.vm, beat.incarnation),
+            {one.workspace: _spending(one) for one in beat.spendings},
+            self._clock.monotonic(),
+        )
         by_service: dict[str, list[RunNews]] = defaultdict(list)
         for run in beat.runs:
             by_service[run.service].append(run)
@@ -93,3 +109,7 @@
 
 def _peer(vm: str, incarnation: str) -> str:
     return f'{vm}/{incarnation}'
+
+
+def _spending(news: SpendingNews) -> Spending:
+    return Spending(news.used, news.beyond, news.debt, news.beyond_debt)
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -33,6 +33,16 @@
     prompt_tokens: int
 
 
+class SpendingNews(msgspec.Struct, array_like=True):
+    """What a workspace has taken of its allotment, as the sender knows."""
+
+    workspace: str
+    used: float  # by the sender since its start
+    beyond: float  # of it, let in on idle runners
+    debt: float  # over all VMs, not paid back yet
+    beyond_debt: float
+
+
 class FeedNews(msgspec.Struct, array_like=True):
     """How far a VM has read one of the platform's logs."""
 
@@ -52,7 +62,7 @@
     leaving: bool
     feeds: list[FeedNews]
     members: list[MemberNews]
-    used: dict[str, float]  # by workspace, units admitted since its start
+    spendings: list[SpendingNews]
     runs: list[RunNews]
 
 
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -33,6 +33,9 @@
 UNCONFIRMED_S: Final = 0.6
 # An ask that is not said again is withdrawn: its VM is gone.
 ASK_LAPSE_S: Final = 1.0
+# Of a service's slots. Heartbeats tell of the other VMs' runs within 0.2 s;
+# what starts in that time takes some of the rest.
+IDLE_PART: Final = 0.75
 SHORTEST_TIMER_S: Final = 0.001  # a timer that fires early would spin
 # Engines are not preempted: a stream that is cut after its head was sent
 # can't be answered any more.
@@ -65,6 +68,11 @@
         """Tell whether a request has neither a slot nor a refusal."""
         return request_id in self._replies
 
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits, and the slots are far from full."""
+        load = self._policy.load()
+        return not load.waiting and load.running < load.limit * IDLE_PART
+
     def withdraw(self, request_id: str) -> None:
         """Forget a request, waiting or running."""
         self._replies.pop(request_id, None)
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -72,7 +72,7 @@
                 f'{cfg.front.host}:{cfg.front.port}',
             )
         )
-        self._allotments = AllotmentBook()
+        self._allotments = AllotmentBook(cfg.allotment_tolerance())
         self._queues = Queues(self.book, clock, rng)
         self.placer = Placer(
             self.book, self.members, self._queues, clock, self.events
@@ -86,6 +86,7 @@
             self._queues,
             self._allotments,
             self._state,
+            clock,
         )
         self.peers = Peers(
             self.members,
@@ -181,7 +182,14 @@
     def _parts(self, dialect: Dialect, rng: Random) -> Parts:
         return Parts(
             self.book,
-            Intake(self.book, self.members, self._allotments, self._clock, rng),
+            Intake(
+                self.book,
+                self.members,
+                self._allotments,
+                self._queues,
+                self._clock,
+                rng,
+            ),
             self.placer,
             self._channels,
             dialect,
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -49,6 +49,13 @@
     def _job(
         self, req: RawRequest, facts: RequestFacts, terms: Admitted
     ) -> Job:
+        if terms.is_beyond:
+            self._parts.events.record(
+                'beyond_allotment',
+                req=facts.attempt_id,
+                workspace=terms.workspace,
+                units=int(terms.units),
+            )
         patience_s = terms.route.timeout_s
         if facts.patience_s is not None:
             patience_s = min(patience_s, facts.patience_s)
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -4,9 +4,11 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
+from bramleybend.decisions.allotments import Tolerance
 from bramleybend.settings_parsing import Program
 from bramleybend.settings_types import (
     Address,
+    Amount,
     HostPort,
     Name,
     Port,
@@ -20,6 +22,7 @@
 RESEND_RATIO: Final = 0.2
 RESEND_EXTRA: Final = 52
 RESEND_WINDOW_S: Final = 10
+ALLOTMENT_WINDOW_S: Final = 8
 
 Endpoint = Annotated[HostPort, BeforeValidator(split_host_port)]
 
@@ -84,13 +87,13 @@
         'killed; it ends with the last request in flight',
         examples=['8'],
     )
-    resend_ratio: Seconds = Field(
+    resend_ratio: Amount = Field(
         default=RESEND_RATIO,
         description='requests sent to a second runner, for each request, '
         'over all VMs',
         examples=['0.2'],
     )
-    resend_extra: Seconds = Field(
+    resend_extra: Amount = Field(
         default=RESEND_EXTRA,
         description='requests sent to a second runner beyond the ratio in a '
         'window, over all VMs',
@@ -101,6 +104,24 @@
         description='seconds of that window',
         examples=['10'],
     )
+    allotment_window_s: Seconds = Field(
+        default=ALLOTMENT_WINDOW_S,
+        description='seconds of the window in which the tolerance of '
+        "workspaces' allotments counts",
+        examples=['8'],
+    )
+    allotment_overage: Amount = Field(
+        default=0,
+        description='part of an allotment that may go beyond it in a window, '
+        'over all VMs',
+        examples=['0.1'],
+    )
+    allotment_slack: Amount = Field(
+        default=0,
+        description='units (tokens or requests) that may go beyond an '
+        'allotment in a window, over all VMs',
+        examples=['190000'],
+    )
     log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = Field(
         default='INFO',
         description='least level that is logged; events are INFO',
@@ -112,6 +133,14 @@
         hosts = [part.rpartition(':')[0] for part in self.seeds.split(',')]
         return [host for host in hosts if host and host != self.address]
 
+    def allotment_tolerance(self) -> Tolerance:
+        """Return what may go beyond an allotment."""
+        return Tolerance(
+            self.allotment_window_s,
+            self.allotment_overage,
+            self.allotment_slack,
+        )
+
     def shown(self) -> dict[str, str]:
         """Return what the log tells of them at the start."""
         return {
