--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -11,7 +11,7 @@
 goodput (docs/design/decisions.md). The ablation is `preemption`.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from bramleybend.decisions.actions import Action, Preempt
 from bramleybend.decisions.places import Place, places_of
@@ -23,10 +23,9 @@
 MOST_AT_ONCE = 8  # victims ordered in one step; bounds its time
 
 
-def choose_victim(runs: Iterable[Run], tier: int) -> Run | None:
-    """Pick the run that yields to a request of a tier, if there is one."""
-    lower = [run for run in runs if _may_yield(run, tier)]
-    return min(lower, key=_loss, default=None)
+def yielding(runs: Iterable[Run], tier: int) -> list[Run]:
+    """Return the runs that may yield to a tier, the least loss first."""
+    return sorted((run for run in runs if _may_yield(run, tier)), key=_loss)
 
 
 def _may_yield(run: Run, tier: int) -> bool:
@@ -52,7 +51,12 @@
     urgent = _urgent(shard, tier, now)
     found = places_of(shard, now) if urgent else []
     places = {place.runner.name: place for place in found}
-    victims = [_order_victim(shard, entry, places, now) for entry in urgent]
+    # Sorted once for all entries: for each of them anew, it took a third of
+    # the time that an owner spends under saturation.
+    able = yielding(shard.runs.values(), tier) if urgent else []
+    victims = [
+        _order_victim(shard, entry, able, places, now) for entry in urgent
+    ]
     return [
         Preempt(victim.ask.request_id, tier)
         for victim in victims
@@ -63,6 +67,7 @@
 def _order_victim(
     shard: Shard,
     entry: Waiting,
+    able: list[Run],
     places: dict[str, Place],
     now: float,
 ) -> Run | None:
@@ -71,29 +76,36 @@
         return None
     if not _is_floored(shard, ask.tier) and _has_slot(ask, places):
         return None
-    runs = _in_the_way(shard, entry, places, now)
-    victim = choose_victim(runs, ask.tier)
+    victim = next(_in_the_way(ask, able, places, now), None)
     if victim is not None:
+        able.remove(victim)
         victim.yields_to = ask.tier
         shard.victims[ask.request_id] = victim.ask.request_id
     return victim
 
 
 def _in_the_way(
-    shard: Shard,
-    entry: Waiting,
+    ask: Ask,
+    able: list[Run],
     places: dict[str, Place],
     now: float,
-) -> list[Run]:
-    """Return the runs in whose stead the request could end in time."""
-    left = entry.ask.deadline - now
-    return [
+) -> Iterator[Run]:
+    """Go over the runs in whose stead the request could end in time."""
+    left = ask.deadline - now
+    # No run's prompt is longer than all that its runner has to fill, so most
+    # runners are ruled out without a look at their runs.
+    fast = {
+        name
+        for name, place in places.items()
+        if name not in ask.excluded and place.seconds(ask) - place.fill < left
+    }
+    return (
         run
-        for run in shard.runs.values()
-        if run.runner in places
-        and run.runner not in entry.ask.excluded
-        and _makes_way(run, entry.ask, places[run.runner], left)
-    ]
+        for run in able
+        if run.ask.tier > ask.tier
+        and run.runner in fast
+        and _makes_way(run, ask, places[run.runner], left)
+    )
 
 
 def _has_slot(ask: Ask, places: dict[str, Place]) -> bool:
--- a/tests/failures/test_demo_interrupted.py
+++ b/tests/failures/test_demo_interrupted.py
@@ -46,6 +46,12 @@
     return stat.split()[0] != 'Z'
 
 
+def _as_in_a_terminal() -> None:
+    # Shells start what runs in the background with SIGINT ignored, and
+    # children inherit that: the demo would not notice a Ctrl-C at all.
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 @pytest.mark.parametrize(
     'number',
     [signal.SIGINT, signal.SIGTERM, signal.SIGKILL],
@@ -61,6 +67,7 @@
         cwd=ROOT,
         env={**os.environ, 'PYTHONPATH': str(ROOT)},
         stdout=asyncio.subprocess.DEVNULL,
+        preexec_fn=_as_in_a_terminal,
     )
     try:
         await wait_until(
