A VM's own runs keep their slot

Cause: a grant that no heartbeat confirms within 0.6 s is taken back, and no heartbeat tells a VM of its own runs. So the owner gave away the slots of its own streams after 0.6 s, and engines queued what we should order. Found by the test of containment: a fifth run on a runner with four slots. Test in test_cluster.py, seen to fail (six runs at once).

--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -84,6 +84,14 @@
         now = self._clock.monotonic()
         self._act(self._policy.witness(ask, runner, now))
 
+    def began(self, request_id: str) -> None:
+        """Note that our own request took its grant.
+
+        No heartbeat tells of it; unconfirmed, its slot would be given away
+        while it runs, and the runner would queue what we should order.
+        """
+        self._granted_at.pop(request_id, None)
+
     def filled(self, request_id: str, prompt_tokens: int) -> None:
         """Note a run's first token."""
         now = self._clock.monotonic()
--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -238,8 +238,10 @@
 
     def _begin(self, placement: Placement) -> None:
         ask = placement.ask
-        if placement.owner is not None:
-            queue = self._queues.of(ask.service)
+        queue = self._queues.of(ask.service)
+        if placement.owner is None:
+            queue.began(ask.request_id)
+        else:
             queue.witness(ask, placement.runner.incarnation)
         if self._queues.is_engine(ask.service):
             self._runs[ask.request_id] = RunNews(
--- a/tests/direct/test_cluster.py
+++ b/tests/direct/test_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 
+from bramleybend.direct.owner import UNCONFIRMED_S
 from bramleybend.platform.program import PlatformProcess
 from tests.direct.world import ENGINE, PLAIN, World, manifest, playing
 from tests.utils.raw_runner import Seen, chunk, event, streams
@@ -67,6 +68,35 @@
         assert len(most) == 2
 
 
+async def test_a_long_run_keeps_its_slot() -> None:
+    """A VM's own runs need nobody's word that they go on.
+
+    One VM orders its own requests. Four streams last longer than a grant may
+    stay unconfirmed by heartbeats; the fifth and sixth wait for their ends.
+    """
+    gate = asyncio.Event()
+
+    async def behave(seen: Seen) -> None:
+        await gate.wait()
+        await streams(seen)
+
+    async with playing() as world:
+        runner = await world.add_runner('r1', ENGINE, behave)
+        await world.knows(ENGINE)
+        calls = [
+            asyncio.create_task(
+                world.call(
+                    '/draft/x', attempt=f'a{number}', body=b'%d' % number
+                )
+            )
+            for number in range(6)
+        ]
+        await asyncio.sleep(UNCONFIRMED_S * 2)
+        assert len(runner.seen) == 4
+        gate.set()
+        assert [(await call).status for call in calls] == [200] * 6
+
+
 async def test_the_loss_of_an_owner_costs_callers_little() -> None:
     """Callers of the other VMs get their streams within half a second.
 
