Contain content that crashes runners on the raw path

Cause: decisions/quarantine.py was joined to the gateway only; on the raw path a request that ends each runner that runs it went on without bound. Now every VM keeps the records (by caller, target and body), heartbeats spread them, a request runs alone from its second crash on, and is answered 503 'nothing was run' after its third runner. Ruled out: running alone from the first crash on, as the gateway does: every broken connection would make its retry wait for an empty runner.

--- a/bramleybend/clients/h11_protocol.py
+++ b/bramleybend/clients/h11_protocol.py
@@ -22,6 +22,7 @@
         """Start without a transport."""
         self.http = http
         self.broken: Exception | None = None
+        self.peer_ended = False  # the peer writes no more
         self._transport: asyncio.Transport | None = None
         self._news = asyncio.Event()
         self._room = asyncio.Event()
@@ -48,6 +49,7 @@
 
     def eof_received(self) -> bool:
         """Note that the peer writes no more; keep our half open."""
+        self.peer_ended = True
         self.http.receive_data(b'')
         self._news.set()
         return True
@@ -55,6 +57,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake whoever waits for the peer."""
         self.broken = exc or ConnectionResetError('the connection is closed')
+        self.peer_ended = not isinstance(exc, TimeoutError)
         self._news.set()
         self._room.set()
 
--- a/bramleybend/direct/ask_messages.py
+++ b/bramleybend/direct/ask_messages.py
@@ -30,6 +30,7 @@
         ask.prompt_tokens,
         ask.deadline - now,
         sorted(ask.excluded),
+        ask.suspect,
     )
 
 
@@ -45,6 +46,7 @@
         (),
         now + news.patience_s,
         cancellable=False,
+        suspect=news.suspect,
         excluded=frozenset(news.excluded),
     )
 
--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -39,6 +39,7 @@
     reason: str
     unreachable: bool = False  # the runner, not this request, is at fault
     full: bool = False  # the runner turned it away
+    broken: bool = False  # the connection ended before the answer did
 
 
 @dataclass(frozen=True)
@@ -71,6 +72,11 @@
         self.runner = runner
         self.sent = False
 
+    @property
+    def is_ended(self) -> bool:
+        """Tell whether the runner has closed its end of the connection."""
+        return self._channel is not None and self._channel.peer_ended
+
     async def begin(self, outgoing: Outgoing) -> Head | Failure:
         """Send the request and read the head of its answer."""
         try:
@@ -170,6 +176,7 @@
         self.finish()
 
     def _broken(self, exc: Exception) -> Failure:
+        ended = self.is_ended
         self.cancel()
         reason = str(exc) or type(exc).__name__
         return Failure(
@@ -178,4 +185,5 @@
             # A reset may concern one connection; bytes that nobody
             # acknowledges tell that the runner itself is cut off.
             unreachable=isinstance(exc, TimeoutError),
+            broken=ended,
         )
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -9,6 +9,7 @@
 from bramleybend.direct.book import Book
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.dialect import Dialect
+from bramleybend.direct.containment import Containment
 from bramleybend.direct.intake import Admitted, Intake
 from bramleybend.direct.meters import Meters
 from bramleybend.direct.models import RequestFacts
@@ -25,6 +26,7 @@
     facts: RequestFacts
     terms: Admitted
     ends_at: float  # monotonic; by then the caller has an answer
+    fingerprint: str = ''  # equal for equal content
     excluded: frozenset[str] = frozenset()  # runners that failed it
     ran_on: int = 0  # runners that may have run it
     refusals: int = 0  # runners that surely did not
@@ -42,6 +44,7 @@
     book: Book
     intake: Intake
     placer: Placer
+    containment: Containment
     channels: RunnerChannels
     dialect: Dialect
     resends: ResendBudget
--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -6,6 +6,7 @@
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.allotments import AllotmentBook, Spending
+from bramleybend.direct.containment import Containment
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.members import Member, Members
 from bramleybend.direct.messages import (
@@ -30,6 +31,7 @@
         placer: Placer,
         queues: Queues,
         allotments: AllotmentBook,
+        containment: Containment,
         state: State,
         clock: Clock,
     ) -> None:
@@ -38,6 +40,7 @@
         self._placer = placer
         self._queues = queues
         self._allotments = allotments
+        self._containment = containment
         self._state = state
         self._clock = clock
         self.feeds: list[Feed] = []
@@ -59,6 +62,7 @@
                 for workspace, spending in self._allotments.spendings().items()
             ],
             self._placer.runs(),
+            self._containment.news(),
         )
 
     def take_beat(self, beat: Beat, address: str) -> None:
@@ -72,6 +76,7 @@
             {one.workspace: _spending(one) for one in beat.spendings},
             self._clock.monotonic(),
         )
+        self._containment.heard(beat.crashes)
         by_service: dict[str, list[RunNews]] = defaultdict(list)
         for run in beat.runs:
             by_service[run.service].append(run)
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -43,6 +43,15 @@
     beyond_debt: float
 
 
+class CrashNews(msgspec.Struct, array_like=True):
+    """Content that was running when runners ended."""
+
+    fingerprint: str
+    generation: int  # raised by each run of it that came to its end
+    runners: list[str]  # their incarnations
+    refused: bool
+
+
 class FeedNews(msgspec.Struct, array_like=True):
     """How far a VM has read one of the platform's logs."""
 
@@ -64,6 +73,7 @@
     members: list[MemberNews]
     spendings: list[SpendingNews]
     runs: list[RunNews]
+    crashes: list[CrashNews]
 
 
 class AskNews(msgspec.Struct, tag='ask', array_like=True):
@@ -77,6 +87,7 @@
     prompt_tokens: int
     patience_s: float
     excluded: list[str]
+    suspect: bool  # it gets a runner to itself
 
 
 class Queued(msgspec.Struct, tag='queued', array_like=True):
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -13,6 +13,7 @@
 from bramleybend.decisions.resends import ResendBudget, ResendTerms
 from bramleybend.direct.book import Book
 from bramleybend.direct.channels import RunnerChannels
+from bramleybend.direct.containment import Containment
 from bramleybend.direct.dialect import Dialect
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.ingress import Ingress
@@ -73,6 +74,7 @@
             )
         )
         self._allotments = AllotmentBook(cfg.allotment_tolerance())
+        self._containment = Containment(clock, self.events)
         self._queues = Queues(self.book, clock, rng)
         self.placer = Placer(
             self.book, self.members, self._queues, clock, self.events
@@ -85,6 +87,7 @@
             self.placer,
             self._queues,
             self._allotments,
+            self._containment,
             self._state,
             clock,
         )
@@ -191,6 +194,7 @@
                 rng,
             ),
             self.placer,
+            self._containment,
             self._channels,
             dialect,
             ResendBudget(
--- a/bramleybend/direct/relay.py
+++ b/bramleybend/direct/relay.py
@@ -49,7 +49,9 @@
                 async for event in events:
                     await self._pass(head, event)
         except BrokenStreamError as exc:
-            return Failure(Fate.MAY_HAVE_RUN, f'the stream broke: {exc}')
+            reason = f'the stream broke: {exc}'
+            ended = attempt.is_ended
+            return Failure(Fate.MAY_HAVE_RUN, reason, broken=ended)
         attempt.finish()
         if not self._responder.begun:
             await self._begin(head)
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -41,6 +41,11 @@
             await responder.reply(admitted)
             return
         job = self._job(req, facts, admitted)
+        if self._parts.containment.is_refused(job.fingerprint):
+            reply = self._tries.contained(job)
+            self._log_denied(facts, reply, req)
+            await responder.reply(reply)
+            return
         if admitted.route.streaming:
             await self._serve_stream(job, responder)
         else:
@@ -62,7 +67,9 @@
         self._parts.resends.requested(
             terms.service, self._parts.vm_count(), self._tries.now()
         )
-        return Job(req, facts, terms, req.received_at + patience_s)
+        fingerprint = self._parts.containment.fingerprint(req, facts)
+        ends_at = req.received_at + patience_s
+        return Job(req, facts, terms, ends_at, fingerprint)
 
     async def _serve_plain(self, job: Job, responder: Responder) -> None:
         if job.terms.route.may_repeat:
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -98,7 +98,9 @@
         if failure is None or failure.fate is Fate.MAY_HAVE_RUN:
             job.ran_on += 1
         job.excluded |= {placed.runner.incarnation}
-        if failure is not None:
+        if failure is None:
+            self._parts.containment.finished(job.fingerprint)
+        else:
             self._note_failure(job, placed, failure)
         failed = failure is not None or _is_failure(job, outcome)
         made = events * self._parts.event_tokens(job.terms.service)
@@ -125,7 +127,8 @@
     def within_bounds(self, job: Job) -> bool:
         """Tell whether one more run is allowed, and count it."""
         return (
-            job.ran_on < job.terms.route.most_runners
+            not self._parts.containment.is_refused(job.fingerprint)
+            and job.ran_on < job.terms.route.most_runners
             and self.left(job) > ANSWER_MARGIN_S
             and self._spend(job)
         )
@@ -144,6 +147,15 @@
             refusal.retry_after_s,
         )
 
+    def contained(self, job: Job) -> Reply:
+        """Answer a job whose content crashed runner after runner."""
+        self._parts.intake.give_back(job.terms)
+        return own_reply(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'this content ended the runners that ran it; nothing was run',
+            inputs={'content': job.fingerprint},
+        )
+
     def failed(self, job: Job, failure: Failure) -> Reply:
         """Answer a job whose last try failed."""
         if not job.ran_on:
@@ -181,9 +193,22 @@
             prefixes=(),
             deadline=job.ends_at,
             cancellable=False,
-            excluded=job.excluded,
+            suspect=self._parts.containment.runs_alone(job.fingerprint),
+            excluded=self._excluded(job),
         )
 
+    def _excluded(self, job: Job) -> frozenset[str]:
+        """Leave out runners that this content crashed, while others remain.
+
+        One runner that breaks off again and again may itself be the fault.
+        """
+        crashed = self._parts.containment.runners(job.fingerprint)
+        entries = self._parts.book.runners.get(job.terms.service, ())
+        excluded = job.excluded | crashed
+        if any(entry.incarnation not in excluded for entry in entries):
+            return excluded
+        return job.excluded
+
     def _spend(self, job: Job) -> bool:
         return self._parts.resends.spend(
             job.terms.service, self._parts.vm_count(), self.now()
@@ -192,6 +217,8 @@
     def _note_failure(
         self, job: Job, placed: Placement, failure: Failure
     ) -> None:
+        if failure.broken:
+            self._parts.containment.crashed(job.fingerprint, placed.runner)
         self._parts.meters.count(
             'tries_failed', job.terms.service, failure.fate
         )
