A VM that was suspended notices; settings without pydantic in the entry program

Cause: ages were measured by time.monotonic, which stands still while a VM is suspended, so a manifest, members and runs of minutes ago looked fresh to a VM that woke.

Settings are dataclasses whose fields name the function that reads them; the fields that two programs share are described once.

--- a/bramleybend/clock.py
+++ b/bramleybend/clock.py
@@ -12,7 +12,7 @@
         """Return the wall time, in UTC; it may jump."""
 
     def monotonic(self) -> float:
-        """Return seconds that never go back, as `time.monotonic` does."""
+        """Return seconds that never go back and count suspensions too."""
 
 
 class SystemClock:
@@ -23,8 +23,12 @@
         return datetime.now(UTC)
 
     def monotonic(self) -> float:
-        """Return seconds since an arbitrary start; never goes back."""
-        return time.monotonic()
+        """Return seconds since an arbitrary start; never goes back.
+
+        A VM may be suspended for seconds, which `time.monotonic` leaves out:
+        all that the VM believed would look fresh when it wakes.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class ManualClock:
--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -169,6 +169,10 @@
         """Tell whether this VM writes for all what was read of the log."""
         return self._ranks_among(1)
 
+    def wake(self) -> None:
+        """Look at once at how old the news is."""
+        self._wake.set()
+
     def recall(self, page: Page) -> bool:
         """Use older news until the log is read; tells whether it is used."""
         if self.copy.end is not None:
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -27,6 +27,7 @@
 from bramleybend.direct.placing import Placer
 from bramleybend.direct.queues import Queues
 from bramleybend.direct.service import DirectService
+from bramleybend.direct.suspension import SuspensionWatch
 from bramleybend.entry_settings import ENTRY, EntrySettings
 from bramleybend.events import EventLog
 from bramleybend.identity import make_identity
@@ -253,8 +254,15 @@
         self._channels.keep_only(incarnations)
 
     async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        watch = SuspensionWatch(self._clock, loop.time)
         while True:
             await asyncio.sleep(SWEEP_S)
+            slept_s = watch.slept_s()
+            if slept_s:
+                self.events.record('suspended', seconds=f'{slept_s:.1f}')
+                for feed in self._listener.feeds:
+                    feed.wake()
             for _, queue in self._queues:
                 queue.sweep()
             self.swept()
--- a/bramleybend/settings.py
+++ b/bramleybend/settings.py
@@ -5,23 +5,25 @@
 """
 
 from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Annotated, Final, Literal
+from typing import Final
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
-from pydantic.fields import FieldInfo
 from result import Result
 
 from bramleybend.errors import Problem
-from bramleybend.settings_parsing import Program, parse_program
+from bramleybend.settings_parsing import Program, Setting, parse_program
 from bramleybend.settings_types import (
-    Address,
     HostPort,
-    Name,
-    Port,
-    Seconds,
-    Url,
-    split_host_port,
+    about,
+    domain_name,
+    host_port,
+    least_level,
+    own_address,
+    port,
+    seconds,
+    url,
+    vm_name,
 )
 
 HTTP_PORT: Final = 8080
@@ -43,74 +45,75 @@
     SCHEDULER = 'scheduler'
 
 
-class Settings(BaseModel):
+@dataclass(frozen=True, kw_only=True)
+class Settings:
     """What one process is told at its start."""
 
-    model_config = ConfigDict(frozen=True, extra='forbid')
-
-    vm: Name = Field(
-        description='name of this VM, as in the VM list',
-        examples=['entry-walton-1'],
-    )
-    domain: Name = Field(
-        description='failure domain of this VM',
-        examples=['walton'],
-    )
-    address: Address = Field(
-        description='IP address to listen on and to give to callers and peers',
-        examples=['10.0.1.11'],
-    )
-    http_port: Port = Field(
+    vm: str = field(metadata=vm_name())
+    domain: str = field(metadata=domain_name())
+    address: str = field(metadata=own_address())
+    http_port: int = field(
         default=HTTP_PORT,
-        description='port for callers; the same on every entry VM',
-        examples=['8080'],
+        metadata=about(
+            port,
+            'port for callers; the same on every entry VM',
+            '8080',
+        ),
     )
-    gateway_port: Port = Field(
+    gateway_port: int = field(
         default=GATEWAY_PORT,
-        description='gRPC port of the gateways; the same on every entry VM',
-        examples=['7001'],
+        metadata=about(
+            port,
+            'gRPC port of the gateways; the same on every entry VM',
+            '7001',
+        ),
     )
-    scheduler_port: Port = Field(
+    scheduler_port: int = field(
         default=SCHEDULER_PORT,
-        description='gRPC port of the schedulers; the same on every entry VM',
-        examples=['7002'],
+        metadata=about(
+            port,
+            'gRPC port of the schedulers; the same on every entry VM',
+            '7002',
+        ),
     )
-    log_service: Url = Field(
-        description='URL of the log service',
-        examples=['http://10.0.9.1:9100'],
+    log_service: str = field(
+        metadata=about(url, 'URL of the log service', 'http://10.0.9.1:9100'),
     )
-    vm_list: Url = Field(
-        description='URL of the VM list',
-        examples=['http://10.0.9.2:9200'],
+    vm_list: str = field(
+        metadata=about(url, 'URL of the VM list', 'http://10.0.9.2:9200'),
     )
-    statsd: Annotated[
-        HostPort | None,
-        BeforeValidator(split_host_port),
-    ] = Field(
+    statsd: HostPort | None = field(
         default=None,
-        description='statsd to send metrics to; none are sent when not set',
-        examples=['127.0.0.1:8125'],
-    )
-    log_level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = Field(
-        default='INFO',
-        description='least level that is logged; events are INFO',
-        examples=['INFO'],
+        metadata=about(
+            host_port,
+            'statsd to send metrics to; none are sent when not set',
+            '127.0.0.1:8125',
+        ),
     )
-    terms_stale_after_s: Seconds = Field(
+    log_level: str = field(default='INFO', metadata=least_level())
+    terms_stale_after_s: float = field(
         default=TERMS_STALE_AFTER_S,
-        description='seconds without word of the terms from the log or a peer '
-        'after which nothing new is admitted',
-        examples=['10'],
+        metadata=about(
+            seconds,
+            'seconds without word of the terms from the log or a peer '
+            'after which nothing new is admitted',
+            '10',
+        ),
     )
-    list_poll_s: Seconds = Field(
+    list_poll_s: float = field(
         default=LIST_POLL_S,
-        description='seconds between two looks at the VM list',
-        examples=['1'],
+        metadata=about(
+            seconds, 'seconds between two looks at the VM list', '1'
+        ),
     )
-    drain_timeout_s: Seconds = Field(
+    drain_timeout_s: float = field(
         default=DRAIN_TIMEOUT_S,
-        description='seconds that a planned stop waits at most for requests in flight; it ends with the last of them',
-        examples=['3600'],
+        metadata=about(
+            seconds,
+            'seconds that a planned stop waits at most for requests in '
+            'flight; it ends with the last of them',
+            '3600',
+        ),
     )
 
 
@@ -120,9 +123,9 @@
     return Program(f'bramleybend-{kind.value}', Settings, hidden)
 
 
-def fields_of(kind: ProcessKind) -> Iterator[tuple[str, FieldInfo]]:
-    """Yield the fields that a program offers, in the order of the help."""
-    return program_of(kind).fields()
+def settings_of(kind: ProcessKind) -> Iterator[Setting]:
+    """Yield the settings that a program offers, in the order of the help."""
+    return program_of(kind).offered()
 
 
 def parse_settings(
--- a/bramleybend/settings_page.py
+++ b/bramleybend/settings_page.py
@@ -1,14 +1,11 @@
 """Writes docs/operators/SETTINGS.md: `python -m bramleybend.settings_page`."""
 
 import sys
-from itertools import starmap
 from typing import Final
 
-from pydantic.fields import FieldInfo
-
 from bramleybend.entry_settings import ENTRY
-from bramleybend.settings import GATEWAY_ONLY, ProcessKind, fields_of
-from bramleybend.settings_parsing import env_of, example_of, flag_of
+from bramleybend.settings import GATEWAY_ONLY, ProcessKind, settings_of
+from bramleybend.settings_parsing import Setting, env_of, flag_of
 
 INTRODUCTION: Final = """# Settings of the serving programs
 
@@ -40,28 +37,28 @@
 
 def settings_page() -> str:
     """Return the whole page."""
-    both = ''.join(starmap(_shared_row, fields_of(ProcessKind.GATEWAY)))
-    entry = ''.join(starmap(_entry_row, ENTRY.fields()))
+    both = ''.join(map(_shared_row, settings_of(ProcessKind.GATEWAY)))
+    entry = ''.join(map(_entry_row, ENTRY.offered()))
     return INTRODUCTION + both + ENTRY_INTRODUCTION + entry
 
 
-def _shared_row(name: str, info: FieldInfo) -> str:
-    return _row(name, info, 'gateway' if name in GATEWAY_ONLY else 'both')
+def _shared_row(setting: Setting) -> str:
+    return _row(setting, 'gateway' if setting.name in GATEWAY_ONLY else 'both')
 
 
-def _entry_row(name: str, info: FieldInfo) -> str:
-    return _row(name, info, 'entry')
+def _entry_row(setting: Setting) -> str:
+    return _row(setting, 'entry')
 
 
-def _row(name: str, info: FieldInfo, programs: str) -> str:
-    default = str(info.default or 'none')
+def _row(setting: Setting, programs: str) -> str:
+    default = str(setting.default or 'none')
     cells = [
-        f'`{flag_of(name)}`',
-        f'`{env_of(name)}`',
+        f'`{flag_of(setting.name)}`',
+        f'`{env_of(setting.name)}`',
         programs,
-        'required' if info.is_required() else default,
-        f'`{example_of(info)}`',
-        str(info.description),
+        'required' if setting.is_required else default,
+        f'`{setting.about.example}`',
+        setting.about.description,
     ]
     joined = ' | '.join(cells)
     return f'| {joined} |\n'
--- a/bramleybend/settings_parsing.py
+++ b/bramleybend/settings_parsing.py
@@ -6,22 +6,30 @@
 
 import argparse
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import MISSING, dataclass, field, fields
 from difflib import get_close_matches
 from pathlib import Path
 from typing import Any, Final, Generic, NoReturn, TypeVar
 
-from pydantic import BaseModel, ValidationError
-from pydantic.fields import FieldInfo
-from pydantic_core import ErrorDetails
 from result import Err, Ok, Result
 
 from bramleybend.errors import ErrorKind, Problem, ProblemError
+from bramleybend.settings_types import ABOUT, About
 
 ENV_PREFIX: Final = 'BRAMLEYBEND_'
 FILE_FIELD: Final = 'settings'  # names the settings file, where there is one
 
-Model = TypeVar('Model', bound=BaseModel)
+Model = TypeVar('Model')
+
+
+@dataclass(frozen=True)
+class Setting:
+    """One field of a settings model."""
+
+    name: str
+    about: About
+    default: Any
+    is_required: bool
 
 
 @dataclass(frozen=True)
@@ -29,15 +37,20 @@
     """One program and the settings that it offers."""
 
     name: str
-    model: type[Model]
+    model: type[Model]  # a dataclass whose fields say what they are `about`
     hidden: frozenset[str] = field(default_factory=frozenset)
     bounded_log: bool = False  # to standard output, by a thread
 
-    def fields(self) -> Iterator[tuple[str, FieldInfo]]:
-        """Yield the fields that it offers, in the order of the help."""
-        for name, info in self.model.model_fields.items():
-            if name not in self.hidden:
-                yield name, info
+    def offered(self) -> Iterator[Setting]:
+        """Yield the settings that it offers, in the order of the help."""
+        return (one for one in self.known() if one.name not in self.hidden)
+
+    def known(self) -> Iterator[Setting]:
+        """Yield all settings, also those that only other programs offer."""
+        for one in fields(self.model):  # type: ignore[arg-type]
+            is_required = one.default is MISSING
+            default = None if is_required else one.default
+            yield Setting(one.name, one.metadata[ABOUT], default, is_required)
 
 
 def flag_of(name: str) -> str:
@@ -51,11 +64,6 @@
     return ENV_PREFIX + name.upper()
 
 
-def example_of(info: FieldInfo) -> str:
-    """Return a field's example, as it is written in a shell."""
-    return str((info.examples or [''])[0])
-
-
 def parse_program(
     program: Program[Model],
     args: Sequence[str],
@@ -66,26 +74,53 @@
     Flags go before variables, and both before the file. `--help` prints and
     leaves through `SystemExit`, as argparse does.
     """
-    model = program.model
-    unknown = _unknown_variable(model, env)
+    settings = tuple(program.known())
+    unknown = _unknown_variable(settings, env)
     if unknown:
         return Err(unknown)
     try:
         parsed = _parser(program).parse_args(args)
-        flags = {
-            name: getattr(parsed, name, None) for name in model.model_fields
-        }
-        variables = _with_file(model, flags.get(FILE_FIELD), env)
+        flags = {one.name: getattr(parsed, one.name, None) for one in settings}
+        variables = _with_file(settings, flags.get(FILE_FIELD), env)
+        found = {one.name: _read(one, flags, variables) for one in settings}
     except ProblemError as exc:
         return Err(exc.problem)
-    given = _from_env(model, variables) | {
-        name: text for name, text in flags.items() if text is not None
-    }
-    try:
-        return Ok(model.model_validate(given))
-    except ValidationError as exc:
-        detail = exc.errors(include_url=False)[0]
-        return Err(_problem(model, detail, flags, variables))
+    return Ok(program.model(**found))
+
+
+def _read(
+    setting: Setting,
+    flags: Mapping[str, str | None],
+    env: Mapping[str, str],
+) -> Any:
+    """Return a setting's value; an empty variable counts as not set."""
+    flag, variable = flag_of(setting.name), env_of(setting.name)
+    example = setting.about.example
+    given = flags.get(setting.name)
+    spelled = f'{flag} {given}'
+    if given is None:
+        given = env.get(variable) or None
+        spelled = f'{variable}={given}'
+    if given is not None:
+        try:
+            return setting.about.read(given)
+        except ValueError as exc:
+            raise ProblemError(
+                Problem(
+                    ErrorKind.BAD_SETTING,
+                    f'{spelled}: {exc}',
+                    f'write for example {flag} {example}',
+                )
+            ) from exc
+    if setting.is_required:
+        raise ProblemError(
+            Problem(
+                ErrorKind.BAD_SETTING,
+                f'{flag} is not set',
+                f'give {flag} or set {variable}, for example {flag} {example}',
+            )
+        )
+    return setting.default
 
 
 class _Parser(argparse.ArgumentParser):
@@ -105,42 +140,45 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
         allow_abbrev=False,
     )
-    for name, info in program.fields():
+    for setting in program.offered():
         parser.add_argument(
-            flag_of(name),
+            flag_of(setting.name),
             metavar='VALUE',
-            help=_help(name, info).replace('%', '%%'),
+            help=_help(setting).replace('%', '%%'),
         )
     return parser
 
 
-def _help(name: str, info: FieldInfo) -> str:
-    default = 'required' if info.is_required() else f'default: {info.default}'
-    example = example_of(info)
-    return f'{info.description} ({env_of(name)}; {default}; e.g. {example})'
+def _help(setting: Setting) -> str:
+    shown = f'default: {setting.default}'
+    if setting.is_required:
+        shown = 'required'
+    description, example = setting.about.description, setting.about.example
+    return f'{description} ({env_of(setting.name)}; {shown}; e.g. {example})'
 
 
 def _example(program: Program[Model]) -> str:
     required = (
-        f'{flag_of(name)} {example_of(info)}'
-        for name, info in program.fields()
-        if info.is_required()
+        f'{flag_of(setting.name)} {setting.about.example}'
+        for setting in program.offered()
+        if setting.is_required
     )
     flags = ' '.join(required)
     return f'example:\n  {program.name} {flags}'
 
 
 def _with_file(
-    model: type[BaseModel],
+    settings: Sequence[Setting],
     named: str | None,
     env: Mapping[str, str],
 ) -> Mapping[str, str]:
     """Add the file's variables, where a file is named, behind the set ones."""
     path = named or env.get(env_of(FILE_FIELD))
-    if FILE_FIELD not in model.model_fields or not path:
+    has_file = any(setting.name == FILE_FIELD for setting in settings)
+    if not has_file or not path:
         return env
     try:
-        text = Path(path).read_text(encoding='utf-8')
+        content = Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as exc:
         problem = Problem(
             ErrorKind.BAD_SETTING,
@@ -148,7 +186,7 @@
             f'correct {flag_of(FILE_FIELD)}, or leave it out',
         )
         raise ProblemError(problem) from exc
-    return {**file_variables(text), **env}
+    return {**file_variables(content), **env}
 
 
 def file_variables(text: str) -> dict[str, str]:
@@ -161,16 +199,10 @@
     }
 
 
-def _from_env(model: type[BaseModel], env: Mapping[str, str]) -> dict[str, Any]:
-    """Take the variables that are set; an empty one counts as not set."""
-    given = {name: env.get(env_of(name)) for name in model.model_fields}
-    return {name: text for name, text in given.items() if text}
-
-
 def _unknown_variable(
-    model: type[BaseModel], env: Mapping[str, str]
+    settings: Sequence[Setting], env: Mapping[str, str]
 ) -> Problem | None:
-    known = [env_of(name) for name in model.model_fields]
+    known = [env_of(setting.name) for setting in settings]
     ours = {variable for variable in env if variable.startswith(ENV_PREFIX)}
     unknown = sorted(ours.difference(known))
     if not unknown:
@@ -185,28 +217,3 @@
 def _nearest(variable: str, known: Iterable[str]) -> str:
     near = get_close_matches(variable, known, n=1)
     return f'did you mean {near[0]}?' if near else 'unset it, or see --help'
-
-
-def _problem(
-    model: type[BaseModel],
-    detail: ErrorDetails,
-    flags: Mapping[str, str | None],
-    env: Mapping[str, str],
-) -> Problem:
-    name = str(detail['loc'][0])
-    flag, variable = flag_of(name), env_of(name)
-    example = example_of(model.model_fields[name])
-    if detail['type'] == 'missing':
-        fact = f'{flag} is not set'
-        remedy = f'give {flag} or set {variable}, for example {flag} {example}'
-        return Problem(ErrorKind.BAD_SETTING, fact, remedy)
-    if flags.get(name) is None:
-        spelled = f'{variable}={env[variable]}'
-    else:
-        spelled = f'{flag} {flags[name]}'
-    message = detail['msg']
-    return Problem(
-        ErrorKind.BAD_SETTING,
-        f'{spelled}: {message}',
-        f'write for example {flag} {example}',
-    )
--- a/tests/direct/test_last_known.py
+++ b/tests/direct/test_last_known.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from bramleybend.clock import SystemClock
 from bramleybend.platform.names import (
     KEPT_TOPIC,
     MANIFEST_TOPIC,
@@ -33,7 +32,7 @@
         await vm.kill()
     world.vms.clear()
     for cfg in world.cfgs:
-        vm = make_platform_process(cfg, SystemClock())
+        vm = make_platform_process(cfg, world.clock)
         world.vms.append(vm)
         await vm.start()
 
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bramleybend.clock import SystemClock
+from bramleybend.clock import Clock, SystemClock
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.platform.program import PlatformProcess, make_platform_process
 from bramleybend.settings_types import HostPort
@@ -80,6 +80,7 @@
     vms: list[PlatformProcess] = field(default_factory=list)
     cfgs: list[EntrySettings] = field(default_factory=list)
     runners: dict[str, RawRunner] = field(default_factory=dict)
+    clock: Clock = field(default_factory=SystemClock)
 
     def publish(self, declared: Mapping[str, Any]) -> None:
         """Put a manifest into the store."""
@@ -98,7 +99,7 @@
     async def add_vm(self) -> PlatformProcess:
         """Start an entry VM that knows the first as its seed."""
         cfg = self._settings(len(self.vms) + 1)
-        vm = make_platform_process(cfg, SystemClock())
+        vm = make_platform_process(cfg, self.clock)
         await vm.start()
         self.vms.append(vm)
         self.cfgs.append(cfg)
@@ -245,11 +246,13 @@
 
 
 @asynccontextmanager
-async def playing(vms: int = 1) -> AsyncIterator[World]:
+async def playing(
+    vms: int = 1, clock: Clock | None = None
+) -> AsyncIterator[World]:
     """Start a store with a manifest, and entry VMs; end all of it."""
     store = PlatformStore(f'127.{_SUBNET}.8.1')
     await store.server.start()
-    world = World(store)
+    world = World(store, clock=clock or SystemClock())
     world.publish(manifest())
     store.topic('keyed.servers')
     try:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 from bramleybend.errors import ErrorKind
 from bramleybend.settings import (
     ProcessKind,
-    fields_of,
+    settings_of,
     parse_settings,
 )
 from bramleybend.settings_parsing import env_of, flag_of
@@ -86,9 +86,9 @@
         parse_settings(ProcessKind.GATEWAY, ['--help'], {})
     shown = capsys.readouterr().out
     assert exit_info.value.code == 0
-    for name, _ in fields_of(ProcessKind.GATEWAY):
-        assert flag_of(name) in shown
-        assert env_of(name) in shown
+    for setting in settings_of(ProcessKind.GATEWAY):
+        assert flag_of(setting.name) in shown
+        assert env_of(setting.name) in shown
 
 
 def test_the_operators_page_matches_the_code() -> None:
