--- a/bramleybend/cli/arguments.py
+++ b/bramleybend/cli/arguments.py
@@ -58,6 +58,17 @@
     )
 
 
+def add_logs(parser: ArgumentParser) -> None:
+    """Take event logs to read in place of asking the processes."""
+    parser.add_argument(
+        '--logs',
+        nargs='+',
+        metavar='FILE',
+        help='event logs, or directories of *.log files: read the cause from '
+        'them and ask no process',
+    )
+
+
 def add_target(parser: ArgumentParser) -> None:
     """Take the VM that is to be changed."""
     parser.add_argument(
--- a/bramleybend/cli/context.py
+++ b/bramleybend/cli/context.py
@@ -31,6 +31,7 @@
     by: str = ''
     target: str = ''
     request_id: str = ''
+    logs: list[str] = field(default_factory=list)
     document: bool = False
     log_service: str = ''
     vm_list: str = ''
--- a/bramleybend/cli/definition.py
+++ b/bramleybend/cli/definition.py
@@ -9,6 +9,7 @@
     add_document,
     add_file,
     add_files,
+    add_logs,
     add_optional_version,
     add_publishing,
     add_recovering,
@@ -83,8 +84,8 @@
     Spec(
         'explain',
         'show where a request went and why',
-        'explain t-81/slot-7',
-        (add_request, add_vms, add_places),
+        'explain 3853957cfa7f845d --logs logs/',
+        (add_request, add_logs, add_vms, add_places),
     ),
 )
 COMMANDS: Final = (
--- a/bramleybend/cli/fleet_queries.py
+++ b/bramleybend/cli/fleet_queries.py
@@ -5,6 +5,7 @@
 from bramleybend.cli.constants import POLL_S
 from bramleybend.cli.context import Context
 from bramleybend.cli.exceptions import fail
+from bramleybend.cli.log_queries import explain_from_logs
 from bramleybend.cli.output import Report
 from bramleybend.cli.processes import (
     Process,
@@ -58,7 +59,9 @@
 
 
 async def explain(ctx: Context) -> Report:
-    """Show where a request went and why, from the processes' own records."""
+    """Show where a request went and why, from records or collected logs."""
+    if ctx.flags.logs:
+        return explain_from_logs(ctx)
     processes = await find_processes(ctx)
     request_id = ctx.flags.request_id
     replies = await ask_all(
