What is late already is passed over by what can be on time; refusals tell their reason in the log

Cause: in a queue longer than the objective, order of arrival makes everybody late, whoever has just come included (play: 12 of 150 started on time at 1.7 times the capacity, 37 now, 118 served in both). A late entry goes back by two seconds of arrival within its workspace's turn; off switch on_time_first.

--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -184,6 +184,8 @@
 
     def _act(self, now: float) -> list[Action]:
         actions = expire(self._shard, now)
+        if self._shard.switches.on_time_first:
+            self._shard.queue.pass_over_late(now)
         actions.extend(start_waiting(self._shard, now))
         actions.extend(preempt(self._shard, now))
         return actions
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -13,6 +13,11 @@
 times the ageing changed nothing beyond noise, and the ablation `short_first`
 shows no loss (docs/BENCHMARKS.md): `places` already lets short prompts pass.
 
+An entry whose answer would no longer be on time goes back by `LATE_S`: in a
+queue longer than the objective, order of arrival alone makes everybody late,
+whoever has just come included. Late ones are passed over for a bounded time,
+and still served. The ablation is `on_time_first`.
+
 `SURE`, `LIKELY` and `LEAD_S` say when an entry is too late and when at risk,
 from the least time it needs; `LIKELY` was 2 and cost goodput at saturation,
 see docs/design/decisions.md.
@@ -20,7 +25,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
 from math import inf
 
@@ -33,6 +38,7 @@
 SURE = 0.5  # of the least seconds; only what is surely too late is given up
 LIKELY = 1.0  # times the least seconds: what a run takes
 LEAD_S = 1.0  # before that: a preemption takes a round trip and a cleanup
+LATE_S = 2.0  # of later arrival that being late counts as
 LAST_ID = '\U0010ffff'  # sorts after every id, so a time's own entries count
 WINDOW = 12  # entries a free runner may choose its best prefix match from
 
@@ -46,6 +52,7 @@
     latest_start: float  # later it is surely too late
     urgent_from: float  # later it is at risk
     rank: float
+    on_time_until: float = inf
 
     @property
     def least_prefill(self) -> int:
@@ -69,6 +76,11 @@
         """Sort by the time from which it is at risk."""
         return (self.urgent_from, self.ask.request_id)
 
+    @property
+    def objective(self) -> tuple[float, str]:
+        """Sort by the time until which it can be on time."""
+        return (self.on_time_until, self.ask.request_id)
+
 
 class TierQueue:
     """The entries of one tier, fair between workspaces."""
@@ -85,6 +97,7 @@
         self.cost = float(0)
         self.expiry = SortedList()
         self.urgent = SortedList()
+        self.objectives = SortedList()
 
     def __len__(self) -> int:
         """Count the entries."""
@@ -102,6 +115,7 @@
         self._lanes[name].add(entry)
         self.expiry.add(entry.due)
         self.urgent.add(entry.urgency)
+        self.objectives.add(entry.objective)
         self._costs[name] += entry.ask.cost
         self.cost += entry.ask.cost
 
@@ -112,6 +126,7 @@
         lane.remove(entry)
         self.expiry.remove(entry.due)
         self.urgent.remove(entry.urgency)
+        self.objectives.remove(entry.objective)
         self._costs[name] -= entry.ask.cost
         self.cost -= entry.ask.cost
         if not lane:
@@ -191,6 +206,7 @@
             ask.deadline - seconds * SURE,
             ask.deadline - seconds * LIKELY - LEAD_S,
             now + ask.cost * self._ageing,
+            ask.on_time_until,
         )
         self._entries[ask.request_id] = entry
         self._tier(ask.tier).add(entry)
@@ -202,6 +218,19 @@
             self._tier(entry.ask.tier).remove(entry)
         return entry
 
+    def pass_over_late(self, now: float) -> None:
+        """Move back what can't be on time any more."""
+        for line in self._tiers.values():
+            ids = tuple(line.objectives.irange(maximum=(now, LAST_ID)))
+            for _, request_id in ids:
+                entry = self._entries[request_id]
+                line.remove(entry)
+                moved = replace(
+                    entry, rank=entry.rank + LATE_S, on_time_until=inf
+                )
+                self._entries[request_id] = moved
+                line.add(moved)
+
     def charge(self, ask: Ask, cost: float) -> None:
         """Count cost as served to the request's workspace."""
         self._tier(ask.tier).charge(ask, cost)
--- a/bramleybend/decisions/switches.py
+++ b/bramleybend/decisions/switches.py
@@ -10,6 +10,7 @@
     tiers: bool = True
     fair: bool = True
     short_first: bool = True
+    on_time_first: bool = True
     expiry: bool = True
     preemption: bool = True
     speeds: bool = True
--- a/bramleybend/direct/ask_messages.py
+++ b/bramleybend/direct/ask_messages.py
@@ -31,6 +31,7 @@
         ask.deadline - now,
         sorted(ask.excluded),
         ask.suspect,
+        ask.on_time_until - now,
     )
 
 
@@ -48,6 +49,7 @@
         cancellable=False,
         suspect=news.suspect,
         excluded=frozenset(news.excluded),
+        on_time_until=now + news.on_time_s,
     )
 
 
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -88,6 +88,7 @@
     patience_s: float
     excluded: list[str]
     suspect: bool  # it gets a runner to itself
+    on_time_s: float  # the time left for a start that is on time
 
 
 class Queued(msgspec.Struct, tag='queued', array_like=True):
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -76,7 +76,7 @@
             reply = await self._plain(job)
         else:
             reply = await self._to_its_end(job)
-        self._log_answer(job, reply.status)
+        self._log_answer(job, reply.status, reply.reason)
         await responder.reply(reply)
 
     async def _to_its_end(self, job: Job) -> Reply:
@@ -130,9 +130,10 @@
     async def _serve_stream(self, job: Job, responder: Responder) -> None:
         reply = await self._stream(job, responder)
         passed_on = job.failure_status or HTTPStatus.OK
-        self._log_answer(job, reply.status if reply else passed_on)
         if reply is None:
+            self._log_answer(job, passed_on)
             return
+        self._log_answer(job, reply.status, reply.reason)
         if responder.begun:
             # Part of an answer is out: ended here, it must not look whole.
             responder.tear()
@@ -211,7 +212,7 @@
             **reply.inputs,
         )
 
-    def _log_answer(self, job: Job, status: int) -> None:
+    def _log_answer(self, job: Job, status: int, reason: str = '') -> None:
         self._count_answer(job, status)
         failure = job.last_failure
         first_at = job.first_event_at
@@ -223,7 +224,7 @@
             tier=int(job.terms.tier),
             status=int(status),
             runners=','.join(job.trail),
-            why=failure.reason if failure else '',
+            why=failure.reason if failure else reason,
             first_event_ms=''
             if first_at is None
             else int((first_at - job.req.received_at) * MILLISECONDS),
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -195,6 +195,7 @@
             cancellable=False,
             suspect=self._parts.containment.runs_alone(job.fingerprint),
             excluded=self._excluded(job),
+            on_time_until=job.req.received_at + job.terms.route.objective_s,
         )
 
     def _excluded(self, job: Job) -> frozenset[str]:
--- a/bramleybend/models.py
+++ b/bramleybend/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import IntEnum, StrEnum
+from math import inf
 
 
 class Tier(IntEnum):
@@ -153,3 +154,4 @@
     fingerprint: str = ''  # equal for equal content
     suspect: bool = False  # its content was in flight when a runner crashed
     excluded: frozenset[str] = field(default_factory=frozenset)
+    on_time_until: float = inf  # for a start, on the same clock
--- /dev/null
+++ b/tests/decisions/test_on_time_first.py
@@ -0,0 +1,90 @@
+"""A queue that is longer than its objective."""
+
+from random import Random
+
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+)
+from bramleybend.decisions.owner import make_shard_policy
+from bramleybend.decisions.switches import Switches
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+
+RUN_S = 0.1
+EVERY_S = 0.06  # between two arrivals, 1.7 times what the runner can do
+OBJECTIVE_S = 0.5
+PATIENCE_S = 3.0
+ASKED = 150
+
+
+def play(*, on_time_first: bool) -> tuple[int, int, float]:
+    """Return how many started on time, how many at all, the longest wait."""
+    policy = make_shard_policy(
+        Service('lm', ServiceKind.ENGINE, slots=1),
+        Random(1),
+        switches=Switches(
+            limits=False, preemption=False, on_time_first=on_time_first
+        ),
+    )
+    policy.runners([RunnerInfo('r1', leaving=False, slots=1, warm=True)], 0)
+    arrivals = {f'a{number:03}': number * EVERY_S for number in range(ASKED)}
+    started: dict[str, float] = {}
+    refused: set[str] = set()
+    ends: dict[str, float] = {}
+
+    def act(actions: list[Action], now: float) -> None:
+        for action in actions:
+            if isinstance(action, Grant):
+                started[action.request_id] = now
+                ends[action.request_id] = now + RUN_S
+            elif isinstance(action, Refuse):
+                refused.add(action.request_id)
+
+    for step in range(int(ASKED * EVERY_S * 200)):
+        now = step / 100
+        due = tuple(name for name, at in ends.items() if at <= now)
+        for name in due:
+            ends.pop(name)
+            report = RunReport('done', prompt_tokens=10, completion_tokens=1)
+            act(policy.ended(name, report, now), now)
+        for name, at in arrivals.items():
+            if at <= now < at + 0.01:
+                act(policy.ask(ask(name, at), now), now)
+        act(policy.tick(now), now)
+    waits = {name: at - arrivals[name] for name, at in started.items()}
+    on_time = sum(wait <= OBJECTIVE_S for wait in waits.values())
+    return on_time, len(waits), max(waits.values())
+
+
+def ask(name: str, now: float) -> Ask:
+    return Ask(
+        name,
+        'lm',
+        Tier.NORMAL,
+        'w',
+        18,
+        10,
+        (),
+        now + PATIENCE_S,
+        cancellable=False,
+        on_time_until=now + OBJECTIVE_S,
+    )
+
+
+def test_more_callers_are_served_on_time_in_a_long_queue() -> None:
+    """For nine seconds 1.7 times the capacity is asked for.
+
+    In order of arrival the queue soon waits longer than the objective, and
+    from then on everybody is late. Passing over those that are late already
+    keeps the runner with those that can still be on time; as many are served
+    in all, and nobody waits for longer than patience.
+    """
+    before = play(on_time_first=False)
+    after = play(on_time_first=True)
+    assert before[0] <= ASKED * 0.1
+    assert after[0] >= ASKED * 0.2
+    assert after[1] >= before[1] * 0.95
+    assert after[2] <= PATIENCE_S
