--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -199,15 +199,19 @@
         )
 
     def _excluded(self, job: Job) -> frozenset[str]:
-        """Leave out runners that this content crashed, while others remain.
+        """Leave out runners that failed this content, while others remain.
 
-        One runner that breaks off again and again may itself be the fault.
+        One that breaks off again and again may itself be the fault. But where
+        it is the only one, a run that failed by chance is tried there again:
+        refused for want of another, callers would get the failure.
         """
         crashed = self._parts.containment.runners(job.fingerprint)
         entries = self._parts.book.runners.get(job.terms.service, ())
-        excluded = job.excluded | crashed
-        if any(entry.incarnation not in excluded for entry in entries):
-            return excluded
+        known = {entry.incarnation for entry in entries}
+        if not known <= job.excluded | crashed:
+            return job.excluded | crashed
+        if job.ran_on and known <= job.excluded:
+            return frozenset()
         return job.excluded
 
     def _spend(self, job: Job) -> bool:
--- a/tests/direct/test_truth.py
+++ b/tests/direct/test_truth.py
@@ -118,6 +118,25 @@
             assert (answer.status, answer.body) == (200, b'done')
 
 
+async def test_the_only_runner_gets_a_failed_lookup_once_more() -> None:
+    """The caller sees the answer, not the failure.
+
+    All other runners have left. The one that stays fails a lookup by chance;
+    there is no other to send it to, and it may run twice.
+    """
+    failed: list[Seen] = []
+
+    async def fails_first(seen: Seen) -> None:
+        await (answers(seen) if failed else fails(seen))
+        failed.append(seen)
+
+    async with playing() as world:
+        await world.add_runner('only', PLAIN, fails_first)
+        await world.knows(PLAIN)
+        assert (await world.call('/read/x')).status == 200
+        assert runs(world) == 2
+
+
 async def test_a_failure_is_passed_on_as_its_runner_gave_it() -> None:
     """Status, body and proof of a failure are the runner's own."""
     async with playing() as world:
