Heartbeats through hubs: bytes no longer grow with the cube of the VMs

Cause: each VM told each other VM of itself five times a second, with the list of all members, all its runs and all totals: 35,000 messages a second and 1.70 GB between domains at 84 VMs, on links of 5 Mbit/s. Change: the three VMs of a domain that can carry most are its hubs. Hubs tell each other; the rest tells its hubs and hears digests: keys of profiles, and only what changed. Runs go to the owner and its successor. Up to three VMs a domain all are hubs, and each still tells each. Bytes still grow with the VMs (148 kB/s at 350): the lists of who lives and the totals of allotments are open.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -85,13 +85,26 @@
     beyond: float = 0  # by us
 
 
+@dataclass
+class _Heard:
+    """What one peer told."""
+
+    spendings: dict[str, Spending] = field(default_factory=dict)
+    is_whole: bool = False  # what isn't there was not spent
+
+    def known(self, workspace: str) -> Spending | None:
+        """Return a workspace's totals, if the peer has told them."""
+        unspent = Spending() if self.is_whole else None
+        return self.spendings.get(workspace, unspent)
+
+
 @dataclass
 class AllotmentBook:
     """All accounts of one VM."""
 
     tolerance: Tolerance = field(default_factory=Tolerance)
     _accounts: dict[str, _Account] = field(default_factory=dict)
-    _heard: dict[str, Mapping[str, Spending]] = field(default_factory=dict)
+    _heard: dict[str, _Heard] = field(default_factory=dict)
 
     def admit(
         self,
@@ -151,27 +164,35 @@
         }
 
     def heard(
-        self, peer: str, told: Mapping[str, Spending], now: float
+        self,
+        peer: str,
+        told: Mapping[str, Spending],
+        now: float,
+        *,
+        tells_all: bool = True,
     ) -> None:
         """Take over what a peer has admitted since it last said so.
 
+        With `tells_all`, workspaces that are not named have spent nothing.
+
         A VM that has just started knows nothing of what was admitted before;
         with a full burst from each restart, a rolling restart of six VMs
         would let in six. So it begins with the debts that its peers know.
         """
-        before = self._heard.get(peer)
+        heard = self._heard.setdefault(peer, _Heard())
         for workspace, spending in told.items():
             account = self._account(workspace, now)
-            if before is None:
+            known = heard.known(workspace)
+            if known is None:
                 account.debt = max(account.debt, spending.debt)
                 account.beyond_debt = max(
                     account.beyond_debt, spending.beyond_debt
                 )
-                continue
-            known = before.get(workspace, Spending())
-            account.debt += spending.used - known.used
-            account.beyond_debt += spending.beyond - known.beyond
-        self._heard[peer] = told
+            else:
+                account.debt += spending.used - known.used
+                account.beyond_debt += spending.beyond - known.beyond
+            heard.spendings[workspace] = spending
+        heard.is_whole = heard.is_whole or tells_all
 
     def forget(self, peer: str) -> None:
         """Drop a peer that has ended."""
--- /dev/null
+++ b/bramleybend/direct/digests.py
@@ -0,0 +1,168 @@
+"""What hubs tell of other VMs: who lives, and what workspaces spent there.
+
+A digest names each VM that is alive by the key of its profile, and carries
+only the profiles and totals that changed lately. A receiver that lacks a
+profile (a lost datagram, a VM that has just started) asks for it by its key,
+so no digest has to arrive.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from math import inf
+from typing import Final
+
+from bramleybend.direct.members import RELAYED_ALIVE_S, Member, Members
+from bramleybend.direct.beat_messages import (
+    Alive,
+    Digest,
+    Profile,
+    SpendingNews,
+    Spent,
+)
+
+MILLISECOND: Final = timedelta(milliseconds=1).total_seconds()
+
+
+@dataclass(frozen=True)
+class Heard:
+    """What a digest said of one VM."""
+
+    member: Member
+    spent: Spent | None
+
+
+@dataclass(frozen=True)
+class _Total:
+    news: SpendingNews
+    at: float  # when it changed
+
+
+class Digests:
+    """The profiles and totals of the other VMs, to be passed on."""
+
+    def __init__(self, members: Members) -> None:
+        """Know no profile."""
+        self._members = members
+        self._profiles: dict[int, Profile] = {}
+        self._noted_at: dict[int, float] = {}
+        self._totals: dict[str, dict[str, _Total]] = defaultdict(dict)
+        self._whole: set[str] = set()  # VMs of which we know all totals
+
+    def note(self, profile: Profile, now: float) -> int:
+        """Keep a profile; returns its key."""
+        key = profile.key
+        if key not in self._profiles:
+            self._profiles[key] = profile
+            self._noted_at[key] = now
+        return key
+
+    def note_spendings(
+        self,
+        vm: str,
+        spendings: Iterable[SpendingNews],
+        now: float,
+        *,
+        tells_all: bool,
+    ) -> None:
+        """Keep a VM's totals; debts alone are no change."""
+        if tells_all:
+            self._whole.add(vm)
+        totals = self._totals[vm]
+        for news in spendings:
+            known = totals.get(news.workspace)
+            if known is None or (known.news.used, known.news.beyond) != (
+                news.used,
+                news.beyond,
+            ):
+                totals[news.workspace] = _Total(news, now)
+
+    def forget(self, member: Member) -> None:
+        """Drop a VM that is gone or began anew."""
+        self._totals.pop(member.vm, None)
+        self._whole.discard(member.vm)
+        gone = [
+            key
+            for key, profile in self._profiles.items()
+            if profile.incarnation == member.incarnation
+        ]
+        for key in gone:
+            self._profiles.pop(key)
+            self._noted_at.pop(key)
+
+    def changed_since(self, since: float) -> bool:
+        """Tell whether a VM came, or says something new of itself."""
+        return any(at > since for at in self._noted_at.values())
+
+    def make(
+        self, members: Iterable[Member], now: float, since: float = -inf
+    ) -> Digest:
+        """Tell of VMs that are alive, and what changed after a time."""
+        told = [one for one in members if one.key in self._profiles]
+        fresh = [one for one in told if self._noted_at[one.key] > since]
+        spent = [self._spent(one, since) for one in told]
+        return Digest(
+            [Alive(one.key, _age_ms(one, now)) for one in told],
+            [self._profiles[one.key] for one in fresh],
+            [news for news in spent if news.spendings or news.tells_all],
+        )
+
+    def of_keys(self, keys: Iterable[int], now: float) -> Digest:
+        """Tell all of the VMs that a receiver doesn't know."""
+        wanted = set(keys)
+        return self.make(
+            (one for one in self._members if one.key in wanted), now
+        )
+
+    def take(self, digest: Digest, now: float) -> tuple[list[Heard], list[int]]:
+        """Read a digest; returns what it says, and the keys not known."""
+        for profile in digest.profiles:
+            self.note(profile, now)
+        spent = {news.key: news for news in digest.spent}
+        heard = []
+        for alive in digest.alive:
+            known = self._profiles.get(alive.key)
+            if known is not None and known.vm != self._members.own.vm:
+                at = now - alive.age_ms * MILLISECOND
+                member = member_of(known, alive.key, at, RELAYED_ALIVE_S)
+                heard.append(Heard(member, spent.get(alive.key)))
+        unknown = [
+            one.key for one in digest.alive if one.key not in self._profiles
+        ]
+        return heard, unknown
+
+    def _spent(self, member: Member, since: float) -> Spent:
+        """Return what a VM spent; all of it with a profile that is new."""
+        is_new = self._noted_at[member.key] > since
+        totals = self._totals.get(member.vm, {})
+        told = [
+            total.news
+            for total in totals.values()
+            if is_new or total.at > since
+        ]
+        return Spent(member.key, told, is_new and member.vm in self._whole)
+
+
+def member_of(
+    profile: Profile, key: int, heard_at: float, lasts_s: float
+) -> Member:
+    """Return a VM as it described itself at a time."""
+    return Member(
+        profile.vm,
+        profile.incarnation,
+        profile.address,
+        profile.front,
+        profile.ready,
+        profile.leaving,
+        heard_at,
+        heard_at,
+        profile.domain,
+        profile.capacity,
+        key,
+        lasts_s,
+    )
+
+
+def _age_ms(member: Member, now: float) -> int:
+    return int(max(now - member.heard_at, 0) / MILLISECOND)
--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -22,7 +22,9 @@
 
 from bramleybend.clock import Clock
 from bramleybend.direct.feed_copy import FeedCopy, Page
-from bramleybend.direct.messages import FeedNews
+from bramleybend.direct.beat_messages import (
+    FeedNews,
+)
 from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 
--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -1,26 +1,37 @@
 """What an entry VM tells the others, and does with what they tell."""
 
 from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import astuple
+from collections.abc import Callable, Iterable, Mapping
+from math import inf
+from typing import Final
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.allotments import AllotmentBook, Spending
+from bramleybend.direct.audience import Receiver
 from bramleybend.direct.containment import Containment
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.members import Member, Members
-from bramleybend.direct.messages import (
+from bramleybend.direct.beat_messages import (
     Beat,
-    Message,
+    Profile,
     RunNews,
     SpendingNews,
+    Spent,
+)
+from bramleybend.direct.messages import (
+    Message,
 )
-from bramleybend.direct.peers import member_news
 from bramleybend.direct.placing import Placer
 from bramleybend.direct.queues import Queues
 
 State = Callable[[], tuple[bool, bool]]  # ready, leaving
 
+# A total is told again for this long after it changed: in each heartbeat to a
+# hub and at least once to a VM that is told each third, so one may be lost.
+TOLD_S: Final = 1.0
+# All totals are told again, for those who missed each heartbeat of a second.
+TELL_ALL_S: Final = 5.0
+
 
 class PeerListener:
     """Joins the members, the queues and the allotments to the socket."""
@@ -43,47 +54,48 @@
         self._containment = containment
         self._state = state
         self._clock = clock
+        self._totals = OwnTotals()
         self.feeds: list[Feed] = []
 
-    def make_beat(self) -> Beat:
-        """Return what to tell all others now."""
-        own = self._members.own
-        ready, leaving = self._state()
+    def make_beat(self, receiver: Receiver) -> Beat:
+        """Return what to tell a VM of ourselves now."""
+        now = self._clock.monotonic()
+        tells_all = receiver.is_new or self._totals.is_time_for_all(now)
+        totals = self._totals.told(
+            self._allotments.spendings(), now, tells_all=tells_all
+        )
         return Beat(
-            own.vm,
-            own.incarnation,
-            own.front,
-            ready,
-            leaving,
+            self._profile(),
+            receiver.wants,
+            receiver.every,
             [feed.news() for feed in self.feeds],
-            member_news(self._members),
-            [
-                SpendingNews(workspace, *astuple(spending))
-                for workspace, spending in self._allotments.spendings().items()
-            ],
-            self._placer.runs(),
+            totals,
+            tells_all,
+            self._placer.runs() if receiver.tells_runs else None,
             self._containment.news(),
         )
 
     def take_beat(self, beat: Beat, address: str) -> None:
         """Take in a heartbeat."""
+        vm, incarnation = beat.profile.vm, beat.profile.incarnation
         for news in beat.feeds:
             for feed in self.feeds:
                 if feed.terms.name == news.name:
-                    feed.heard(beat.vm, address, news)
-        self._allotments.heard(
-            _peer(beat.vm, beat.incarnation),
-            {one.workspace: _spending(one) for one in beat.spendings},
-            self._clock.monotonic(),
+                    feed.heard(vm, address, news)
+        self._take_spendings(
+            _peer(vm, incarnation), beat.spendings, tells_all=beat.tells_all
         )
         self._containment.heard(beat.crashes)
-        by_service: dict[str, list[RunNews]] = defaultdict(list)
-        for run in beat.runs:
-            by_service[run.service].append(run)
-        for service in by_service:
-            self._queues.of(service)
-        for service, queue in self._queues:
-            queue.heard_runs(beat.vm, by_service.get(service, ()))
+        if beat.runs is not None:
+            self._take_runs(vm, beat.runs)
+
+    def take_spent(self, member: Member, spent: Spent) -> None:
+        """Take in what a VM told of workspaces' spending."""
+        self._take_spendings(
+            _peer(member.vm, member.incarnation),
+            spent.spendings,
+            tells_all=spent.tells_all,
+        )
 
     def take(
         self,
@@ -94,10 +106,14 @@
         """Take in any other message."""
         self._placer.take(message, vm, reply)
 
-    def silent(self, vm: str) -> None:
-        """Hear that a VM was not heard for a while."""
+    def unheard(self, vm: str) -> None:
+        """Hear that a VM no longer tells us anything itself."""
         for feed in self.feeds:
             feed.lost(vm)
+
+    def silent(self, vm: str) -> None:
+        """Hear that a VM was not heard for a while."""
+        self.unheard(vm)
         # Its runs end with its connections. Kept as taken, the slots that it
         # had would be missing until it is back or forgotten.
         self._free_runs(vm)
@@ -107,11 +123,98 @@
         self._allotments.forget(_peer(member.vm, member.incarnation))
         self._free_runs(member.vm)
 
+    def _profile(self) -> Profile:
+        own = self._members.own
+        ready, leaving = self._state()
+        return Profile(
+            own.vm,
+            own.incarnation,
+            own.address,
+            own.domain,
+            own.capacity,
+            own.front,
+            ready,
+            leaving,
+        )
+
+    def _take_spendings(
+        self, peer: str, spendings: Iterable[SpendingNews], *, tells_all: bool
+    ) -> None:
+        self._allotments.heard(
+            peer,
+            {one.workspace: _spending(one) for one in spendings},
+            self._clock.monotonic(),
+            tells_all=tells_all,
+        )
+
+    def _take_runs(self, vm: str, runs: Iterable[RunNews]) -> None:
+        by_service: dict[str, list[RunNews]] = defaultdict(list)
+        for run in runs:
+            by_service[run.service].append(run)
+        for service in by_service:
+            self._queues.of(service)
+        for service, queue in self._queues:
+            queue.heard_runs(vm, by_service.get(service, ()))
+
     def _free_runs(self, vm: str) -> None:
         for _, queue in self._queues:
             queue.heard_runs(vm, ())
 
 
+class OwnTotals:
+    """Which of our own totals a heartbeat carries.
+
+    All of them in each were most of its bytes: 16 workspaces take 0.5 kB,
+    and a VM serves a request of one or two of them between two heartbeats.
+    """
+
+    def __init__(self) -> None:
+        """Tell all first."""
+        self._known: dict[str, tuple[float, float]] = {}
+        self._changed_at: dict[str, float] = {}
+        self._told_all_at = -inf
+
+    def is_time_for_all(self, now: float) -> bool:
+        """Tell whether all totals are to be told again."""
+        if now - self._told_all_at > TELL_ALL_S:
+            self._told_all_at = now
+        return now - self._told_all_at < TOLD_S
+
+    def told(
+        self,
+        spendings: Mapping[str, Spending],
+        now: float,
+        *,
+        tells_all: bool,
+    ) -> list[SpendingNews]:
+        """Return the totals to tell now."""
+        self._note_changes(spendings, now)
+        return [
+            _news(workspace, spending)
+            for workspace, spending in spendings.items()
+            if tells_all or now - self._changed_at[workspace] <= TOLD_S
+        ]
+
+    def _note_changes(
+        self, spendings: Mapping[str, Spending], now: float
+    ) -> None:
+        for workspace, spending in spendings.items():
+            total = (spending.used, spending.beyond)
+            if self._known.get(workspace) != total:
+                self._known[workspace] = total
+                self._changed_at[workspace] = now
+
+
+def _news(workspace: str, spending: Spending) -> SpendingNews:
+    return SpendingNews(
+        workspace,
+        int(spending.used),
+        int(spending.beyond),
+        int(spending.debt),
+        int(spending.beyond_debt),
+    )
+
+
 def _peer(vm: str, incarnation: str) -> str:
     return f'{vm}/{incarnation}'
 
--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -1,12 +1,25 @@
-"""Which entry VMs there are, as told by their heartbeats.
+"""Which entry VMs there are, and which of them are hubs.
 
-Pure state: `Peers` owns the socket. A VM counts as alive while it was heard
-within `ALIVE_S`; longer than that, and asks go elsewhere.
+Pure state: `Peers` owns the socket. A VM counts as alive while it was heard,
+directly or through a hub, within the time that the next word of it is due.
+
+Load pattern: many VMs on links of a few Mbit/s, of which each has to know
+which others live.
+Without it: each tells each, and the bytes grow with the cube of the VMs. 84
+VMs on links of 5 Mbit/s so served 0.21 of a quiet load's worth.
+
+The `HUBS` VMs of each failure domain that can carry most are its hubs. Hubs
+tell each other of themselves and of their domain; every other VM tells its
+domain's hubs of itself and hears from them of all. Up to `HUBS` VMs a domain
+all are hubs, and each tells each.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from typing import Final
+from functools import lru_cache
+from heapq import nlargest
+from typing import Final, TypeAlias
 
 from xxhash import xxh64_intdigest
 
@@ -14,10 +27,19 @@
 # Three heartbeats: one lost datagram is no failure, and the callers of a VM
 # that has died wait no longer than this for another owner.
 ALIVE_S: Final = 0.65
+# What hubs tell of others comes from each of a domain's hubs in turn, every
+# third beat; so does the word of VMs that speak to us but each third beat.
+RELAYED_ALIVE_S: Final = ALIVE_S + 2 * BEAT_S
 # Silent for longer than any freeze or cut is likely to last.
 FORGET_S: Final = 30.0
 # A VM that comes up is asked nothing before it knows what runs where.
 SETTLE_S: Final = 1.0
+# One may be down and another frozen, and the domain still hears the rest.
+HUBS: Final = 3
+MOST_RANKS: Final = 4096  # kept hashes; some ten for each VM
+
+# Whether it stays, its capacity, a hash, its name.
+_HubRank: TypeAlias = tuple[bool, int, int, str]
 
 
 @dataclass
@@ -30,8 +52,16 @@
     front: str
     ready: bool
     leaving: bool
-    heard_at: float
+    heard_at: float  # when it last spoke, to us or to a hub
     since: float
+    domain: str = ''
+    capacity: int = 0
+    key: int = 0  # of its profile
+    lasts_s: float = ALIVE_S  # after `heard_at`
+
+    def is_alive(self, now: float) -> bool:
+        """Tell whether its next word is not overdue."""
+        return now - self.heard_at <= self.lasts_s
 
 
 @dataclass(frozen=True)
@@ -42,6 +72,10 @@
     incarnation: str
     address: str
     front: str
+    domain: str = ''
+    # How much it can carry, in powers of two: work for all goes to the
+    # highest first, and a VM on a thin link or half a core is spared.
+    capacity: int = 0
 
 
 class Members:
@@ -52,16 +86,27 @@
         self.own = own
         self._members: dict[str, Member] = {}
         self._distrusted: dict[str, float] = {}  # vm to the end of it
+        self._hubs: dict[str, list[str]] = {}  # names by domain
 
     def __iter__(self) -> Iterator[Member]:
         """Go over all that are known, silent ones included."""
         return iter(self._members.values())
 
+    def get(self, vm: str) -> Member | None:
+        """Return a VM, if it is known."""
+        return self._members.get(vm)
+
     def heard(self, member: Member) -> Member | None:
-        """Take in a heartbeat; returns what was known of the VM before."""
+        """Take in a VM's word; returns what was known of the VM before.
+
+        An older word that came through a slower hub changes nothing.
+        """
         before = self._members.get(member.vm)
-        if before is not None and before.incarnation == member.incarnation:
-            member.since = before.since
+        if before is not None:
+            if before.heard_at > member.heard_at:
+                return before
+            if before.incarnation == member.incarnation:
+                member.since = before.since
         self._members[member.vm] = member
         return before
 
@@ -78,10 +123,16 @@
 
     def alive(self, now: float) -> list[Member]:
         """Return those that were heard just now."""
+        return [
+            member for member in self._members.values() if member.is_alive(now)
+        ]
+
+    def silent(self, now: float) -> list[Member]:
+        """Return those that are known and not heard."""
         return [
             member
             for member in self._members.values()
-            if now - member.heard_at <= ALIVE_S
+            if not member.is_alive(now)
         ]
 
     def ready_fronts(self, now: float) -> list[str]:
@@ -104,13 +155,56 @@
         """Ask a VM nothing for a while: it did not answer."""
         self._distrusted[vm] = until
 
+    def choose_hubs(self, now: float) -> None:
+        """Rank the VMs of each domain anew."""
+        own = self.own
+        ranks: dict[str, list[_HubRank]] = defaultdict(list)
+        ranks[own.domain].append((True, *_rank('hub', own), own.vm))
+        for one in self.alive(now):
+            rank = (not one.leaving, *_rank('hub', one), one.vm)
+            ranks[one.domain].append(rank)
+        self._hubs = {
+            domain: _first_names(ranked) for domain, ranked in ranks.items()
+        }
+
+    def is_hub(self, vm: str) -> bool:
+        """Tell whether a VM is among its domain's hubs."""
+        return any(vm in names for names in self._hubs.values())
+
+    def hub_names(self, domain: str) -> list[str]:
+        """Return a domain's hubs, the first in rank first."""
+        return self._hubs.get(domain, [])
+
+    def hubs(self, domain: str | None = None) -> list[Member]:
+        """Return the hubs of one domain or of all, without ourselves."""
+        names = (
+            vm
+            for where, hubs in self._hubs.items()
+            if domain is None or domain == where
+            for vm in hubs
+        )
+        return [self._members[vm] for vm in names if vm in self._members]
+
     def ranks_first(
         self, work: str, able: Mapping[str, bool], most: int
     ) -> bool:
-        """Tell whether we are among the first for some work."""
-        ours = _rank(work, self.own.vm)
+        """Tell whether we are among the first hubs for some work.
+
+        `able` names the VMs that were heard and tells which can do it. A VM
+        that is no hub does it only where no hub that it hears can: else all
+        VMs of a domain would do what two do for all.
+        """
         ahead = [vm for vm, is_able in able.items() if is_able]
-        return sum(_rank(work, vm) > ours for vm in ahead) < most
+        if self._hubs and not self.is_hub(self.own.vm):
+            return not any(self.is_hub(vm) for vm in ahead)
+        ours = _rank(work, self.own)
+        hubs = [vm for vm in ahead if not self._hubs or self.is_hub(vm)]
+        return sum(self._rank_of(work, vm) > ours for vm in hubs) < most
+
+    def owners(self, service: str, now: float, most: int) -> list[Member]:
+        """Return the first in rank for a service's work, without us."""
+        able = (one for one in self.alive(now) if self._may_own(one, now))
+        return nlargest(most, able, key=lambda one: _rank(service, one))
 
     def owner(self, service: str, now: float, able: bool) -> Member | None:
         """Return who orders a service's work; none: we do ourselves.
@@ -118,20 +212,34 @@
         All VMs rank alike by a hash, so they agree unless one of them hears
         less than the others. `able` tells whether we may be the owner.
         """
-        others: Iterable[Member] = (
-            member
-            for member in self.alive(now)
-            if member.ready
+        best = next(iter(self.owners(service, now, 1)), None)
+        if best is None or not able:
+            return best
+        ours = _rank(service, self.own)
+        return None if ours > _rank(service, best) else best
+
+    def _may_own(self, member: Member, now: float) -> bool:
+        return (
+            member.ready
             and not member.leaving
             and now - member.since >= SETTLE_S
             and self._distrusted.get(member.vm, 0) <= now
         )
-        best = max(others, key=lambda one: _rank(service, one.vm), default=None)
-        if best is None or not able:
-            return best
-        ours = _rank(service, self.own.vm)
-        return None if ours > _rank(service, best.vm) else best
+
+    def _rank_of(self, work: str, vm: str) -> tuple[int, int]:
+        member = self._members.get(vm)
+        capacity = member.capacity if member else self.own.capacity
+        return capacity, _hash_of(work, vm)
+
+
+def _first_names(ranked: list[_HubRank]) -> list[str]:
+    return [rank[-1] for rank in nlargest(HUBS, ranked)]
+
+
+def _rank(work: str, one: Member | Self) -> tuple[int, int]:
+    return one.capacity, _hash_of(work, one.vm)
 
 
-def _rank(service: str, vm: str) -> int:
-    return xxh64_intdigest(f'{service}/{vm}'.encode())
+@lru_cache(MOST_RANKS)
+def _hash_of(work: str, vm: str) -> int:
+    return xxh64_intdigest(f'{work}/{vm}'.encode())
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -10,70 +10,9 @@
 
 import msgspec
 
-MOST_BYTES: Final = 60_000  # UDP's own limit is 65,507
-
-
-class MemberNews(msgspec.Struct, array_like=True):
-    """Where a VM was last heard."""
-
-    vm: str
-    address: str
-    front: str
-
-
-class RunNews(msgspec.Struct, array_like=True):
-    """One run that the sender has at a runner."""
-
-    request_id: str
-    service: str
-    runner: str  # its incarnation
-    tier: int
-    workspace: str
-    cost: float
-    prompt_tokens: int
-
+from bramleybend.direct.beat_messages import Beat, Digest, Unknown
 
-class SpendingNews(msgspec.Struct, array_like=True):
-    """What a workspace has taken of its allotment, as the sender knows."""
-
-    workspace: str
-    used: float  # by the sender since its start
-    beyond: float  # of it, let in on idle runners
-    debt: float  # over all VMs, not paid back yet
-    beyond_debt: float
-
-
-class CrashNews(msgspec.Struct, array_like=True):
-    """Content that was running when runners ended."""
-
-    fingerprint: str
-    generation: int  # raised by each run of it that came to its end
-    runners: list[str]  # their incarnations
-    refused: bool
-
-
-class FeedNews(msgspec.Struct, array_like=True):
-    """How far a VM has read one of the platform's logs."""
-
-    name: str
-    end: int  # -1: nothing yet
-    age_s: float  # since it was sure that there was nothing newer
-    reads: bool  # whether the store answers it
-
-
-class Beat(msgspec.Struct, tag='beat', array_like=True):
-    """What a VM tells all others, several times a second."""
-
-    vm: str
-    incarnation: str
-    front: str  # ip:port for callers
-    ready: bool
-    leaving: bool
-    feeds: list[FeedNews]
-    members: list[MemberNews]
-    spendings: list[SpendingNews]
-    runs: list[RunNews]
-    crashes: list[CrashNews]
+MOST_BYTES: Final = 60_000  # UDP's own limit is 65,507
 
 
 class AskNews(msgspec.Struct, tag='ask', array_like=True):
@@ -141,7 +80,16 @@
 
 
 Message: TypeAlias = (
-    Beat | AskNews | Queued | Granted | Refused | Withdrawn | Filled | Ended
+    Beat
+    | Digest
+    | Unknown
+    | AskNews
+    | Queued
+    | Granted
+    | Refused
+    | Withdrawn
+    | Filled
+    | Ended
 )
 
 encode: Final = msgspec.msgpack.Encoder().encode
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -22,15 +22,21 @@
 )
 from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
 from bramleybend.decisions.switches import Switches
-from bramleybend.direct.messages import RunNews
+from bramleybend.direct.beat_messages import (
+    RunNews,
+)
 from bramleybend.direct.models import RunnerEntry, RunnerState
 from bramleybend.models import Ask, Service, ServiceKind, Tier
 
 Reply: TypeAlias = Callable[[Grant | Refuse], None]
 
 # A run that its VM's heartbeats don't tell of this long after the grant has
-# ended, and the message that said so was lost. Two heartbeats and a hop.
-UNCONFIRMED_S: Final = 0.6
+# ended, and the message that said so was lost. VMs tell owners of their runs
+# in each third heartbeat (0.6 s) at least; one of them may be lost.
+UNCONFIRMED_S: Final = 1.3
+# A VM that tells us of its runs no longer takes us for an owner. Kept as
+# taken, they would fill our runners on the day that we become the owner.
+RUNS_LAPSE_S: Final = 2.0
 # An ask that is not said again is withdrawn: its VM is gone.
 ASK_LAPSE_S: Final = 1.0
 # Of a service's slots. Heartbeats tell of the other VMs' runs within 0.2 s;
@@ -55,6 +61,7 @@
         self._asked_at: dict[str, float] = {}
         self._granted_at: dict[str, float] = {}
         self._told: dict[str, frozenset[str]] = {}  # by VM, its runs here
+        self._told_at: dict[str, float] = {}  # by VM
         self._timer: asyncio.TimerHandle | None = None
 
     def ask(self, ask: Ask, reply: Reply) -> None:
@@ -131,6 +138,7 @@
             self._granted_at.pop(request_id, None)
             self._act(self._policy.adopt(ask_of(run, now), run.runner, now))
         self._told[vm] = frozenset(current)
+        self._told_at[vm] = now
 
     def sweep(self) -> None:
         """Drop asks and grants whose VM said nothing more of them."""
@@ -147,6 +155,9 @@
         )
         for request_id in silent:
             self.withdraw(request_id)
+        for vm, at in tuple(self._told_at.items()):
+            if now - at > RUNS_LAPSE_S and self._told[vm]:
+                self.heard_runs(vm, ())
 
     def _forget(self, request_id: str) -> None:
         self._asked_at.pop(request_id, None)
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -1,4 +1,4 @@
-"""Talks to the other entry VMs: heartbeats, and asks to owners.
+"""Talks to the other entry VMs: heartbeats, digests, and asks to owners.
 
 Owns the socket. What is heard goes to the tables that were passed in.
 """
@@ -6,15 +6,29 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from typing import Any, Final, Protocol, TypeAlias
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, Protocol, TypeAlias
 
 import msgspec
 
 from bramleybend.clock import Clock
-from bramleybend.direct.members import BEAT_S, Member, Members
-from bramleybend.direct.messages import (
+from bramleybend.direct.audience import Audience, Receiver
+from bramleybend.direct.digests import Digests, Heard, member_of
+from bramleybend.direct.members import (
+    ALIVE_S,
+    BEAT_S,
+    Member,
+    Members,
+)
+from bramleybend.direct.beat_messages import (
     Beat,
-    MemberNews,
+    Digest,
+    Scope,
+    Spent,
+    Unknown,
+)
+from bramleybend.direct.messages import (
     Message,
     decode,
     encode,
@@ -23,29 +37,29 @@
 
 Endpoint: TypeAlias = tuple[str, int]
 
-# A VM that starts finds the others at once, also those that start with it.
-FIRST_BEATS: Final = 25  # five seconds
-# Addresses that were never heard are tried less often than members are told:
-# a seed may be stale, and a VM that was replaced never answers.
-STRANGER_EVERY: Final = 5  # heartbeats
-
 logger = logging.getLogger(__name__)
 
 
 class Listener(Protocol):
     """What is done with messages of other VMs."""
 
-    def make_beat(self) -> Beat:
-        """Return what to tell all others now."""
+    def make_beat(self, receiver: Receiver) -> Beat:
+        """Return what to tell a VM of ourselves now."""
 
     def take_beat(self, beat: Beat, address: str) -> None:
         """Take in a heartbeat."""
 
+    def take_spent(self, member: Member, spent: Spent) -> None:
+        """Take in what a VM told of workspaces' spending."""
+
     def take(
         self, message: Message, vm: str, reply: Callable[[Message], None]
     ) -> None:
         """Take in any other message."""
 
+    def unheard(self, vm: str) -> None:
+        """Hear that a VM no longer tells us anything itself."""
+
     def silent(self, vm: str) -> None:
         """Hear that a VM was not heard for a while."""
 
@@ -53,29 +67,43 @@
         """Hear that a VM is taken for gone."""
 
 
+@dataclass
+class Traffic:
+    """What was sent, for the metrics."""
+
+    messages: int = 0
+    size: int = 0  # bytes
+
+
 class Peers(asyncio.DatagramProtocol):
     """The socket between entry VMs."""
 
     def __init__(
         self,
         members: Members,
+        services: Callable[[], Iterable[str]],
         listener: Listener,
         port: int,
-        seeds: Iterable[str],
         clock: Clock,
         events: EventLog,
     ) -> None:
-        """Know the seeds' addresses."""
+        """Know nobody; the owners of `services` are told of our runs."""
         self._members = members
+        self._audience = Audience(members, services)
+        self.add_seeds = self._audience.add_seeds
+        self._digests = Digests(members)
         self._listener = listener
         self._port = port
         self._clock = clock
         self._events = events
-        self._addresses: dict[str, None] = dict.fromkeys(seeds)
         self._names: dict[str, str] = {}  # address to VM
         self._transport: asyncio.DatagramTransport | None = None
         self._beats = 0
+        self._digest_at = float(0)
+        self._near_at = float(0)
         self._alive: set[str] = set()
+        self._direct: dict[str, float] = {}  # VM to when its word is overdue
+        self.sent = Traffic()
 
     async def start(self, address: str) -> None:
         """Bind the socket."""
@@ -91,24 +119,16 @@
             await asyncio.sleep(BEAT_S)
 
     def beat(self) -> None:
-        """Send one heartbeat to every VM."""
+        """Send one round of heartbeats and digests."""
         now = self._clock.monotonic()
         for old in self._members.forget_old(now):
-            self._addresses.pop(old.address, None)
-            self._listener.lost(old)
+            self._lose(old)
         self._note_silent(now)
-        payload = encode(self._listener.make_beat())
-        for address in self._due(now):
-            self._write(payload, address)
+        self._members.choose_hubs(now)
+        self._send_beats(now)
+        self._send_digests(now)
         self._beats += 1
 
-    def add_addresses(self, addresses: Iterable[str]) -> None:
-        """Learn where further VMs may be."""
-        own = self._members.own.address
-        for address in addresses:
-            if address != own:
-                self._addresses.setdefault(address)
-
     def send(self, message: Message, address: str) -> None:
         """Send one message; it may be lost."""
         self._write(encode(message), address)
@@ -129,53 +149,127 @@
         except msgspec.MsgspecError as exc:
             self._events.record('peer_unreadable', peer=addr[0], why=str(exc))
             return
-        if isinstance(message, Beat):
-            self._heard(message, addr[0])
-            return
-        vm = self._names.get(addr[0], addr[0])
-        self._listener.take(
-            message, vm, lambda reply: self.send(reply, addr[0])
-        )
+        self._take(message, addr[0])
 
     def error_received(self, exc: Exception) -> None:
         """Note a refused datagram; silence tells the rest."""
         logger.debug('a datagram was refused: %s', exc)
 
-    def _due(self, now: float) -> Iterable[str]:
-        if self._beats < FIRST_BEATS or self._beats % STRANGER_EVERY == 0:
-            return tuple(self._addresses)
-        return [member.address for member in self._members.alive(now)]
-
-    def _heard(self, beat: Beat, address: str) -> None:
-        if beat.vm == self._members.own.vm:
+    def _take(self, message: Message, address: str) -> None:
+        match message:
+            case Beat():
+                self._take_beat(message, address)
+            case Digest():
+                self._take_digest(message, address)
+            case Unknown():
+                now = self._clock.monotonic()
+                self.send(self._digests.of_keys(message.keys, now), address)
+            case _:
+                vm = self._names.get(address, address)
+                self._listener.take(
+                    message, vm, partial(self.send, address=address)
+                )
+
+    def _send_beats(self, now: float) -> None:
+        payloads: dict[tuple[Scope, int, bool], bytes] = {}
+        for receiver in self._audience.receivers(self._beats, now):
+            kind = (receiver.wants, receiver.every, receiver.tells_runs)
+            payload = payloads.get(kind)
+            if payload is None:
+                payload = encode(self._listener.make_beat(receiver))
+                payloads[kind] = payload
+            self._write(payload, receiver.address)
+
+    def _send_digests(self, now: float) -> None:
+        hubs = self._audience.subscribers(Scope.NEAR, now)
+        near = self._audience.near(now)
+        if near:
+            payload = encode(self._digests.make(near, now, self._near_at))
+            for address in hubs:
+                self._write(payload, address)
+        self._near_at = now
+        # News of a VM that comes, stops or gets ready doesn't wait its turn.
+        if not self._audience.is_turn(self._beats):
+            if not self._digests.changed_since(self._digest_at):
+                return
+        everyone = self._audience.subscribers(Scope.ALL, now)
+        if everyone:
+            alive = self._members.alive(now)
+            payload = encode(self._digests.make(alive, now, self._digest_at))
+            for address in everyone:
+                self._write(payload, address)
+        self._digest_at = now
+
+    def _take_beat(self, beat: Beat, address: str) -> None:
+        profile = beat.profile
+        if profile.vm == self._members.own.vm:
             return
         now = self._clock.monotonic()
-        self._names[address] = beat.vm
-        self.add_addresses([address])
-        self.add_addresses(news.address for news in beat.members)
-        member = Member(
-            beat.vm,
-            beat.incarnation,
-            address,
-            beat.front,
-            beat.ready,
-            beat.leaving,
-            now,
-            now,
+        self._names[address] = profile.vm
+        lasts_s = ALIVE_S + (beat.every - 1) * BEAT_S
+        self._direct[profile.vm] = now + lasts_s
+        key = self._digests.note(profile, now)
+        is_new = self._note(member_of(profile, key, now, lasts_s))
+        self._digests.note_spendings(
+            profile.vm, beat.spendings, now, tells_all=beat.tells_all
         )
-        before = self._members.heard(member)
-        if before is not None and before.incarnation != beat.incarnation:
-            self._listener.lost(before)
-        if beat.vm not in self._alive:
-            self._alive.add(beat.vm)
-            self._events.record(
-                'peer_heard', peer=beat.vm, incarnation_of=beat.incarnation
-            )
-            # A VM that has just come up learns of us now, not a beat later.
-            self.send(self._listener.make_beat(), address)
+        if self._audience.subscribed(profile.vm, address, beat.wants, now):
+            is_new = True
+            alive = self._members.alive(now)
+            self.send(self._digests.make(alive, now), address)
+        if is_new:
+            # A VM that has just come up learns of us now, not a beat later,
+            # and with us of all that workspaces still owe.
+            greeting = Receiver(address, is_new=True)
+            self.send(self._listener.make_beat(greeting), address)
         self._listener.take_beat(beat, address)
 
+    def _take_digest(self, digest: Digest, address: str) -> None:
+        now = self._clock.monotonic()
+        heard, unknown = self._digests.take(digest, now)
+        for one in heard:
+            self._take_heard(one, now)
+        if unknown:
+            self.send(Unknown(unknown), address)
+
+    def _take_heard(self, heard: Heard, now: float) -> None:
+        member = heard.member
+        known = self._members.get(member.vm)
+        if known is not None and known.heard_at > member.heard_at:
+            return
+        if member.is_alive(now):
+            self._note(member)
+        spent = heard.spent
+        if spent is not None:
+            self._digests.note_spendings(
+                member.vm, spent.spendings, now, tells_all=spent.tells_all
+            )
+            self._listener.take_spent(member, spent)
+
+    def _note(self, member: Member) -> bool:
+        """Take a VM for alive; tells whether it was not."""
+        before = self._members.heard(member)
+        if before is not None and before.incarnation != member.incarnation:
+            self._lose(before)
+            self._alive.discard(member.vm)
+        if member.vm in self._alive:
+            return False
+        self._alive.add(member.vm)
+        self._events.record(
+            'peer_heard', peer=member.vm, incarnation_of=member.incarnation
+        )
+        return True
+
+    def _lose(self, member: Member) -> None:
+        self._digests.forget(member)
+        self._audience.forget(member.vm)
+        self._listener.lost(member)
+
     def _note_silent(self, now: float) -> None:
+        overdue = [vm for vm, until in self._direct.items() if until < now]
+        for vm in overdue:
+            self._direct.pop(vm)
+            self._listener.unheard(vm)
         alive = {member.vm for member in self._members.alive(now)}
         for vm in self._alive - alive:
             self._events.record('peer_silent', peer=vm)
@@ -184,12 +278,6 @@
 
     def _write(self, payload: bytes, address: str) -> None:
         if self._transport is not None:
+            self.sent.messages += 1
+            self.sent.size += len(payload)
             self._transport.sendto(payload, (address, self._port))
-
-
-def member_news(members: Iterable[Member]) -> list[MemberNews]:
-    """Tell where the VMs are that we hear."""
-    return [
-        MemberNews(member.vm, member.address, member.front)
-        for member in members
-    ]
--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -24,6 +24,9 @@
 )
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Member, Members
+from bramleybend.direct.beat_messages import (
+    RunNews,
+)
 from bramleybend.direct.messages import (
     AskNews,
     Ended,
@@ -32,7 +35,6 @@
     Message,
     Queued,
     Refused,
-    RunNews,
     Withdrawn,
 )
 from bramleybend.direct.models import RunnerEntry
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -72,6 +72,8 @@
                 self.identity.incarnation,
                 cfg.address,
                 f'{cfg.front.host}:{cfg.front.port}',
+                cfg.domain,
+                cfg.capacity(),
             )
         )
         self._allotments = AllotmentBook(cfg.allotment_tolerance())
@@ -94,12 +96,13 @@
         )
         self.peers = Peers(
             self.members,
+            self._queues.engines,
             self._listener,
             cfg.peer_port,
-            cfg.seed_addresses(),
             clock,
             self.events,
         )
+        self.peers.add_seeds(cfg.seed_addresses())
         self.placer.send = self.peers.send
         self._service = DirectService(self._parts(dialect, rng))
         self.ingress = Ingress(self._service.handle, self._limits, clock)
@@ -145,7 +148,7 @@
         variables = {env_of(FILE_FIELD): self._cfg.settings}
         match parse_program(ENTRY, (), variables):
             case Ok(cfg):
-                self.peers.add_addresses(cfg.seed_addresses())
+                self.peers.add_seeds(cfg.seed_addresses())
                 self.events.record('reloaded', seeds=cfg.seeds)
             case Err(problem):
                 self.events.record('reload_refused', why=str(problem))
@@ -221,6 +224,8 @@
                 self.members.alive(self._clock.monotonic())
             ),
             'in_flight': lambda: self.ingress.busy,
+            'peer_messages': lambda: self.peers.sent.messages,
+            'peer_bytes': lambda: self.peers.sent.size,
         }
 
     def _limits(self) -> IngressLimits:
--- a/bramleybend/direct/queues.py
+++ b/bramleybend/direct/queues.py
@@ -43,6 +43,12 @@
         facts = manifest.services.get(service) if manifest else None
         return facts is not None and facts.is_engine
 
+    def engines(self) -> list[str]:
+        """Return the services whose work is ordered by one owner."""
+        manifest = self._book.manifest
+        services = manifest.services if manifest else {}
+        return [name for name, facts in services.items() if facts.is_engine]
+
     def take_runners(self) -> None:
         """Tell every queue which runners it has now."""
         for service, queue in self._queues.items():
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -26,6 +26,9 @@
 RESEND_EXTRA: Final = 52
 RESEND_WINDOW_S: Final = 10
 ALLOTMENT_WINDOW_S: Final = 8
+# What a hub of 120 VMs needs at most: see docs/CAPACITY.md.
+CAPACITY_CORES: Final = 0.25
+CAPACITY_MBPS: Final = 2.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -147,8 +150,42 @@
             '190000',
         ),
     )
+    core_share: float = field(
+        default=1,
+        metadata=about(
+            amount,
+            'share of a core that this VM has; work for all VMs goes to '
+            'those that have most',
+            '0.54',
+        ),
+    )
+    core_speed: float = field(
+        default=1,
+        metadata=about(
+            amount, 'how many times as fast as usual that core is', '2'
+        ),
+    )
+    link_mbps: float = field(
+        default=1000,
+        metadata=about(
+            amount,
+            "bandwidth of this VM's link, in Mbit/s; work for all VMs goes "
+            'to those with most',
+            '1000',
+        ),
+    )
     log_level: str = field(default='INFO', metadata=least_level())
 
+    def capacity(self) -> int:
+        """Return how much this VM can carry, in powers of two.
+
+        Levels, as two VMs that differ by little are to rank by the hash:
+        else one of them would carry the work of all services.
+        """
+        cores = self.core_share * self.core_speed
+        least = min(cores / CAPACITY_CORES, self.link_mbps / CAPACITY_MBPS)
+        return max(int(least), 1).bit_length()
+
     def seed_addresses(self) -> list[str]:
         """Return the addresses of other entry VMs, without our own."""
         hosts = [part.rpartition(':')[0] for part in self.seeds.split(',')]
--- /dev/null
+++ b/tests/direct/test_hubs.py
@@ -0,0 +1,164 @@
+"""Heartbeats among many VMs: who hears of whom, how soon, at what cost."""
+
+import pytest
+
+from bramleybend.direct.members import (
+    BEAT_S,
+    HUBS,
+    RELAYED_ALIVE_S,
+    SETTLE_S,
+)
+from tests.utils.peer_network import Network, Vm, started
+
+# A VM's word to its hub, the hub's to the others, theirs to their VMs: each
+# waits for a heartbeat, and one of them may be lost.
+NEWS_S = 4 * BEAT_S
+
+
+def hubs_of(network: Network) -> list[Vm]:
+    """Return the VMs that all others take for hubs."""
+    vms = network.up()
+    return [
+        vm
+        for vm in vms
+        if all(one.members.is_hub(vm.name) for one in vms if one is not vm)
+    ]
+
+
+def spend(network: Network, units: float) -> None:
+    """Let every VM admit units of one workspace."""
+    for vm in network.up():
+        vm.spend('first', units, network.clock.monotonic())
+
+
+def ready_seen(network: Network, name: str) -> int:
+    """Count the VMs that send callers to a VM."""
+    now = network.clock.monotonic()
+    return sum(
+        any(one.vm == name and one.ready for one in vm.members.alive(now))
+        for vm in network.up()
+    )
+
+
+@pytest.mark.parametrize('count', [1, 6, 9, 30, 84])
+def test_vms_that_start_at_once_all_hear_each_other(count: int) -> None:
+    """Callers of any VM are told of all, two seconds after the start."""
+    network = Network()
+    for number in range(count):
+        network.add(number)
+    assert network.until_all_hear_all() < 2
+
+
+def test_up_to_three_vms_a_domain_all_are_hubs() -> None:
+    """Small deployments keep direct heartbeats, each to each, of one hop."""
+    network = started(9)
+    network.run(1)
+    assert len(hubs_of(network)) == 9
+    network.reset_counts()
+    network.run(1)
+    assert network.messages == pytest.approx(9 * 8 / BEAT_S, rel=0.05)
+
+
+def test_hubs_are_the_vms_that_can_carry_most() -> None:
+    """VMs on thin links are spared what only a few have to do."""
+    network = Network()
+    for number in range(30):
+        network.add(number, capacity=3 if number >= 24 else 1)
+    network.until_all_hear_all()
+    network.run(1)
+    strong = {f'entry-{number}' for number in range(24, 30)}
+    assert strong <= {vm.name for vm in hubs_of(network)}
+    assert len(hubs_of(network)) == 3 * HUBS
+    now = network.clock.monotonic() + SETTLE_S
+    owner = network.vms['10.0.0.0'].members.owner('work', now - 1, able=True)
+    assert owner is None or owner.vm in strong
+
+
+@pytest.mark.parametrize('count', [9, 84])
+def test_a_vm_that_dies_is_soon_known_to_all(count: int) -> None:
+    """Callers are sent elsewhere; its slots and allotments come free.
+
+    A VM that is no hub dies without a word. Its hubs miss its heartbeats and
+    leave it out of their digests; what they last said of it runs out.
+    """
+    network = started(count)
+    network.run(2)
+    hubs = {vm.name for vm in hubs_of(network)}
+    victim = next(
+        (vm for vm in network.up() if vm.name not in hubs), network.up()[0]
+    )
+    victim.is_up = False
+    assert network.until_all_hear_all() <= RELAYED_ALIVE_S + BEAT_S
+
+
+def test_the_loss_of_all_hubs_of_a_domain_is_bridged() -> None:
+    """No VM that lives is taken for dead for longer than a second or two.
+
+    The three hubs of a domain lose power at once. Its other VMs hear nobody
+    until they have ranked new hubs among those that they knew.
+    """
+    network = started(30)
+    network.run(2)
+    for vm in hubs_of(network):
+        if vm.address.startswith('10.1.'):
+            vm.is_up = False
+    assert network.until_all_hear_all() <= 4
+
+
+def test_domains_that_were_cut_off_find_each_other_again() -> None:
+    """After ten seconds without a path between two domains, all hear all."""
+    network = started(30)
+    network.run(2)
+    network.cut = {frozenset('01'), frozenset('02')}
+    network.run(10)
+    assert not network.all_hear_all()
+    network.cut = set()
+    assert network.until_all_hear_all() <= 3
+
+
+def test_a_vm_that_stops_being_ready_is_soon_told_of() -> None:
+    """Callers are not sent to a VM that said that it stops."""
+    network = started(84)
+    network.run(1)
+    vm = next(one for one in network.up() if one not in hubs_of(network))
+    vm.is_ready = False
+    network.run(NEWS_S)
+    assert not ready_seen(network, vm.name)
+
+
+def test_lost_datagrams_make_no_vm_look_dead() -> None:
+    """One datagram in forty is lost; nobody is taken for gone."""
+    network = started(84, loss=0.025)
+    network.run(2)
+    for _ in range(100):
+        network.run(0.1)
+        assert network.all_hear_all()
+
+
+def test_totals_of_allotments_reach_all_vms() -> None:
+    """A workspace over its allotment is refused by VMs that it never called.
+
+    Every VM admits 1,000 units at once; each then counts the units of all,
+    through the hubs, and none of them twice.
+    """
+    network = started(84, loss=0.02)
+    network.run(1)
+    spend(network, 10)
+    network.run(NEWS_S)
+    spend(network, 1000)
+    network.run(NEWS_S)
+    debts = [vm.debt('first') for vm in network.up()]
+    assert min(debts) >= 84 * 1000
+    assert max(debts) <= 84 * 1010
+
+
+def test_a_vm_that_starts_takes_over_what_was_spent() -> None:
+    """A rolling restart gives no workspace a new burst."""
+    network = started(30)
+    network.run(1)
+    spend(network, 1000)
+    network.run(1)
+    starter = network.add(29, '2')
+    network.run(1)
+    assert starter.debt('first') >= 29 * 1000
+    assert network.all_hear_all()
