News of a waiting read counts from the end of its wait; 64 addresses at random

The directory gave all addresses; callers read 64. Change: sure as of the end of the wait; runner news may be 1.45 s old (a poll, two heartbeats and a fetch take 1.15 s at most); a random 64 of the addresses. Test: test_news_is_no_older_than_the_wait_for_it, seen to fail before.

--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -182,7 +182,19 @@
             self._try_store_at = now + self._rng.uniform(*pause)
             return
         self._next_read_at = started + self.terms.every_s
-        self._took(page.ok_value, started)
+        self._took(page.ok_value, self._sure_at(page.ok_value, started, now))
+
+    def _sure_at(self, page: Page, started: float, now: float) -> float:
+        """Return when there was surely nothing newer than a page.
+
+        A read that waited in vain was answered at the end of its wait.
+        Counted from its begin, news looks twice as old as it is, and VMs that
+        hear it read the store for themselves.
+        """
+        waited = self.terms.wait_s
+        if waited and not page.records and now - started >= waited:
+            return started + waited
+        return started
 
     async def _read_peer(self, peer: _Peer) -> None:
         page = await self._read(self._peer_source(peer.address), 0)
--- a/bramleybend/platform/directory.py
+++ b/bramleybend/platform/directory.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
+from random import Random
 from typing import Final
 
 from bramleybend.direct.replies import RawRequest, Reply, own_reply
@@ -24,11 +25,13 @@
         fronts: Callable[[], Sequence[str]],
         is_ready: Callable[[], bool],
         metrics: Callable[[], bytes],
+        rng: Random,
     ) -> None:
         """Answer by what the process knows."""
         self._fronts = fronts
         self._is_ready = is_ready
         self._metrics = metrics
+        self._rng = rng
 
     async def handle(self, req: RawRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -56,6 +59,9 @@
         fronts = self._fronts()
         if not fronts:
             return own_reply(HTTPStatus.SERVICE_UNAVAILABLE, 'no VM is ready')
-        body = {'addresses': list(fronts), 'ttlS': LIFETIME_S}
+        # Callers read no more than so many: the first of all in order would
+        # take all callers, and the VMs of the last domain none.
+        chosen = self._rng.sample(fronts, min(len(fronts), MOST_ADDRESSES))
+        body = {'addresses': chosen, 'ttlS': LIFETIME_S}
         headers = [(b'Content-Type', b'application/json')]
         return Reply(HTTPStatus.OK, headers, json.dumps(body).encode())
--- a/bramleybend/platform/follow.py
+++ b/bramleybend/platform/follow.py
@@ -29,7 +29,7 @@
 # back for each heartbeat; the log is polled. A runner that leaves gets
 # nothing new within two seconds: a poll, a heartbeat and a call's time.
 RUNNER_EVERY_S: Final = 0.7
-RUNNER_STALE_S: Final = 1.25
+RUNNER_STALE_S: Final = 1.45
 RUNNER_FEED: Final = FeedTerms(RUNNER_TOPIC, 0, RUNNER_EVERY_S, RUNNER_STALE_S)
 
 
--- a/bramleybend/platform/program.py
+++ b/bramleybend/platform/program.py
@@ -113,7 +113,7 @@
     def _make_doors(self) -> list[tuple[Ingress, str, int]]:
         cfg = self._cfg
         directory = Directory(
-            self.entry.fronts, self.entry.is_ready, self._metrics
+            self.entry.fronts, self.entry.is_ready, self._metrics, self._rng
         )
         mirror = Mirror({feed.terms.name: feed.copy for feed in self.feeds})
         doors = [
--- a/tests/direct/test_news.py
+++ b/tests/direct/test_news.py
@@ -1,17 +1,20 @@
 """Pages of records: what is read, what is refused, who reads."""
 
+import asyncio
 import json
 from random import Random
 
 import pytest
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from bramleybend.clock import ManualClock, SystemClock
 from bramleybend.direct.book import Book
+from bramleybend.direct.feed import Feed, FeedTerms
 from bramleybend.direct.feed_copy import FeedCopy, KeyedRecord, Page
 from bramleybend.direct.members import Member, Members, Self
 from bramleybend.direct.models import RunnerState
 from bramleybend.direct.runner_list import RunnerList
+from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 from bramleybend.models import Repeat, Tier
 from bramleybend.platform.manifest import decode_manifest
@@ -221,3 +224,46 @@
             unpack_page(cut, 0)
         except Exception as exc:  # noqa: BLE001
             assert type(exc).__name__ in {'error', 'UnicodeDecodeError'}
+
+
+class _Quiet:
+    """A log in which nothing happens; a read waits as long as it may."""
+
+    async def newest(self, name: str) -> Result[Page, Problem]:
+        """Return nothing."""
+        return Ok(page(whole=True))
+
+    async def changes(
+        self, name: str, start: int, wait_s: float
+    ) -> Result[Page, Problem]:
+        """Wait in vain."""
+        await asyncio.sleep(wait_s)
+        return Ok(Page((), start, whole=False))
+
+
+async def test_news_is_no_older_than_the_wait_for_it() -> None:
+    """A VM that hears a reader's news doesn't read the store itself.
+
+    A reader waits at the store for the next record, again and again. An
+    empty answer says that there was nothing until the end of the wait; taken
+    as of its begin, the news would look up to two waits old.
+    """
+    wait_s = 0.2
+    clock = SystemClock()
+    source = _Quiet()
+    feed = Feed(
+        FeedTerms('t', wait_s, 0, 2.2),
+        source,
+        lambda _: source,
+        clock,
+        EventLog('vm', 'i', clock, 0),
+        Random(1),
+    )
+    following = asyncio.create_task(feed.run())
+    await asyncio.sleep(wait_s * 1.5)
+    ages = []
+    for _ in range(40):
+        await asyncio.sleep(0.02)
+        ages.append(feed.news().age_s)
+    following.cancel()
+    assert max(ages) < wait_s * 1.5
