bramleybend-ctl times: by tier, where the time of requests went

It reads collected logs: the wait with us, at the runner until the first event, the rest, and the reasons why requests were not served.

--- a/bramleybend/cli/arguments.py
+++ b/bramleybend/cli/arguments.py
@@ -69,6 +69,17 @@
     )
 
 
+def add_needed_logs(parser: ArgumentParser) -> None:
+    """Take event logs that a query can't do without."""
+    parser.add_argument(
+        '--logs',
+        nargs='+',
+        required=True,
+        metavar='FILE',
+        help='event logs of all VMs, or directories of *.log files',
+    )
+
+
 def add_target(parser: ArgumentParser) -> None:
     """Take the VM that is to be changed."""
     parser.add_argument(
--- a/bramleybend/cli/ctl.py
+++ b/bramleybend/cli/ctl.py
@@ -14,6 +14,7 @@
 from bramleybend.cli.environment import Environment
 from bramleybend.cli.exceptions import status_of
 from bramleybend.cli.fleet_queries import explain, status, wait
+from bramleybend.cli.log_queries import times
 from bramleybend.cli.output import Report, write_problem, write_report
 from bramleybend.cli.queries import diff, history, show, validate
 from bramleybend.errors import ProblemError
@@ -30,6 +31,7 @@
         'wait': wait,
         'status': status,
         'explain': explain,
+        'times': times,
     },
 )
 COMMANDS: Final = MappingProxyType[str, Handler](
--- a/bramleybend/cli/definition.py
+++ b/bramleybend/cli/definition.py
@@ -10,6 +10,7 @@
     add_file,
     add_files,
     add_logs,
+    add_needed_logs,
     add_optional_version,
     add_publishing,
     add_recovering,
@@ -87,6 +88,12 @@
         'explain 3853957cfa7f845d --logs logs/',
         (add_request, add_logs, add_vms, add_places),
     ),
+    Spec(
+        'times',
+        'show by tier where the time of requests went',
+        'times --logs logs/',
+        (add_needed_logs,),
+    ),
 )
 COMMANDS: Final = (
     Spec(
--- a/bramleybend/cli/log_queries.py
+++ b/bramleybend/cli/log_queries.py
@@ -3,13 +3,16 @@
 from bramleybend.cli.context import Context
 from bramleybend.cli.event_logs import read_logs
 from bramleybend.cli.exceptions import fail
-from bramleybend.cli.output import Report
+from bramleybend.cli.output import Report, table
 from bramleybend.errors import ErrorKind
 from bramleybend.timeline.cause import Finding, findings
 from bramleybend.timeline.merge import Filter, merge, select
 from bramleybend.timeline.text import render
+from bramleybend.timeline.times import TierTimes, spans_shown, tier_times
 
 MOST_SHOWN = 5  # events of one step; the count in its text is of all
+MOST_REASONS = 8  # of a tier, the most frequent first
+TIMES_HEADER = ('tier', 'served', 'waited ms', 'to first ms', 'rest ms')
 
 
 def explain_from_logs(ctx: Context) -> Report:
@@ -32,6 +35,42 @@
     )
 
 
+async def times(ctx: Context) -> Report:
+    """Show by tier where the time of requests went, and what was not served.
+
+    Times are the median, nine of ten and ninety-nine of a hundred.
+    """
+    rows = tier_times(merge(list(read_logs(ctx.flags.logs))).events)
+    shown = table(TIMES_HEADER, map(_times_row, rows))
+    reasons = ''.join(map(_unserved, rows))
+    return Report(
+        f'{shown}\nnot served:\n{reasons}',
+        [
+            {
+                'tier': row.tier,
+                'served': row.served,
+                'waited_ms': row.waited.values,
+                'to_first_ms': row.to_first.values,
+                'rest_ms': row.rest.values,
+                'unserved': row.unserved,
+            }
+            for row in rows
+        ],
+    )
+
+
+def _times_row(row: TierTimes) -> tuple[str, ...]:
+    spans = map(spans_shown, (row.waited, row.to_first, row.rest))
+    return (row.tier, str(row.served), *spans)
+
+
+def _unserved(row: TierTimes) -> str:
+    return ''.join(
+        f'  tier {row.tier}: {count} of {reason}\n'
+        for reason, count in row.unserved.most_common(MOST_REASONS)
+    )
+
+
 def _step(finding: Finding) -> str:
     lines = render(finding.events[:MOST_SHOWN]).splitlines()
     indented = ''.join(f'    {line}\n' for line in lines)
