--- a/bramleybend/direct/meters.py
+++ b/bramleybend/direct/meters.py
@@ -72,6 +72,12 @@
         'peers_alive': MeterInfo(
             'Other entry VMs heard within the last heartbeats.', ()
         ),
+        'peer_messages': MeterInfo(
+            'Messages sent to other entry VMs since the start.', ()
+        ),
+        'peer_bytes': MeterInfo(
+            'Bytes sent to other entry VMs since the start.', ()
+        ),
         'in_flight': MeterInfo(
             'Connections of callers with a request on them.', ()
         ),
