Sight: a large page says from whom it came, its size and its time

Logs could not tell whether a late manifest came late from one crowded VM, arrived too slowly at one VM, or wasn't known of: only a failed read was logged, without its source and time. event=large_page and the fields peer and took_s of event=peer_feed_failed tell them apart; small pages stay silent, so the volume is one line a large change and VM.

--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -35,6 +35,10 @@
 REFUSED_RETRY_S: Final = (0.6, 1.2)
 WAKE_S: Final = 0.1  # between two looks at who reads and how old it is
 MOST_AGE_S: Final = 1e6  # stands for never
+# A page from this size on takes a thin link's time: 0.1 s of 5 Mbit/s. It is
+# logged with its source and time, as how a late change travelled is told by
+# nothing else; the small pages of each second are not.
+LARGE_PAGE_BYTES: Final = 65_536
 
 
 class FeedSource(Protocol):
@@ -180,6 +184,7 @@
             self._try_store_at = now + self._rng.uniform(*pause)
             return
         self._next_read_at = started + self.terms.every_s
+        self._note_large(page.ok_value, 'store', started)
         self._took(page.ok_value, self._sure_at(page.ok_value, started, now))
 
     def _sure_at(self, page: Page, started: float, now: float) -> float:
@@ -195,14 +200,20 @@
         return started
 
     async def _read_peer(self, peer: _Peer) -> None:
+        started = self._clock.monotonic()
         page = await self._read(self._peer_source(peer.address), 0)
         if isinstance(page, Ok):
+            self._note_large(page.ok_value, peer.address, started)
             self._took(page.ok_value, peer.confirmed_at)
             return
         # It says again what it has with its next heartbeat.
         peer.end = -1
         self._events.record(
-            'peer_feed_failed', feed=self.terms.name, why=str(page.err_value)
+            'peer_feed_failed',
+            feed=self.terms.name,
+            peer=peer.address,
+            took_s=round(self._clock.monotonic() - started, 3),
+            why=str(page.err_value),
         )
 
     async def _read(
@@ -232,6 +243,18 @@
         except TimeoutError:
             return
 
+    def _note_large(self, page: Page, source: str, started: float) -> None:
+        if page.size < LARGE_PAGE_BYTES:
+            return
+        self._events.record(
+            'large_page',
+            feed=self.terms.name,
+            source=source,
+            bytes=page.size,
+            end=page.end,
+            took_s=round(self._clock.monotonic() - started, 3),
+        )
+
     def _note(self, page: Result[Page, Problem]) -> None:
         match page:
             case Err(problem) if self._store_answers:
--- a/bramleybend/direct/feed_copy.py
+++ b/bramleybend/direct/feed_copy.py
@@ -30,6 +30,11 @@
     end: int
     whole: bool  # the newest of every key, not only what changed
 
+    @property
+    def size(self) -> int:
+        """Bytes of content."""
+        return sum(len(record.content) for record in self.records)
+
 
 class FeedCopy:
     """What was read of a log, as far as it may be asked for again."""
