--- /dev/null
+++ b/tests/failures/test_large_manifest.py
@@ -0,0 +1,174 @@
+"""A change that adds many routes is in force on every VM in time."""
+
+import asyncio
+import itertools
+import json
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from bramleybend.clock import Clock, SystemClock
+from bramleybend.direct.beat_messages import FeedNews
+from bramleybend.direct.book import Book
+from bramleybend.direct.feed import Feed
+from bramleybend.direct.feed_copy import FeedCopy, KeyedRecord, Page
+from bramleybend.direct.ingress import Ingress
+from bramleybend.direct.members import BEAT_S
+from bramleybend.direct.models import IngressLimits
+from bramleybend.events import EventLog
+from bramleybend.platform.follow import MANIFEST_FEED, ManifestPages
+from bramleybend.platform.mirror import Mirror
+from bramleybend.platform.names import MANIFEST_KEY, MANIFEST_TOPIC
+from bramleybend.platform.store import StoreClient
+from tests.direct.world import HOST, manifest, route
+from tests.utils.platform_store import PlatformStore
+from tests.utils.relay import Link, Relay
+
+# What operators are promised on the smallest deployments; large ones have
+# three seconds.
+IN_FORCE_S: Final = 2.0
+THIN_LINK: Final = 5e6 / 8  # bytes a second; 5 Mbit/s
+ADDED_ROUTES: Final = 1400
+VMS_OF_A_DOMAIN: Final = 26  # of 78 VMs in three failure domains
+ADDED: Final = '/added1399/x'
+_PORTS = itertools.count(26_000)
+_SUBNET = 20 + os.getpid() % 200
+
+
+def large_manifest(
+    version: int, added: int = ADDED_ROUTES
+) -> dict[str, object]:
+    """Return a manifest with many routes, of about 240 bytes each."""
+    routes = [
+        route(f'/added{number}/', 'idempotent', 'app', sticky=True)
+        for number in range(added)
+    ]
+    return manifest(version, routes=[*manifest()['routes'], *routes])
+
+
+def record(offset: int, content: dict[str, object]) -> KeyedRecord:
+    """Return a version as the store holds it."""
+    text = json.dumps(content).encode()
+    return KeyedRecord(offset, MANIFEST_KEY, text)
+
+
+@dataclass
+class Follower:
+    """One VM's manifest, and how it follows it."""
+
+    book: Book
+    feed: Feed
+
+    def serves_added(self) -> bool:
+        """Tell whether callers of an added route get no 404."""
+        current = self.book.manifest
+        return current is not None and current.route_of(HOST, ADDED) is not None
+
+
+def make_follower(
+    store: StoreClient, vm_port: int, clock: Clock, name: str
+) -> Follower:
+    """Make a VM that has the version before."""
+    events = EventLog(name, 'i', clock, kept=0)
+    book = Book(clock, events)
+    clients: dict[str, StoreClient] = {}
+
+    def peer_source(address: str) -> StoreClient:
+        if address not in clients:
+            clients[address] = StoreClient(address, vm_port, clock)
+        return clients[address]
+
+    feed = Feed(MANIFEST_FEED, store, peer_source, clock, events, Random(name))
+    feed.take = ManifestPages(book, events).take
+    feed.copy.take(Page((record(0, manifest(1)),), 1, whole=True))
+    feed.take(Page((record(0, manifest(1)),), 1, whole=True))
+    feed.confirmed_at = clock.monotonic()
+    feed.ranks_first = lambda *_: False
+    return Follower(book, feed)
+
+
+@asynccontextmanager
+async def mirrors(
+    count: int, copy: FeedCopy, links: list[Link]
+) -> AsyncIterator[tuple[list[Relay], int]]:
+    """Serve one copy from VMs behind their own links, all on one port."""
+    port = next(_PORTS)
+    clock = SystemClock()
+    mirror = Mirror({MANIFEST_TOPIC: copy})
+    door = Ingress(mirror.handle, IngressLimits, clock)
+    inner = next(_PORTS)
+    await door.start('127.0.0.1', inner)
+    relays = [
+        Relay(f'127.{_SUBNET}.9.{number + 1}', port, '127.0.0.1', inner, links)
+        for number in range(count)
+    ]
+    for relay in relays:
+        await relay.start()
+    try:
+        yield relays, port
+    finally:
+        for relay in relays:
+            await relay.stop()
+        await door.stop()
+
+
+async def tell(followers: list[Follower], relays: list[Relay]) -> None:
+    """Send heartbeats that tell of the version, until cancelled."""
+    while True:
+        for number, relay in enumerate(relays):
+            news = FeedNews(MANIFEST_TOPIC, 2, 0, reads=True)
+            for one in followers:
+                one.feed.heard(f'hub-{number}', relay.host, news)
+        await asyncio.sleep(BEAT_S)
+
+
+async def late_ones(
+    followers: list[Follower], relays: list[Relay], clock: Clock
+) -> list[Follower]:
+    """Return the VMs that still answer 404 when the change is to be in force."""
+    tasks = [asyncio.create_task(one.feed.run()) for one in followers]
+    tasks.append(asyncio.create_task(tell(followers, relays)))
+    ends_at = clock.monotonic() + IN_FORCE_S
+    while clock.monotonic() < ends_at:
+        if all(one.serves_added() for one in followers):
+            break
+        await asyncio.sleep(0.02)
+    late = [one for one in followers if not one.serves_added()]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return late
+
+
+async def test_a_domain_gets_a_large_change_from_one_vm_on_a_thin_link() -> (
+    None
+):
+    """Callers of added routes get 404 seconds after the change was accepted.
+
+    The store turns the VMs of a failure domain away, or they have yet to ask
+    it; one VM on a link of 5 Mbit/s tells them of 1,400 routes more. All ask
+    it at once for the whole document.
+    """
+    clock = SystemClock()
+    copy = FeedCopy()
+    copy.take(Page((record(0, manifest(1)),), 1, whole=True))
+    copy.take(Page((record(1, large_manifest(2)),), 2, whole=False))
+    store = PlatformStore('127.0.0.1')
+    store.status = 503
+    await store.server.start()
+    async with mirrors(1, copy, [Link(THIN_LINK)]) as (relays, port):
+        followers = [
+            make_follower(
+                StoreClient('127.0.0.1', store.server.port, clock),
+                port,
+                clock,
+                f'vm-{number}',
+            )
+            for number in range(VMS_OF_A_DOMAIN)
+        ]
+        late = await late_ones(followers, relays, clock)
+    await store.server.stop()
+    assert not late, f'{len(late)} of {len(followers)} VMs answer 404'
--- a/tests/utils/relay.py
+++ b/tests/utils/relay.py
@@ -1,10 +1,12 @@
-"""A TCP relay that can cut a link, one way or both."""
+"""A TCP relay that can cut a link, one way or both, or make it thin."""
 
 import asyncio
+from collections.abc import Sequence
 from enum import Flag, auto
 from typing import Final
 
 READ_SIZE: Final = 65536
+PACED_READ_SIZE: Final = 4096
 
 
 class Cut(Flag):
@@ -16,6 +18,21 @@
     BOTH = TO_TARGET | FROM_TARGET
 
 
+class Link:
+    """A VM's own link, shared by all connections that pass over it."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Start idle."""
+        self._bytes_per_s = bytes_per_s
+        self._free_at = float(0)
+
+    async def carry(self, size: int) -> None:
+        """Return when as many bytes have passed, after all before them."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + size / self._bytes_per_s
+        await asyncio.sleep(self._free_at - now)
+
+
 class Relay:
     """Passes connections on to a target.
 
@@ -30,11 +47,16 @@
         port: int,
         target_host: str,
         target_port: int,
+        links: Sequence[Link] = (),
     ) -> None:
-        """Take both addresses; `start` listens."""
+        """Take both addresses; `start` listens.
+
+        Answers of the target pass over each of `links`, which others may use.
+        """
         self.host = host
         self.port = port
         self._target = (target_host, target_port)
+        self._links = links
         self._cut = Cut.NONE
         self._healed = asyncio.Event()
         self._healed.set()
@@ -121,8 +143,12 @@
         writer: asyncio.StreamWriter,
         way: Cut,
     ) -> None:
+        links = self._links if way is Cut.FROM_TARGET else ()
+        read_size = PACED_READ_SIZE if links else READ_SIZE
         while True:
-            chunk = await reader.read(READ_SIZE)
+            chunk = await reader.read(read_size)
+            for link in links:
+                await link.carry(len(chunk))
             while way in self._cut:
                 await self._healed.wait()
             if not chunk:
