VMs tell each other of changes in deflated documents

Callers saw 404 on added routes for seconds after a change was accepted: a whole failure domain asks the first VM that has the change for the whole document, 9 MB over a link that may carry 5 Mbit/s, while a call has a second. Ruled out: the store (it answers others at once), a newer version that was not heard of (heartbeats arrived).

--- a/bramleybend/platform/program.py
+++ b/bramleybend/platform/program.py
@@ -21,7 +21,7 @@
 from bramleybend.platform.kept_pages import KeptPages
 from bramleybend.platform.mirror import Mirror
 from bramleybend.platform.runner_entry import decode_runner
-from bramleybend.platform.store import StoreClient
+from bramleybend.platform.store import StoreClient, make_mirror_client
 
 
 class PlatformProcess:
@@ -106,7 +106,8 @@
         """Return the client of another VM's copy."""
         client = self._mirrors.get(address)
         if client is None:
-            client = StoreClient(address, self._cfg.peer_port, self._clock)
+            port = self._cfg.peer_port
+            client = make_mirror_client(address, port, self._clock)
             self._mirrors[address] = client
         return client
 
--- a/bramleybend/platform/store.py
+++ b/bramleybend/platform/store.py
@@ -16,10 +16,16 @@
 import msgspec
 from result import Err, Ok, Result
 
-from bramleybend.clients.channel import Channel, Outgoing, connect
+from bramleybend.clients.channel import (
+    Channel,
+    HeaderList,
+    Outgoing,
+    connect,
+)
 from bramleybend.clock import Clock
 from bramleybend.direct.feed_copy import KeyedRecord, Page
 from bramleybend.errors import ErrorKind, Problem
+from bramleybend.platform.inflate import ACCEPT_ENCODING, DEFLATE, inflate
 from bramleybend.platform.records import (
     UNREADABLE,
     pack_record,
@@ -50,11 +56,19 @@
 class StoreClient:
     """Reads and writes the store over kept connections."""
 
-    def __init__(self, address: str, port: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        clock: Clock,
+        headers: HeaderList = (),
+    ) -> None:
         """Name the store; nothing is opened yet."""
         self.address = address
         self.port = port
         self._clock = clock
+        host = f'{address}:{port}'.encode()
+        self._headers = [(b'Host', host), *headers]
         self._idle: list[Channel] = []
         self.calls = 0
 
@@ -137,9 +151,8 @@
     ) -> Result[tuple[int, bytes], Problem]:
         self.calls += 1
         target = f'{path}?{urlencode(query)}'.encode()
-        host = f'{self.address}:{self.port}'.encode()
         method = b'POST' if body else b'GET'
-        outgoing = Outgoing(method, target, [(b'Host', host)], body)
+        outgoing = Outgoing(method, target, self._headers, body)
         channel: Channel | None = None
         kept = False
         try:
@@ -149,6 +162,8 @@
                 head = await channel.head()
                 content = await channel.body(MAX_ANSWER)
             kept = channel.release()
+            if head.get('content-encoding') == DEFLATE.decode():
+                content = inflate(content, MAX_ANSWER)
         except LOST as exc:
             return Err(self._lost(exc))
         finally:
@@ -190,6 +205,11 @@
         )
 
 
+def make_mirror_client(address: str, port: int, clock: Clock) -> StoreClient:
+    """Make the client of another VM's copy, which deflates what it sends."""
+    return StoreClient(address, port, clock, [(ACCEPT_ENCODING, DEFLATE)])
+
+
 def _record(item: _Item) -> KeyedRecord:
     return KeyedRecord(item.offset, item.key, item.value)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,7 @@
 import pytest
 
 KNOWN_RED: Final = Path(__file__).parents[1] / 'KNOWN-RED.txt'
-# The list is to be short: who adds to it mends first.
-MOST_LISTED: Final = 4
+MOST_LISTED: Final = 3
 
 
 def listed(text: str) -> dict[str, str]:
--- a/tests/failures/test_large_manifest.py
+++ b/tests/failures/test_large_manifest.py
@@ -22,7 +22,7 @@
 from bramleybend.platform.follow import MANIFEST_FEED, ManifestPages
 from bramleybend.platform.mirror import Mirror
 from bramleybend.platform.names import MANIFEST_KEY, MANIFEST_TOPIC
-from bramleybend.platform.store import StoreClient
+from bramleybend.platform.store import StoreClient, make_mirror_client
 from tests.direct.world import HOST, manifest, route
 from tests.utils.platform_store import PlatformStore
 from tests.utils.relay import Link, Relay
@@ -78,7 +78,7 @@
 
     def peer_source(address: str) -> StoreClient:
         if address not in clients:
-            clients[address] = StoreClient(address, vm_port, clock)
+            clients[address] = make_mirror_client(address, vm_port, clock)
         return clients[address]
 
     feed = Feed(MANIFEST_FEED, store, peer_source, clock, events, Random(name))
@@ -148,9 +148,13 @@
 ):
     """Callers of added routes get 404 seconds after the change was accepted.
 
-    The store turns the VMs of a failure domain away, or they have yet to ask
-    it; one VM on a link of 5 Mbit/s tells them of 1,400 routes more. All ask
-    it at once for the whole document.
+    One VM on a link of 5 Mbit/s is the first of its domain to have 1,400
+    routes more, and tells the others, whom the store turns away. All 26 ask it
+    at once; 9 MB would take its link 14 s, no call is through in the second
+    that it has, each begins again from nothing, and none ever has it. In a
+    deployment that was watched, one VM of each domain sent its whole domain
+    the document at once (5.9 MB in a second), and VMs turned unready in the
+    seconds in which one still answered 404.
     """
     clock = SystemClock()
     copy = FeedCopy()
--- /dev/null
+++ b/tests/platform/test_inflate.py
@@ -0,0 +1,38 @@
+"""Deflated bodies between VMs: whole or refused."""
+
+import zlib
+from random import Random
+
+import pytest
+
+from bramleybend.platform.inflate import InflateError, inflate
+
+BODY = b'route' * 1000
+
+
+def test_what_was_deflated_is_read_as_it_was() -> None:
+    """Bytes alike, up to the size allowed."""
+    assert inflate(zlib.compress(BODY), len(BODY)) == BODY
+
+
+def test_a_cut_or_spoilt_body_is_never_taken_for_whole() -> None:
+    """A VM that dies while it sends must not put half a manifest in force."""
+    rng = Random(5)
+    deflated = zlib.compress(BODY)
+    for _ in range(200):
+        cut = deflated[: rng.randrange(len(deflated))]
+        with pytest.raises(InflateError):
+            inflate(cut, len(BODY))
+        spoilt = bytearray(deflated)
+        spoilt[rng.randrange(len(spoilt))] ^= 1 << rng.randrange(8)
+        try:
+            read = inflate(bytes(spoilt), len(BODY))
+        except InflateError:
+            continue
+        assert read == BODY
+
+
+def test_a_few_bytes_do_not_fill_the_memory() -> None:
+    """A body that would inflate beyond what is allowed is refused."""
+    with pytest.raises(InflateError):
+        inflate(zlib.compress(bytes(10_000_000)), 1_000_000)
