--- a/bramleybend/platform/store.py
+++ b/bramleybend/platform/store.py
@@ -19,6 +19,7 @@
 
 from bramleybend.clients.channel import (
     Channel,
+    Head,
     HeaderList,
     Outgoing,
     connect,
@@ -167,28 +168,37 @@
         target = f'{path}?{urlencode(query)}'.encode()
         method = b'POST' if body else b'GET'
         outgoing = Outgoing(method, target, self._headers, body)
-        channel: Channel | None = None
-        kept = False
         try:
             async with asyncio.timeout(SILENCE_TIMEOUT_S + extra_s) as limit:
-                channel = await self._open()
-                await channel.send(outgoing)
-                head = await channel.head()
-                ends_at = _loop_time() + self._whole_timeout_s
-                came = partial(_prolong, limit, ends_at)
-                content = await channel.body(MAX_ANSWER, came)
-            kept = channel.release()
-            if head.get('content-encoding') == DEFLATE.decode():
-                content = inflate(content, MAX_ANSWER)
+                return await self._exchange(outgoing, limit)
         except LOST as exc:
             return Err(self._lost(exc))
+
+    async def _exchange(
+        self, outgoing: Outgoing, limit: asyncio.Timeout
+    ) -> Result[tuple[int, bytes], Problem]:
+        channel = await self._open()
+        kept = False
+        try:
+            head, content = await self._answer(channel, outgoing, limit)
+            kept = channel.release()
         finally:
-            if channel is not None:
-                self._keep(channel, kept)
+            self._keep(channel, kept)
         if head.status not in {HTTPStatus.OK, HTTPStatus.GONE}:
             return Err(self._refused(head.status))
+        if head.get('content-encoding') == DEFLATE.decode():
+            content = inflate(content, MAX_ANSWER)
         return Ok((head.status, content))
 
+    async def _answer(
+        self, channel: Channel, outgoing: Outgoing, limit: asyncio.Timeout
+    ) -> tuple[Head, bytes]:
+        await channel.send(outgoing)
+        head = await channel.head()
+        ends_at = _loop_time() + self._whole_timeout_s
+        came = partial(_prolong, limit, ends_at)
+        return head, await channel.body(MAX_ANSWER, came)
+
     async def _open(self) -> Channel:
         while self._idle:
             channel = self._idle.pop()
