What is kept of a large manifest is the newest one

VMs that had just started sent callers by a manifest of long ago: what is kept for them has to fit one record of the store, and 1,400 routes (284 kB) don't, so the version before lay there still. Pages are kept deflated; one that still doesn't fit drops the older one, as a VM that waits harms nobody.

--- a/tests/direct/test_last_known.py
+++ b/tests/direct/test_last_known.py
@@ -1,16 +1,22 @@
 """VMs that start while a log of the platform is away."""
 
 import asyncio
+from random import Random
 
 import pytest
 
+from bramleybend.clock import SystemClock
+from bramleybend.direct.feed_copy import KeyedRecord, Page
+from bramleybend.platform.kept_pages import KeptPages
 from bramleybend.platform.names import (
     KEPT_TOPIC,
     MANIFEST_TOPIC,
     RUNNER_TOPIC,
 )
 from bramleybend.platform.program import make_platform_process
-from tests.direct.world import PLAIN, World, playing
+from bramleybend.platform.store import StoreClient
+from tests.direct.world import PLAIN, World, manifest, playing, route
+from tests.utils.platform_store import PlatformStore
 from tests.utils.raw_runner import Seen, answers
 from tests.utils.waiting import wait_until
 
@@ -59,6 +65,57 @@
                 assert answer.status == 200
 
 
+async def test_vms_that_start_recall_a_large_manifest() -> None:
+    """Callers of added routes are served, not sent by an older version.
+
+    1,400 routes were added, all VMs lose power beside a silent manifest log,
+    and start anew from what was kept. What fitted no record was not kept:
+    VMs put the version before in force, and held on to it.
+    """
+    async with playing() as world:
+        await world.add_runner('r1', PLAIN)
+        await world.knows(PLAIN)
+        await kept(world)
+        added = [
+            route(f'/added{number}/', 'idempotent', PLAIN)
+            for number in range(1400)
+        ]
+        world.publish(manifest(2, routes=[*manifest()['routes'], *added]))
+        book = world.vms[0].entry.book
+        await wait_until(lambda: book.version() == 2, 'the change')
+        await asyncio.sleep(SOON_S * 2)
+        world.store.silent_topics.add(MANIFEST_TOPIC)
+        await lose_power(world)
+        async with asyncio.timeout(SOON_S):
+            answer = await world.call('/added1399/x')
+        assert answer.status == 200
+
+
+async def test_what_cannot_be_kept_drops_what_was_kept_before() -> None:
+    """VMs that start wait for the log instead of going back in time.
+
+    A page of a log outgrows a record even deflated, while the older page
+    still lies there.
+    """
+    store = PlatformStore('127.0.0.1')
+    await store.server.start()
+    client = StoreClient('127.0.0.1', store.server.port, SystemClock())
+    keeper = KeptPages(client)
+    small = Page((KeyedRecord(0, 'k', b'old'),), 1, whole=True)
+    (await keeper.keep('log', small)).unwrap()
+    recalled = (await keeper.kept('log')).unwrap()
+    assert recalled is not None
+    assert recalled.records[0].content == b'old'
+    large = KeyedRecord(1, 'k', Random(1).randbytes(300_000))
+    for _ in range(3):
+        refused = await keeper.keep('log', Page((large,), 2, whole=True))
+        assert refused.is_err()
+    assert (await keeper.kept('log')).unwrap() is None
+    assert store.calls.count('/log-append') == 2
+    client.close()
+    await store.server.stop()
+
+
 async def test_a_recalled_manifest_denies_nothing() -> None:
     """A caller with a new key sees 503, not 401.
 
