Test caller: a return that was never sent leaves the answer before

Nothing was sent under that id, so what was told before is final. What was sent and not answered stays unanswered, as before (second test). The first test failed before.

--- a/tests/utils/callers.py
+++ b/tests/utils/callers.py
@@ -57,6 +57,7 @@
             async with asyncio.timeout(work.deadline_s + GRACE_S):
                 await self._send_until_final(record, deadline)
         except (NoAnswerError, TimeoutError):
+            record.drop_unsent()
             readings = record.readings
             if readings and record.attempts[-1].reading is not None:
                 record.finish(readings[-1])
--- a/tests/utils/ledger.py
+++ b/tests/utils/ledger.py
@@ -74,6 +74,15 @@
             if attempt.reading is not None
         ]
 
+    def drop_unsent(self) -> None:
+        """Drop ids under which nothing was sent.
+
+        The deadline may pass while the caller asks for addresses to come back
+        to. What it was told before is then its final answer: nothing that may
+        have run is open.
+        """
+        self.attempts = [one for one in self.attempts if one.sends]
+
     def finish(self, reading: Reading) -> None:
         """Take the last answer for good."""
         self.final = reading
--- a/tests/utils/test_callers.py
+++ b/tests/utils/test_callers.py
@@ -1,5 +1,6 @@
 """The load tool itself sees what it is there to see."""
 
+import asyncio
 import json
 from collections import Counter
 from collections.abc import AsyncGenerator, AsyncIterator
@@ -56,10 +57,13 @@
     def __init__(self) -> None:
         self.script: list[HttpResponse | None] = []
         self.ids: list[str] = []
+        self.address_delays_s: list[float] = []
         self.server = HttpServer('127.0.0.1', 0, self._handle)
 
     async def _handle(self, req: HttpRequest) -> HttpResponse:
         if req.path == '/v1/address':
+            if self.address_delays_s:
+                await asyncio.sleep(self.address_delays_s.pop(0))
             return json_response(
                 {
                     'addresses': [f'127.0.0.1:{self.server.port}'],
@@ -134,6 +138,41 @@
     assert ledger.judge(Counter({work.content: 1})).sent == 1
 
 
+async def test_a_return_that_is_never_sent_leaves_the_answer_before(
+    gateway: _FakeGateway,
+) -> None:
+    """A caller told "not run" has its final answer, though it meant to return.
+
+    It is told when to come back, asks for an address then, and gets one only
+    after its deadline; nothing is sent under the second id.
+    """
+    told = json_response(
+        {'outcome': 'not_run', 'reason': 'log down', 'retry_after_s': 0.3},
+        503,
+        **{'Bramleybend-Outcome': 'not_run', 'Retry-After': '0.3'},
+    )
+    gateway.script = [told]
+    gateway.address_delays_s = [0, 0.6]
+    record = await _caller(gateway, Ledger()).send(_plain(deadline_s=0.5))
+    assert record.outcome is Outcome.NOT_RUN
+    assert len(record.attempts) == 1
+
+
+async def test_a_second_send_without_an_answer_leaves_none(
+    gateway: _FakeGateway,
+) -> None:
+    """What was sent again may have run, so the first "not run" isn't final."""
+    told = json_response(
+        {'outcome': 'not_run', 'reason': 'log down', 'retry_after_s': 0.1},
+        503,
+        **{'Bramleybend-Outcome': 'not_run', 'Retry-After': '0.1'},
+    )
+    gateway.script = [told, *[None] * 40]
+    record = await _caller(gateway, Ledger()).send(_plain(deadline_s=0.5))
+    assert record.outcome is None
+    assert len(record.attempts) == 2
+
+
 async def test_a_stream_without_its_outcome_is_not_whole(
     gateway: _FakeGateway,
 ) -> None:
