Known red: the poison's crashes are counted, not its admissions

Its log: the owner froze, the runs crashed walton-1, gulberg-2 and walton-4 (the last in the moment of the sender's deadline, so nobody reported it), one was admitted at raiwind-3 and stopped for a higher tier before it started (the engine confirmed the cancellation), one crashed walton-4 again: four crashes, five admissions. The check counted admissions and called them crashes; it counts engines' own CRASHED runs now, with the same bound of 4. Ruled out by this trace: a successor that forgets crashes.

--- a/tests/failures/test_poison_request.py
+++ b/tests/failures/test_poison_request.py
@@ -7,6 +7,7 @@
 sends the same content under new ones; the content's fingerprint does.
 """
 
+import asyncio
 from pathlib import Path
 
 import pytest
@@ -14,6 +15,7 @@
 from bramleybend.answers import Outcome
 from tests.utils.cluster import Layout
 from tests.utils.engine import POISON, EngineConfig
+from tests.utils.engine_batch import RunState
 from tests.utils.load import Stream
 from tests.utils.scenario import (
     LARGE_SCHOOL,
@@ -49,7 +51,16 @@
 
 
 def _crashes(scene: Scenario, poison: Work) -> int:
-    return scene.cluster.runners.runs_of()[poison.content]
+    """Count the runs that ended their engine.
+
+    One that an engine admitted and that was stopped before it started, for a
+    higher tier, crashed nothing.
+    """
+    return sum(
+        run.prompt_hash == poison.content and run.state is RunState.CRASHED
+        for engine in scene.cluster.runners.engines
+        for run in engine.admitted
+    )
 
 
 async def _send_poison_until_refused(scene: Scenario, poison: Work) -> None:
@@ -89,3 +100,40 @@
             )
         assert _crashes(scene, poison) == crashes
         assert_clean(scene.verdict())
+
+
+@pytest.mark.parametrize('owner_frozen_s', [0.8, 2.0, 4.0])
+async def test_a_poison_is_contained_while_its_owner_is_frozen(
+    tmp_path: Path,
+    owner_frozen_s: float,
+) -> None:
+    """No more crashes than with all VMs up, and then a refusal.
+
+    The first crash is known to the owner of the engines' queue alone when its
+    VM freezes; another VM takes over, or the frozen one wakes and goes on. The
+    sender's deadline may pass in the very moment of a crash, which then nobody
+    reports.
+    """
+    async with scenario(LAYOUT, tmp_path) as scene:
+        poison = _poison(scene, 'syllabus-summary')
+        async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) > 20,
+                'every engine has company for the poison',
+            )
+            freezing = asyncio.create_task(
+                _freeze_after_a_crash(scene, poison, owner_frozen_s)
+            )
+            await _send_poison_until_refused(scene, poison)
+            await freezing
+        assert 1 <= _crashes(scene, poison) <= MOST_CRASHES
+
+
+async def _freeze_after_a_crash(
+    scene: Scenario, poison: Work, seconds: float
+) -> None:
+    await wait_until(lambda: _crashes(scene, poison) >= 1, 'the first crash')
+    owner = scene.cluster.vms[0]
+    owner.freeze()
+    await asyncio.sleep(seconds)
+    owner.thaw()
