--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 READY := $(VENV)/.ready
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: help setup demo test spec bench capacity format lint types check proto clean
+SEED ?=
+SEEDS ?= 1
+SECONDS ?= 30
+
+.PHONY: help setup demo test spec soak bench capacity format lint types check proto clean
 
 help: ## Show this list
 	@grep -hE '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/' | expand -t 12
@@ -25,6 +29,9 @@
 spec: setup ## Check the core protocols and their mutants
 	$(PY) -m spec
 
+soak: setup ## Random faults on real processes: make soak SEED=17 SEEDS=5 SECONDS=30
+	$(PY) -m tests.soak $(if $(SEED),--seed $(SEED)) --seeds $(SEEDS) --seconds $(SECONDS)
+
 bench: setup ## Measure the decisions beside the baselines
 	$(PY) -m tests.benchmarks
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak over real entry processes."""
