--- a/tests/benchmarks/capacity_control.py
+++ b/tests/benchmarks/capacity_control.py
@@ -291,12 +291,12 @@
 
 def policy() -> Iterator[Series]:
     """Ask, first token and end of one request at one shard's owner."""
-    points = tuple((count, _policy_cost(count)) for count in POOLS)
+    points = tuple((count, policy_cost(count)) for count in POOLS)
     title = f'queue policy: one request, about {DEPTH} waiting'
     yield Series(title, 'runners of the shard', 'ms', points, RUNNERS_A_SHARD)
 
 
-def _policy_cost(runners: int) -> float:
+def policy_cost(runners: int) -> float:
     service = Service('model-1', ServiceKind.ENGINE, slots=8)
     shard = make_shard_policy(service, Random(1))
     names = [RunnerInfo(f'runner-{idx}') for idx in range(runners)]
