--- a/bramleybend/state/journal_records.py
+++ b/bramleybend/state/journal_records.py
@@ -4,8 +4,6 @@
 from typing import Annotated, Final, Literal
 
 from pydantic import (
-    BaseModel,
-    ConfigDict,
     Field,
     TypeAdapter,
     ValidationError,
@@ -15,9 +13,9 @@
 
 from bramleybend.answers import Outcome
 from bramleybend.errors import ErrorKind, Problem
+from bramleybend.state.json_record import JsonRecord
 from bramleybend.state.tickets import RequestId, parse_request_id
 
-SCHEMA_VERSION: Final = 1
 MAX_BODY: Final = 4096
 STREAM_PREFIX: Final = 'journal-'
 MAX_ID: Final = 300
@@ -25,17 +23,7 @@
 MAX_STATUS: Final = 599
 
 
-class _Record(BaseModel):
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-    record_version: Annotated[Literal[1], Field(alias='v')] = SCHEMA_VERSION
-
-    def encode(self) -> str:
-        """Return the record as one JSON line."""
-        return self.model_dump_json(by_alias=True)
-
-
-class _AboutRequest(_Record):
+class _AboutRequest(JsonRecord):
     req: Annotated[str, Field(max_length=MAX_ID)]
 
     @field_validator('req')
@@ -76,7 +64,7 @@
         return None if self.body is None else b64decode(self.body)
 
 
-class SealRecord(_Record):
+class SealRecord(JsonRecord):
     """Ends the stream: no intent after it gives a right.
 
     `complete` is set only by the home itself at a planned stop, once it has
--- a/bramleybend/state/journal_rules.py
+++ b/bramleybend/state/journal_rules.py
@@ -14,13 +14,13 @@
 from bramleybend.answers import Outcome
 from bramleybend.clients.log_service import LogRecord
 from bramleybend.state.journal_records import (
-    SCHEMA_VERSION,
     IntentRecord,
     JournalRecord,
     OutcomeRecord,
     SealRecord,
     decode,
 )
+from bramleybend.state.json_record import SCHEMA_VERSION
 from bramleybend.state.tickets import RequestId, parse_request_id
 
 _Kept = TypeVar('_Kept')
--- a/bramleybend/state/order_records.py
+++ b/bramleybend/state/order_records.py
@@ -2,29 +2,19 @@
 
 from typing import Annotated, Final, Literal, TypeAlias
 
-from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from bramleybend.errors import ErrorKind, Problem
+from bramleybend.state.json_record import JsonRecord
 
-SCHEMA_VERSION: Final = 1
 CLAIMS_PREFIX: Final = 'orders-'
 LOADS_STREAM: Final = 'weight-loads'
 MAX_ID: Final = 300
 Id = Annotated[str, Field(min_length=1, max_length=MAX_ID)]
 
 
-class _Record(BaseModel):
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-    record_version: Annotated[Literal[1], Field(alias='v')] = SCHEMA_VERSION
-
-    def encode(self) -> str:
-        """Return the record as one JSON line."""
-        return self.model_dump_json(by_alias=True)
-
-
-class ClaimRecord(_Record):
+class ClaimRecord(JsonRecord):
     """A scheduler begins to order the engines of one shard.
 
     The record's offset is the fencing number of its orders.
@@ -37,7 +27,7 @@
     by: str
 
 
-class LoadBegunRecord(_Record):
+class LoadBegunRecord(JsonRecord):
     """An issuer asks for a place at the weight store."""
 
     kind: Literal['load_begun'] = 'load_begun'
@@ -45,7 +35,7 @@
     runner: Id
 
 
-class LoadEndedRecord(_Record):
+class LoadEndedRecord(JsonRecord):
     """The load is over, or its order was never given."""
 
     kind: Literal['load_ended'] = 'load_ended'
--- a/bramleybend/state/terms_records.py
+++ b/bramleybend/state/terms_records.py
@@ -1,26 +1,15 @@
 """Records of the `terms` stream, as JSON lines."""
 
-from typing import Annotated, Final, Literal
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from bramleybend.errors import ErrorKind, Problem
+from bramleybend.state.json_record import JsonRecord
 
-SCHEMA_VERSION: Final = 1
 
-
-class _Record(BaseModel):
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-    record_version: Annotated[Literal[1], Field(alias='v')] = SCHEMA_VERSION
-
-    def encode(self) -> str:
-        """Return the record as one JSON line."""
-        return self.model_dump_json(by_alias=True)
-
-
-class PublishRecord(_Record):
+class PublishRecord(JsonRecord):
     """An operator's new document, made from version `base`."""
 
     kind: Literal['publish'] = 'publish'
@@ -30,7 +19,7 @@
     by: str
 
 
-class RenewRecord(_Record):
+class RenewRecord(JsonRecord):
     """The terms in force just before offset `at`, written again.
 
     It holds only if it lands at `at`: then nothing came between what its
--- a/tests/failures/test_entry_vm_killed.py
+++ b/tests/failures/test_entry_vm_killed.py
@@ -36,11 +36,7 @@
             '60 requests done before the kill',
         )
         await victim.kill()
-        done = scene.count(Outcome.DONE)
-        await wait_until(
-            lambda: scene.count(Outcome.DONE) > done + 60,
-            '60 more requests done after the kill',
-        )
+        await scene.done_more(60, '60 more requests done after the kill')
 
 
 async def test_each_caller_of_a_killed_vm_gets_one_true_answer(
@@ -66,9 +62,7 @@
             )
             await victim.replace()
             await wait_until(victim.is_ready, 'the new VM is ready')
-            done = scene.count(Outcome.DONE)
-            await wait_until(
-                lambda: scene.count(Outcome.DONE) > done + 40,
-                '40 more requests done after the replacement',
+            await scene.done_more(
+                40, '40 more requests done after the replacement'
             )
         assert_clean(scene.verdict())
--- a/tests/failures/test_log_outage.py
+++ b/tests/failures/test_log_outage.py
@@ -65,9 +65,8 @@
                 'the outage outlasts every kept lease and view',
                 OUTAGE_S + 1,
             )
-            done = scene.count(Outcome.DONE)
-            await wait_until(
-                lambda: scene.count(Outcome.DONE) > done + 10,
+            await scene.done_more(
+                10,
                 'work that does not need the log is served late in the outage',
             )
         scene.cluster.log.faults.down = False
--- a/tests/failures/test_operators_at_work.py
+++ b/tests/failures/test_operators_at_work.py
@@ -69,11 +69,7 @@
             waited, told = await ctl(scene, 'wait', '2', '--timeout', '10')
             drained, _ = await ctl(scene, 'drain', leaving.name)
             codes = await leaving.exit_codes()
-            done = scene.count(Outcome.DONE)
-            await wait_until(
-                lambda: scene.count(Outcome.DONE) > done + 40,
-                '40 more requests done after the drain',
-            )
+            await scene.done_more(40, '40 more requests done after the drain')
         status, listing = await ctl(scene, 'status')
         assert (published, waited, drained) == (ExitStatus.OK,) * 3
         assert told == 'version 2 is in force on all 6 processes\n'
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -39,11 +39,7 @@
                 '60 requests done before the stop',
             )
             codes = await leaving.stop()
-            done = scene.count(Outcome.DONE)
-            await wait_until(
-                lambda: scene.count(Outcome.DONE) > done + 40,
-                '40 more requests done after the stop',
-            )
+            await scene.done_more(40, '40 more requests done after the stop')
         assert not scene.cut_answers(), scene.cut_answers()[:5]
         assert codes == (0, 0)
         assert_clean(scene.verdict())
--- a/tests/failures/test_poison_request.py
+++ b/tests/failures/test_poison_request.py
@@ -93,10 +93,8 @@
             await _send_poison_until_refused(scene, poison)
             crashes = _crashes(scene, poison)
             assert 1 <= crashes <= MOST_CRASHES
-            done = scene.count(Outcome.DONE)
-            await wait_until(
-                lambda: scene.count(Outcome.DONE) > done + 40,
-                '40 innocent requests done after the poison was refused',
+            await scene.done_more(
+                40, '40 innocent requests done after the poison was refused'
             )
         assert _crashes(scene, poison) == crashes
         assert_clean(scene.verdict())
--- a/tests/failures/test_runner_leaving.py
+++ b/tests/failures/test_runner_leaving.py
@@ -9,7 +9,6 @@
 from dataclasses import replace
 from pathlib import Path
 
-from bramleybend.answers import Outcome
 from tests.utils.cluster import ENGINE_SERVICE, PLAIN_SERVICE, Layout
 from tests.utils.engine import Engine, EngineConfig
 from tests.utils.load import Stream
@@ -39,11 +38,6 @@
     return max((call.at for call in standin.calls), default=0)
 
 
-async def _done_more(scene: Scenario, count: int, what: str) -> None:
-    goal = scene.count(Outcome.DONE) + count
-    await wait_until(lambda: scene.count(Outcome.DONE) >= goal, what)
-
-
 async def _leave_under_load(scene: Scenario, lag_s: float) -> None:
     leaving = [scene.cluster.by_name[name] for name in LEAVING.values()]
     async with scene.load(LOAD):
@@ -56,7 +50,7 @@
             scene.cluster.vm_list.mark_leaving(name)
         limit = time.time() + lag_s + FEW_SECONDS
         await wait_until(lambda: time.time() > limit, 'a few seconds')
-        await _done_more(scene, 60, 'the load goes on without them')
+        await scene.done_more(60, 'the load goes on without them')
     for each in leaving:
         assert _last_work_at(each.standin) < limit, each.vm.name
 
@@ -85,12 +79,12 @@
     async with scenario(LAYOUT, tmp_path) as scene:
         leaving = [scene.cluster.by_name[name] for name in LEAVING.values()]
         async with scene.load(LOAD):
-            await _done_more(scene, 30, 'the load is served')
+            await scene.done_more(30, 'the load is served')
             scene.cluster.vm_list.faults.down = True
             for each in leaving:
                 each.standin.faults.down = True
             refused_from = time.time()
-            await _done_more(scene, 120, 'the load goes on without them')
+            await scene.done_more(120, 'the load goes on without them')
         for each in leaving:
             assert _last_work_at(each.standin) < refused_from
         assert_clean(scene.verdict())
@@ -104,7 +98,7 @@
     async with scenario(LAYOUT, tmp_path) as scene:
         old = scene.cluster.by_name[LEAVING[PLAIN_SERVICE]]
         async with scene.load(LOAD):
-            await _done_more(scene, 20, 'the load is served')
+            await scene.done_more(20, 'the load is served')
             scene.cluster.vm_list.mark_leaving(old.vm.name)
             limit = time.time() + FEW_SECONDS
             await wait_until(lambda: time.time() > limit, 'a few seconds')
--- a/tests/failures/test_two_failures.py
+++ b/tests/failures/test_two_failures.py
@@ -8,11 +8,10 @@
 
 from pathlib import Path
 
-from bramleybend.answers import Outcome
 from tests.utils.cluster import Layout
 from tests.utils.engine import EngineConfig
 from tests.utils.load import Stream
-from tests.utils.scenario import Scenario, assert_clean, scenario
+from tests.utils.scenario import assert_clean, scenario
 from tests.utils.waiting import wait_until
 
 LAYOUT = Layout(
@@ -27,20 +26,15 @@
 )
 
 
-async def _done_more(scene: Scenario, count: int, what: str) -> None:
-    goal = scene.count(Outcome.DONE) + count
-    await wait_until(lambda: scene.count(Outcome.DONE) >= goal, what)
-
-
 async def test_a_vm_dies_while_the_log_loses_replies(tmp_path: Path) -> None:
     """A resend is settled over a log that answers only sometimes."""
     async with scenario(LAYOUT, tmp_path) as scene:
         async with scene.load(LOAD):
-            await _done_more(scene, 40, 'the load is served')
+            await scene.done_more(40, 'the load is served')
             scene.cluster.log.faults.lose_replies = 0.3
-            await _done_more(scene, 20, 'the load is served over lost replies')
+            await scene.done_more(20, 'the load is served over lost replies')
             await scene.cluster.vms[0].kill()
-            await _done_more(scene, 40, 'the others serve on')
+            await scene.done_more(40, 'the others serve on')
         assert_clean(scene.verdict())
 
 
@@ -48,13 +42,13 @@
     """What its journal could not take is told as unknown."""
     async with scenario(LAYOUT, tmp_path) as scene:
         async with scene.load(LOAD):
-            await _done_more(scene, 40, 'the load is served')
+            await scene.done_more(40, 'the load is served')
             scene.cluster.log.faults.down = True
-            await _done_more(scene, 20, 'the load is served without the log')
+            await scene.done_more(20, 'the load is served without the log')
             await scene.cluster.vms[0].kill()
-            await _done_more(scene, 20, 'the others serve on without the log')
+            await scene.done_more(20, 'the others serve on without the log')
             scene.cluster.log.faults.down = False
-            await _done_more(scene, 40, 'all is served again')
+            await scene.done_more(40, 'all is served again')
         assert_clean(scene.verdict())
 
 
@@ -63,11 +57,11 @@
     async with scenario(LAYOUT, tmp_path) as scene:
         frozen = scene.cluster.vms[0]
         async with scene.load(LOAD):
-            await _done_more(scene, 40, 'the load is served')
+            await scene.done_more(40, 'the load is served')
             scene.cluster.runners.engines[0].faults.slowdown = 5
             frozen.freeze()
-            await _done_more(scene, 60, 'the others serve on')
+            await scene.done_more(60, 'the others serve on')
             frozen.thaw()
             await wait_until(frozen.is_ready, 'the woken VM is ready')
-            await _done_more(scene, 20, 'all serve again')
+            await scene.done_more(20, 'all serve again')
         assert_clean(scene.verdict())
--- a/tests/utils/scenario.py
+++ b/tests/utils/scenario.py
@@ -84,6 +84,11 @@
             if profile in {'', record.work.profile}
         )
 
+    async def done_more(self, count: int, what: str) -> None:
+        """Wait until more than so many further requests are done."""
+        goal = self.count(Outcome.DONE) + count
+        await wait_until(lambda: self.count(Outcome.DONE) > goal, what)
+
     def broken_sends(self) -> list[str]:
         """Return why connections of callers broke."""
         return [
