A change that another VM has is not waited for from the store

The VMs that read for all were still receiving the first change, so the news of the others grew stale (2.2 s) and each began to read 660 kB from the store over its own link, 1.2 s; a tenth of a second later a VM told that it had it, and wasn't asked before that read was over. Now a VM that has read further is asked also while a read of the store is under way, and the first answer counts; a stale VM asks one that is ahead before the store, unless it reads for all. When the store is read stands in a module of its own. The soak plays two contracts now, each with its own links and bounds: 5 Mbit/s with three seconds, wide links with two; before, it mixed the thin links with the bound of the wide ones.

--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -12,7 +12,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
 from random import Random
@@ -24,16 +24,10 @@
 from bramleybend.direct.beat_messages import FeedNews
 from bramleybend.direct.feed_copy import FeedCopy, Page
 from bramleybend.direct.feed_peers import NOTHING, PeerFeed, PeerFeeds
+from bramleybend.direct.feed_turns import StoreTurns
 from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 
-# Two, as one may be frozen or cut off the moment it has the news; the others
-# notice by its age, a second later.
-READERS: Final = 2
-# After a failed read: soon, but not in step with the other VMs.
-RETRY_S: Final = (0.15, 0.4)
-# While others have fresh news the store is tried less often.
-REFUSED_RETRY_S: Final = (0.6, 1.2)
 WAKE_S: Final = 0.1  # between two looks at who reads and how old it is
 MOST_AGE_S: Final = 1e6  # stands for never
 # A page from this size on takes a thin link's time: 0.1 s of 5 Mbit/s. It is
@@ -82,24 +76,19 @@
         self.confirmed_at = -inf
         self.take: Callable[[Page], None] = _ignore
         self.confirmed: Callable[[float], None] = _ignore
-        self.ranks_first: Callable[[str, Mapping[str, bool], int], bool] = (
-            _always
-        )
         self._store = store
         self._peer_source = peer_source
         self._clock = clock
         self._events = events
-        self._rng = rng
         self._peers = PeerFeeds()
-        self._is_missing = False  # what a VM told of and could not give
-        self._store_answers = True
-        self._try_store_at = -inf
-        self._next_read_at = -inf
+        self.turns = StoreTurns(
+            terms.name, terms.every_s, self._peers, clock, rng
+        )
         self._wake = asyncio.Event()
 
     def leads(self) -> bool:
         """Tell whether this VM writes for all what was read of the log."""
-        return self._ranks_among(1)
+        return self.turns.ranks_among(1)
 
     def wake(self) -> None:
         """Look at once at how old the news is."""
@@ -119,7 +108,7 @@
             self.terms.name,
             self._end(),
             min(age_s, MOST_AGE_S),
-            self._store_answers,
+            self.turns.answers,
         )
 
     def heard(self, vm: str, address: str, news: FeedNews) -> None:
@@ -140,58 +129,61 @@
         """Follow until cancelled."""
         while True:
             ahead = self._peers.ahead(self._end())
-            if ahead is not None and not self._is_due():
+            if ahead is not None and not self.turns.must_read():
                 await self._read_peer(ahead)
-            elif self._is_due():
+            elif self.turns.is_due(self._is_stale()):
                 await self._read_store()
             else:
                 await self._sleep()
 
-    def _is_due(self) -> bool:
-        """Tell whether this VM reads the store now."""
-        now = self._clock.monotonic()
-        if now < max(self._try_store_at, self._next_read_at):
-            return False
-        if self._is_missing and self._store_answers:
-            return True
-        if now - self.confirmed_at > self.terms.stale_s:
-            return True
-        return self._ranks_among(READERS)
-
-    def _ranks_among(self, most: int) -> bool:
-        return self._store_answers and self.ranks_first(
-            self.terms.name, self._peers.reading(), most
-        )
+    def _is_stale(self) -> bool:
+        age_s = self._clock.monotonic() - self.confirmed_at
+        return age_s > self.terms.stale_s
 
     def _end(self) -> int:
         return NOTHING if self.copy.end is None else self.copy.end
 
     async def _read_store(self) -> None:
         started = self._clock.monotonic()
-        self._is_missing = False
-        page = await self._read(self._store, self.terms.wait_s)
+        begun_at = self._end()
+        page = await self._read_with_peers()
+        if page is None or self._end() != begun_at:
+            # A VM gave it meanwhile; a page from before that doesn't fit.
+            self.turns.done(started)
+            return
         now = self._clock.monotonic()
         self._note(page)
         if isinstance(page, Err):
-            fresh = now - self.confirmed_at <= self.terms.stale_s
-            pause = REFUSED_RETRY_S if fresh else RETRY_S
-            self._try_store_at = now + self._rng.uniform(*pause)
+            self.turns.failed(is_fresh=not self._is_stale())
             return
-        self._next_read_at = started + self.terms.every_s
+        self.turns.done(started)
         self._note_large(page.ok_value, 'store', started)
-        self._took(page.ok_value, self._sure_at(page.ok_value, started, now))
+        sure_at = _sure_at(page.ok_value, started, now, self.terms.wait_s)
+        self._took(page.ok_value, sure_at)
 
-    def _sure_at(self, page: Page, started: float, now: float) -> float:
-        """Return when there was surely nothing newer than a page.
+    async def _read_with_peers(self) -> Result[Page, Problem] | None:
+        """Read the store; nothing, if a VM gives the same before.
 
-        A read that waited in vain was answered at the end of its wait.
-        Counted from its begin, news looks twice as old as it is, and VMs that
-        hear it read the store for themselves.
+        A large change takes a VM on 5 Mbit/s over a second from the store,
+        and 0.1 s from a VM that has it. Waited for to its end, a read that
+        began while nobody else had the change made it late by that.
         """
-        waited = self.terms.wait_s
-        if waited and not page.records and now - started >= waited:
-            return started + waited
-        return started
+        begun_at = self._end()
+        reading = asyncio.create_task(
+            self._read(self._store, self.terms.wait_s)
+        )
+        try:
+            while not reading.done():
+                ahead = self._peers.ahead(begun_at)
+                if ahead is None:
+                    await self._news_or(reading)
+                    continue
+                await self._read_peer(ahead)
+                if self._end() != begun_at:
+                    return None
+            return await reading
+        finally:
+            reading.cancel()
 
     async def _read_peer(self, peer: PeerFeed) -> None:
         started = self._clock.monotonic()
@@ -205,7 +197,7 @@
         # change is in force on this VM only when its news is stale. So one
         # failure is enough to ask the store.
         peer.end = NOTHING
-        self._is_missing = True
+        self.turns.is_missing = True
         self._events.record(
             'peer_feed_failed',
             feed=self.terms.name,
@@ -241,6 +233,18 @@
         except TimeoutError:
             return
 
+    async def _news_or(
+        self, reading: asyncio.Task[Result[Page, Problem]]
+    ) -> None:
+        """Wait for the end of a read, or for news of other VMs."""
+        sleeping = asyncio.create_task(self._sleep())
+        try:
+            await asyncio.wait(
+                (sleeping, reading), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            sleeping.cancel()
+
     def _note_large(self, page: Page, source: str, started: float) -> None:
         if page.size < LARGE_PAGE_BYTES:
             return
@@ -255,19 +259,27 @@
 
     def _note(self, page: Result[Page, Problem]) -> None:
         match page:
-            case Err(problem) if self._store_answers:
-                self._store_answers = False
+            case Err(problem) if self.turns.answers:
+                self.turns.answers = False
                 self._events.record(
                     'store_lost', feed=self.terms.name, why=str(problem)
                 )
-            case Ok() if not self._store_answers:
-                self._store_answers = True
+            case Ok() if not self.turns.answers:
+                self.turns.answers = True
                 self._events.record('store_regained', feed=self.terms.name)
 
 
-def _ignore(_: object) -> None:
-    """Do nothing until a listener is set."""
+def _sure_at(page: Page, started: float, now: float, wait_s: float) -> float:
+    """Return when there was surely nothing newer than a page.
+
+    A read that waited in vain was answered at the end of its wait. Counted
+    from its begin, news looks twice as old as it is, and VMs that hear it read
+    the store for themselves.
+    """
+    if wait_s and not page.records and now - started >= wait_s:
+        return started + wait_s
+    return started
 
 
-def _always(name: str, reading: Mapping[str, bool], most: int) -> bool:
-    return True
+def _ignore(_: object) -> None:
+    """Do nothing until a listener is set."""
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -133,7 +133,7 @@
 
     def follow(self, feed: Feed) -> None:
         """Follow a log of the platform, and tell the others of it."""
-        feed.ranks_first = self.members.ranks_first
+        feed.turns.ranks_first = self.members.ranks_first
         self._listener.feeds.append(feed)
         self.spawn(feed.run())
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Final
 
 
 class Work(StrEnum):
@@ -15,6 +16,23 @@
     ADDED = '/added'  # a route that a later version added
 
 
+@dataclass(frozen=True)
+class Contract:
+    """What a deployment is promised, and on which links."""
+
+    link_mbps: float  # each VM's own
+    in_force_s: float  # a change, after it was accepted
+    drain_s: float  # a leaving runner gets nothing new after that
+    # Promises in time hold for VMs that nothing was done to for so long.
+    stable_s: float
+
+
+# As the users' pages state them: six VMs on wide links, and dozens of which
+# most have 5 Mbit/s.
+SMALL: Final = Contract(1000, 2.0, 2.0, 3.0)
+GROWN: Final = Contract(5, 3.0, 3.0, 4.0)
+
+
 @dataclass
 class Sent:
     """One request of a caller and what came back."""
@@ -53,6 +71,7 @@
 class Ledger:
     """All of one run."""
 
+    contract: Contract = SMALL
     sent: dict[str, Sent] = field(default_factory=dict)  # by attempt
     ran: list[Ran] = field(default_factory=list)
     # When each version was accepted by the store.
