The store's answer doesn't wait for a VM that froze

Reading from a VM while the store's answer is under way held that answer up until the VM's call ended, a second where it froze after it told. Both run at the same time now and the first ends the wait.

--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -168,22 +168,27 @@
         and 0.1 s from a VM that has it. Waited for to its end, a read that
         began while nobody else had the change made it late by that.
         """
-        begun_at = self._end()
         reading = asyncio.create_task(
             self._read(self._store, self.terms.wait_s)
         )
+        helping = asyncio.create_task(self._until_given(self._end()))
         try:
-            while not reading.done():
-                ahead = self._peers.ahead(begun_at)
-                if ahead is None:
-                    await self._news_or(reading)
-                    continue
-                await self._read_peer(ahead)
-                if self._end() != begun_at:
-                    return None
-            return await reading
+            await asyncio.wait(
+                (reading, helping), return_when=asyncio.FIRST_COMPLETED
+            )
+            return reading.result() if reading.done() else None
         finally:
             reading.cancel()
+            helping.cancel()
+
+    async def _until_given(self, begun_at: int) -> None:
+        """Ask VMs that have read further, until one has given what it has."""
+        while self._end() == begun_at:
+            ahead = self._peers.ahead(begun_at)
+            if ahead is None:
+                await self._sleep()
+            else:
+                await self._read_peer(ahead)
 
     async def _read_peer(self, peer: PeerFeed) -> None:
         started = self._clock.monotonic()
@@ -233,18 +238,6 @@
         except TimeoutError:
             return
 
-    async def _news_or(
-        self, reading: asyncio.Task[Result[Page, Problem]]
-    ) -> None:
-        """Wait for the end of a read, or for news of other VMs."""
-        sleeping = asyncio.create_task(self._sleep())
-        try:
-            await asyncio.wait(
-                (sleeping, reading), return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            sleeping.cancel()
-
     def _note_large(self, page: Page, source: str, started: float) -> None:
         if page.size < LARGE_PAGE_BYTES:
             return
--- a/tests/failures/test_large_manifest.py
+++ b/tests/failures/test_large_manifest.py
@@ -153,10 +153,11 @@
     relays: list[Relay],
     clock: Clock,
     told_after_s: float = 0,
+    within_s: float = IN_FORCE_S,
 ) -> list[Follower]:
     """Return the VMs that still answer 404 when the change is to be in force."""
     tasks = [asyncio.create_task(one.feed.run()) for one in followers]
-    ends_at = clock.monotonic() + IN_FORCE_S
+    ends_at = clock.monotonic() + within_s
     await asyncio.sleep(told_after_s)
     tasks.append(asyncio.create_task(tell(followers, relays)))
     while clock.monotonic() < ends_at:
@@ -290,3 +291,27 @@
             follower.feed.confirmed_at -= 2 * MANIFEST_FEED.stale_s
             late = await late_ones([follower], relays, clock, BEAT_S)
     assert not late
+
+
+async def test_an_answer_of_the_store_does_not_wait_for_a_frozen_vm() -> None:
+    """Callers of an added route get 404 for a second after it was read.
+
+    A VM reads the change from the store, half a second; meanwhile another
+    tells that it has it, and freezes. What comes first counts.
+    """
+    clock = SystemClock()
+    copy = FeedCopy()
+    copy.take(Page((record(1, large_manifest(2)),), 2, whole=True))
+    link = Link(THIN_LINK)
+    async with store_over(link) as (store, way):
+        store.put(MANIFEST_TOPIC, MANIFEST_KEY, manifest(1))
+        store.put(MANIFEST_TOPIC, MANIFEST_KEY, large_manifest(2))
+        async with mirrors(1, copy, [link]) as (relays, port):
+            relays[0].cut(Cut.BOTH)
+            client = StoreClient(way.host, way.port, clock)
+            follower = make_follower(client, port, clock, 'vm')
+            follower.feed.confirmed_at -= 2 * MANIFEST_FEED.stale_s
+            late = await late_ones(
+                [follower], relays, clock, BEAT_S, IN_FORCE_S / 2
+            )
+    assert not late
