--- a/tests/failures/test_large_manifest.py
+++ b/tests/failures/test_large_manifest.py
@@ -123,9 +123,11 @@
     mirror = Mirror({MANIFEST_TOPIC: copy})
     door = Ingress(mirror.handle, IngressLimits, clock)
     inner = next(_PORTS)
-    await door.start('127.0.0.1', inner)
+    # An address of this process's own: tests run beside each other.
+    host = f'127.{_SUBNET}.9.200'
+    await door.start(host, inner)
     relays = [
-        Relay(f'127.{_SUBNET}.9.{number + 1}', port, '127.0.0.1', inner, links)
+        Relay(f'127.{_SUBNET}.9.{number + 1}', port, host, inner, links)
         for number in range(count)
     ]
     for relay in relays:
