Gateways and schedulers tell when their event loop stood still

Timeouts of a process count while the process itself does not run, and until now no log line of the gateway or the scheduler told so. Each now records event=loop_late with how late the loop woke and how much processor time the process used meanwhile, so that a starved process and a busy one differ. The test harness records the same of its own loop, in which callers and stand-ins live.

The scheduler's unused pool of channels is gone.

--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -28,6 +28,7 @@
 from bramleybend.gateway.slots import OwnerPort, SlotAsker
 from bramleybend.gateway.view import ViewFollower
 from bramleybend.identity import Identity, make_identity
+from bramleybend.loop_watch import LoopWatch
 from bramleybend.metrics import Metric, make_metrics
 from bramleybend.settings import Settings
 from bramleybend.state.id_table import IdTable
@@ -100,6 +101,7 @@
         )
         await self._grpc.start()
         self._spawn(self.views.follow())
+        self._spawn(LoopWatch(self.events, self._clock).work())
         await self._http.start(self._cfg.address, self._cfg.http_port)
         self.events.record('started', vm=self._cfg.vm)
 
--- a/bramleybend/scheduler/core.py
+++ b/bramleybend/scheduler/core.py
@@ -1,7 +1,6 @@
 """Builds a scheduler from its parts, runs it and stops it."""
 
 import asyncio
-from random import Random
 from typing import Any, Final
 
 import grpc
@@ -15,6 +14,7 @@
 from bramleybend.decisions.quarantine import CrashBook
 from bramleybend.events import EventLog
 from bramleybend.identity import Identity, make_identity
+from bramleybend.loop_watch import LoopWatch
 from bramleybend.metrics import Metric, make_metrics
 from bramleybend.scheduler.list_watch import ListWatch
 from bramleybend.scheduler.order_deps import OrderDeps, OrderPort
@@ -24,7 +24,11 @@
 from bramleybend.scheduler.peers import PeerSources, make_peers
 from bramleybend.scheduler.process import SchedulerProcess
 from bramleybend.scheduler.shard_task import ShardDeps
-from bramleybend.scheduler.shards import ShardTable, Surroundings
+from bramleybend.scheduler.shards import (
+    ShardTable,
+    Surroundings,
+    make_shards,
+)
 from bramleybend.scheduler.suspects import exported
 from bramleybend.scheduler.view_service import ViewService, ViewSources
 from bramleybend.settings import Settings
@@ -35,7 +39,7 @@
     add_OwnerServicer_to_server,
 )
 from bramleybend.wire.headers import Headers
-from bramleybend.wire.channels import SERVER_OPTIONS, Channels
+from bramleybend.wire.channels import SERVER_OPTIONS
 
 # Gateways hear of the leaving owner within one view, 0.5 s; asks that come
 # later are still served, and their runs registered with the next owner.
@@ -56,7 +60,6 @@
         self._cfg = cfg
         self._clock = clock
         self._tasks: list[asyncio.Task[Any]] = []
-        self._channels = Channels()
         self._metrics = make_metrics(cfg.statsd, cfg.vm)
         self._headers = Headers(
             identity,
@@ -101,7 +104,6 @@
             task.cancel()
         await self._grpc.stop(GRPC_GRACE_S)
         await self._wire.close()
-        await self._channels.close()
         self.events.record('stopped')
 
     def known_loads(self) -> list[ShardView]:
@@ -145,6 +147,7 @@
             self.shards.watch(),
             self.orders.follow(),
             self._send_gauges(),
+            LoopWatch(self.events, self._clock).work(),
         ):
             self._tasks.append(asyncio.create_task(work))
 
@@ -161,7 +164,7 @@
         )
 
     def _make_shards(self) -> ShardTable:
-        return ShardTable(
+        return make_shards(
             Surroundings(
                 lambda: self.terms.terms,
                 lambda: self.listed.runners,
@@ -175,7 +178,6 @@
                 self._metrics,
                 self.crashes,
             ),
-            Random(),
         )
 
     def _make_orders(self) -> OrderManager:
--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -261,3 +261,8 @@
         if self._around.is_fit(vm.name):
             return vm
         return replace(vm, state=RunnerState.LEAVING)
+
+
+def make_shards(around: Surroundings, deps: ShardDeps) -> ShardTable:
+    """Build a scheduler's table of shards."""
+    return ShardTable(around, deps, Random())
--- a/tests/utils/scenario.py
+++ b/tests/utils/scenario.py
@@ -6,6 +6,9 @@
 from pathlib import Path
 
 from bramleybend.answers import Outcome
+from bramleybend.clock import SystemClock
+from bramleybend.events import EventLog
+from bramleybend.loop_watch import LoopWatch
 from tests.utils.callers import Caller
 from tests.utils.cluster import EXAMPLE, Cluster, Layout
 from tests.utils.entry_vm import EntryVm
@@ -135,8 +138,15 @@
         document = document or EXAMPLE.read_text()
         await cluster.ready(document)
         scene = Scenario(cluster, document)
-        await scene.settle()
-        yield scene
+        clock = SystemClock()
+        # The stand-ins and the callers run here: how late they were.
+        log = EventLog('test', run_dir.name, clock)
+        watching = asyncio.create_task(LoopWatch(log, clock).work())
+        try:
+            await scene.settle()
+            yield scene
+        finally:
+            watching.cancel()
 
 
 def assert_clean(verdict: Verdict) -> None:
