A slow owner is waited for: no other VM may grant below the highest tier

What callers saw: lookups told "no slot came free before the deadline" after 5 s, on a system with free runners.

An owner that doesn't acknowledge an ask within 0.8 s was put last in rank for 3 s, and the gateway asked the next VM. That VM isn't the owner: it starts the highest tier only, and a gateway drops its grants below that tier (the rule that keeps two owners from serving past each other's floors). So one acknowledgement that was late by a moment sent all lower requests of that gateway to a queue that could not serve them; each waited there until its deadline, also after the owner was asked again, and each new ask renewed the VM's floor. The same ranking was used for two more questions: the round that asks whether something lower runs went to a VM that can't know, so nothing could be shed with proof for 3 s; and a run whose owner had been lost could be registered with a VM that wasn't the new owner, which then didn't count it.

Below the highest tier a gateway waits at the owner, on one stream, until it answers or the members have replaced it; also when a run is registered anew, and for the question of the floor. The highest tier goes to the next VM after 0.8 s, as before.

Why it works. No answer of another VM was ever of use to these requests, so nothing is lost by not asking it; and a paused owner finds the ask in its inbox when it wakes.

Pauses of 1.5 s or more are still followed by the 2.5 s in which an owner that may have been replaced starts nothing below the highest tier.

--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -25,7 +25,7 @@
 from bramleybend.gateway.journal import JournalWriter
 from bramleybend.gateway.lost_home import LostHomes
 from bramleybend.gateway.routes import Routes
-from bramleybend.gateway.slots import OwnerPort, SlotAsker
+from bramleybend.gateway.slot_asker import OwnerPort, SlotAsker
 from bramleybend.gateway.view import ViewFollower
 from bramleybend.identity import Identity, make_identity
 from bramleybend.loop_watch import LoopWatch
@@ -165,7 +165,7 @@
             FloorPort(
                 self._channels,
                 self._cfg.scheduler_port,
-                asker.ranked,
+                asker.owner,
                 lambda: self.views.view_age_s,
                 self._headers,
             ),
--- a/bramleybend/gateway/floor_round.py
+++ b/bramleybend/gateway/floor_round.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -24,7 +24,7 @@
 
 FLOOR_TIMEOUT_S: Final = 1.0
 
-Ranked = Callable[[str, int], Sequence[Member]]
+OwnerOf = Callable[[str, int], Member | None]
 
 
 @dataclass(frozen=True)
@@ -33,7 +33,7 @@
 
     channels: Channels
     port: int
-    ranked: Ranked
+    owner: OwnerOf
     view_age_s: Callable[[], float]
     headers: Headers
 
@@ -91,10 +91,10 @@
         tier: Tier,
         shard: int,
     ) -> FloorReply | None:
-        owners = self._port.ranked(service, shard)
-        if not owners:
+        owner = self._port.owner(service, shard)
+        if owner is None:
             return None
-        endpoint = f'{owners[0].address}:{self._port.port}'
+        endpoint = f'{owner.address}:{self._port.port}'
         request = FloorRequest(
             header=self._port.headers.make(),
             service=service,
--- a/bramleybend/gateway/job.py
+++ b/bramleybend/gateway/job.py
@@ -8,7 +8,7 @@
 from bramleybend.gateway.ask import ask_of
 from bramleybend.gateway.floor_round import FloorRounds
 from bramleybend.gateway.run import Run
-from bramleybend.gateway.slots import SlotAsker
+from bramleybend.gateway.slot_asker import SlotAsker
 from bramleybend.gateway.view import ViewFollower
 from bramleybend.metrics import Metrics
 from bramleybend.models import Ask, Profile, Service, Tier
--- a/tests/failures/test_one_process.py
+++ b/tests/failures/test_one_process.py
@@ -15,8 +15,6 @@
 from bramleybend.answers import Outcome
 from tests.utils.cluster import Layout
 from tests.utils.engine import EngineConfig
-from tests.utils.entry_vm import EntryVm
-from tests.utils.eventlog import parse_events
 from tests.utils.load import Stream
 from tests.utils.processes import Process
 from tests.utils.scenario import Scenario, assert_clean, scenario
@@ -35,17 +33,6 @@
 SERVICE = 'briefing-llm'
 
 
-def _owner(scene: Scenario) -> EntryVm:
-    """Return the VM whose scheduler owns the engines' queue."""
-    for vm in scene.cluster.vms:
-        lines = vm.scheduler.log_text().splitlines()
-        for event in parse_events(lines):
-            owned = event['event'] == 'shard_owned'
-            if owned and event['service'] == SERVICE:
-                return vm
-    raise AssertionError(f'nobody owns {SERVICE}')
-
-
 async def _done_more(scene: Scenario, count: int, what: str) -> None:
     for profile in ('slot-claim', 'debrief'):
         goal = scene.count(Outcome.DONE, profile) + count
@@ -64,7 +51,7 @@
     async with scenario(LAYOUT, tmp_path) as scene:
         async with scene.load(LOAD):
             await _done_more(scene, 10, 'served before')
-            _owner(scene).scheduler.send_signal(number)
+            scene.owner(SERVICE).scheduler.send_signal(number)
             await _done_more(scene, 15, 'served after')
         assert_clean(scene.verdict())
 
--- a/tests/utils/scenario.py
+++ b/tests/utils/scenario.py
@@ -92,6 +92,16 @@
         goal = self.count(Outcome.DONE) + count
         await wait_until(lambda: self.count(Outcome.DONE) > goal, what)
 
+    def owner(self, service: str) -> EntryVm:
+        """Return a VM whose scheduler has owned a service's queue."""
+        for vm in self.cluster.vms:
+            lines = vm.scheduler.log_text().splitlines()
+            for event in parse_events(lines):
+                owned = event['event'] == 'shard_owned'
+                if owned and event['service'] == service:
+                    return vm
+        raise AssertionError(f'nobody owns {service}')
+
     def broken_sends(self) -> list[str]:
         """Return why connections of callers broke."""
         return [
