A run that outlives its request's deadline is followed: its crash counts

What callers saw: a request that crashes every engine that runs it went on crashing them (7 crashes where 4 are allowed); all that ran beside it was cut.

At its deadline a run is stopped at its engine. If the engine doesn't confirm that, the request was told `unknown` and the slot given back at once, while the run went on; a crash after that moment was reported by nobody, so the content was not counted and came back under its next id.

The caller is still told at its deadline. The slot is given back when the run's end is known, at most 5 s later, with that end. The log says event=outlived, and attempt_ended tells whether the runner crashed. What comes of an answer after its outcome was told is not kept.

Why it works. The report no longer depends on which of deadline and crash comes first. The slot of a run that still holds its engine isn't given to another one either.

Test: tests/test_supervisor.py, an engine that confirms no stop and goes down 0.5 s after the deadline: runner_crashed false before, true now.

--- a/bramleybend/gateway/run.py
+++ b/bramleybend/gateway/run.py
@@ -111,6 +111,8 @@
 
     def add(self, chunk: bytes) -> bool:
         """Keep a part of the answer; false once it grows too large."""
+        if self.answer is not None:
+            return True  # told already; nobody waits for the rest
         if not self._answer and self.on_begun is not None:
             self.on_begun()
         self._answer += chunk
--- a/bramleybend/gateway/supervisor.py
+++ b/bramleybend/gateway/supervisor.py
@@ -13,6 +13,8 @@
 from bramleybend.wire.bramleybend_pb2 import Ended
 
 LAST_EVENTS_S: Final = 0.2
+# For a run that goes on after its request's deadline, to see how it ends.
+OUTLIVED_S: Final = 5.0
 RAN_WHOLE: Final = frozenset((End.WHOLE, End.OVERTAKEN))
 
 
@@ -35,16 +37,26 @@
             ask.prompt_tokens,
         )
         self._deps.note(job, 'dispatched', runner=slot.runner)
+        proceeding = asyncio.create_task(attempt.proceed())
         try:
-            end = await self._proceed(job, slot, attempt)
+            end = await self._proceed(job, slot, attempt, proceeding)
         except asyncio.CancelledError:
+            proceeding.cancel()
             self.leave(self._drop(slot, attempt))
             raise
-        seconds = self._deps.clock.monotonic() - started
-        self._deps.note(job, 'attempt_ended', runner=slot.runner, end=end.end)
+        if end.end is not End.UNHEARD:
+            # At once: what is told of as not sent must not be sent later.
+            proceeding.cancel()
+        self._deps.note(
+            job,
+            'attempt_ended',
+            runner=slot.runner,
+            end=end.end,
+            crashed=end.crashed,
+        )
         self._count_prefill(job, end, ask.prompt_tokens)
         # The caller's answer does not wait for the owner's last word.
-        self.leave(slot.end(_ended(end, seconds)))
+        self.leave(self._give_back(job, slot, proceeding, end, started))
         return end
 
     def leave(self, work: Coroutine[Any, Any, Any]) -> None:
@@ -58,13 +70,42 @@
         await attempt.stop()
         await slot.end(Ended(outcome=End.STOPPED))
 
+    async def _give_back(
+        self,
+        job: Job,
+        slot: Slot,
+        proceeding: asyncio.Task[AttemptEnd],
+        end: AttemptEnd,
+        started: float,
+    ) -> None:
+        """Tell the owner how the run ended, once that is known.
+
+        A run that could not be stopped at its request's deadline still holds
+        its runner, and may crash it; unreported, its content would go on
+        crashing runners.
+        """
+        if end.end is End.UNHEARD and not proceeding.done():
+            done, _ = await asyncio.wait((proceeding,), timeout=OUTLIVED_S)
+            if done:
+                end = proceeding.result()
+                self._deps.note(
+                    job,
+                    'outlived',
+                    runner=slot.runner,
+                    end=end.end,
+                    crashed=end.crashed,
+                )
+        proceeding.cancel()
+        seconds = self._deps.clock.monotonic() - started
+        await slot.end(_ended(end, seconds))
+
     async def _proceed(
         self,
         job: Job,
         slot: Slot,
         attempt: Attempt,
+        proceeding: asyncio.Task[AttemptEnd],
     ) -> AttemptEnd:
-        proceeding = asyncio.create_task(attempt.proceed())
         reasons = (
             asyncio.create_task(slot.preempted.wait()),
             asyncio.create_task(job.run.abandoned.wait()),
@@ -83,7 +124,7 @@
             await self._until(job, proceeding)
             return _end_of(attempt, proceeding)
         finally:
-            for task in (proceeding, *reasons):
+            for task in reasons:
                 task.cancel()
 
     async def _until(self, job: Job, *tasks: asyncio.Task[Any]) -> None:
--- /dev/null
+++ b/tests/test_supervisor.py
@@ -0,0 +1,101 @@
+"""What the owner of a slot is told of the run that held it."""
+
+import asyncio
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import cast
+
+from bramleybend.clock import SystemClock
+from bramleybend.gateway.attempt import End
+from bramleybend.gateway.job import Deps, Job
+from bramleybend.gateway.run import RequestBody, Run
+from bramleybend.gateway.slots import Slot
+from bramleybend.gateway.supervisor import Supervisor
+from bramleybend.metrics import make_metrics
+from bramleybend.models import Repeat, ServiceKind, Tier
+from bramleybend.wire.bramleybend_pb2 import Ended
+from tests.utils.waiting import wait_until
+
+DEADLINE_S = 0.3
+CRASH_S = 0.8
+
+
+class _Engine:
+    """Takes a run, stops none, and goes down with all of them."""
+
+    def __init__(self) -> None:
+        self.runs: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._take, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f'127.0.0.1:{port}'
+
+    def crash(self) -> None:
+        self._server.close()
+        for writer in self.runs:
+            writer.transport.abort()
+
+    async def _take(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = await reader.readline()
+        if b'/cancel' in head:
+            writer.transport.abort()
+            return
+        self.runs.append(writer)
+
+
+@dataclass
+class _Slot:
+    endpoint: str
+    runner: str = 'briefing-llm-1'
+    preempted: asyncio.Event = field(default_factory=asyncio.Event)
+    told: list[Ended] = field(default_factory=list)
+
+    async def end(self, ended: Ended) -> None:
+        self.told.append(ended)
+
+
+def _job(deadline_s: float) -> Job:
+    deadline = SystemClock().monotonic() + deadline_s
+    req = RequestBody(
+        'a:1/b', 'w', 's', 'p', deadline, b'{}', 'f', stream=False
+    )
+    job = SimpleNamespace(
+        run=Run(req),
+        request_id=req.request_id,
+        profile=SimpleNamespace(cancellable=True, repeat=Repeat.AT_MOST_ONCE),
+        service=SimpleNamespace(kind=ServiceKind.ENGINE),
+        tier=Tier.BULK,
+        ask=lambda: SimpleNamespace(prompt_tokens=1),
+    )
+    return cast('Job', job)
+
+
+def _deps() -> Deps:
+    clock = SystemClock()
+    deps = SimpleNamespace(
+        clock=clock,
+        metrics=make_metrics(None, 'vm'),
+        note=lambda *_args, **_fields: None,
+        left_s=lambda job: max(job.run.req.deadline - clock.monotonic(), 0),
+    )
+    return cast('Deps', deps)
+
+
+async def test_a_crash_after_the_deadline_is_reported() -> None:
+    """Guards against content that crashes runners and is never refused."""
+    engine = _Engine()
+    slot = _Slot(await engine.start())
+    asyncio.get_running_loop().call_later(CRASH_S, engine.crash)
+    end = await Supervisor(_deps()).carry(
+        _job(DEADLINE_S), cast('Slot', slot), '0'
+    )
+    assert end.end is End.UNHEARD
+    assert not slot.told
+    await wait_until(lambda: bool(slot.told), 'the owner is told of the end')
+    assert slot.told[0].runner_crashed
