A crash is reported to an owner that is slow or has been replaced

What callers saw: a request that crashes engines came back and was run again as if it had crashed nothing; the work beside it was cut once more.

A gateway gave the owner one second to read how a run ended, then cancelled the stream; an owner that stood still for longer found it cancelled and never read the report. With the stream broken, the owner killed or cut off, the report was dropped. For other ends that only delays a slot; a crash was then counted by nobody.

For a crash the gateway waits up to 10 s for the owner to read the report, and tells the present owner if the stream broke meanwhile. Other ends are given up after one second as before, so a frozen owner holds no streams.

Why it works. An owner ends the stream only after it has read the run's end, so a stream that ended with OK is the receipt. Left open: an owner that hands its shard over in that same moment also ends with OK.

--- a/bramleybend/gateway/slots.py
+++ b/bramleybend/gateway/slots.py
@@ -25,6 +25,7 @@
 
 ADOPT_RETRY_S: Final = 0.3
 LAST_CALL_TIMEOUT_S: Final = 1.0
+CRASH_CALL_TIMEOUT_S: Final = 10.0
 UNKNOWN_YET: Final = -1  # engines tell what was cached at the end
 
 
@@ -77,12 +78,37 @@
     async def end(self, ended: Ended) -> None:
         """Give the slot back with what was learned from the run."""
         self._ending = True
+        if not await self._tell(ended) and ended.runner_crashed:
+            await self._tell_anew(ended)
+
+    async def _tell(self, ended: Ended) -> bool:
+        """Whether the owner has read how the run ended."""
+        call = self._call
         await self._send(HoldRequest(ended=ended))
         # The owner ends the stream once it has read this. One that is gone
-        # or frozen does not, and then the closed stream gives the slot back.
-        await asyncio.wait((self._watch,), timeout=LAST_CALL_TIMEOUT_S)
+        # or frozen does not, and then the closed stream gives the slot back;
+        # but a crash that it never read of would be counted by nobody.
+        patient = ended.runner_crashed
+        wait_s = CRASH_CALL_TIMEOUT_S if patient else LAST_CALL_TIMEOUT_S
+        done, _ = await asyncio.wait((self._watch,), timeout=wait_s)
         self._watch.cancel()
         self._call.cancel()
+        if not done or call is not self._call:
+            return False
+        return await call.code() is grpc.StatusCode.OK
+
+    async def _tell_anew(self, ended: Ended) -> None:
+        """Tell the present owner of a crash that the one before missed."""
+        adopt = HoldRequest(adopt=Adopt(ask=self._ask, runner=self.runner))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CRASH_CALL_TIMEOUT_S):
+                opened = await self._owners.open_at_owner(self._ask, adopt, inf)
+                if opened is None:
+                    return
+                self._call = opened.call
+                await self._send(HoldRequest(ended=ended))
+                await read_reply(self._call)
+        self._call.cancel()
 
     async def _send(self, message: HoldRequest) -> None:
         with suppress(
