Tests of failures write down how late their own event loop was

Callers and stand-ins run in the test's process. Whether the product or the test was late could not be told: the test's events went to pytest's capture, which keeps warnings only. They now stand in test.log beside the VMs' logs, in the same form, so the time line shows them too.

--- a/bramleybend/events.py
+++ b/bramleybend/events.py
@@ -126,6 +126,17 @@
     level: str, stream: LineStream, *filters: logging.Filter
 ) -> None:
     """Send every log record to `stream` as one key=value line."""
+    handler = line_handler(stream)
+    for rule in filters:
+        handler.addFilter(rule)
+    root = logging.getLogger()
+    root.handlers.clear()
+    root.addHandler(handler)
+    root.setLevel(level)
+
+
+def line_handler(stream: LineStream) -> logging.Handler:
+    """Return a handler that writes each record as one key=value line."""
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
         Logfmter(
@@ -137,9 +148,4 @@
             },
         ),
     )
-    for rule in filters:
-        handler.addFilter(rule)
-    root = logging.getLogger()
-    root.handlers.clear()
-    root.addHandler(handler)
-    root.setLevel(level)
+    return handler
--- a/tests/utils/scenario.py
+++ b/tests/utils/scenario.py
@@ -6,9 +6,6 @@
 from pathlib import Path
 
 from bramleybend.answers import Outcome
-from bramleybend.clock import SystemClock
-from bramleybend.events import EventLog
-from bramleybend.loop_watch import LoopWatch
 from tests.utils.callers import Caller
 from tests.utils.cluster import EXAMPLE, Cluster, Layout
 from tests.utils.entry_vm import EntryVm
@@ -16,6 +13,7 @@
 from tests.utils.http_client import NO_WORD_YET
 from tests.utils.ledger import Ledger, Verdict
 from tests.utils.load import Stream, plan, play
+from tests.utils.own_loop import watched_loop
 from tests.utils.waiting import wait_until
 from tests.utils.work import Declared, WorkMaker
 
@@ -148,15 +146,9 @@
         document = document or EXAMPLE.read_text()
         await cluster.ready(document)
         scene = Scenario(cluster, document)
-        clock = SystemClock()
-        # The stand-ins and the callers run here: how late they were.
-        log = EventLog('test', run_dir.name, clock)
-        watching = asyncio.create_task(LoopWatch(log, clock).work())
-        try:
+        with watched_loop(run_dir):
             await scene.settle()
             yield scene
-        finally:
-            watching.cancel()
 
 
 def assert_clean(verdict: Verdict) -> None:
