A request at risk waits at several shards, and its refusal holds the floor

What callers saw: a request of tier 2 told "no slot came free before the deadline" while engines served tiers 3 and 4; the log says proved=False.

A request waited at one shard until that refused it, some tenths of a second before its deadline. The other shard, where nothing of its tier waited, went on starting lower tiers all the while. 2. The owner refused it and gave the next slot that came free to a lower tier, before the gateway's question about the floor could arrive. The lower run then stood in the way of the proof until the deadline had passed.

Evidence, from logs of a play with a pause of an owner of 0.9 to 1.2 s (two shards, load 14 to 30): a tier-3 request refused by shard 0 at 3.330 s, a tier-4 run granted by the same shard at 3.354 s, no proof until the deadline at 4.165 s; a tier-2 request that had waited at shard 1 alone for 3 s, while shard 0 started two of tier 3 0.3 s before its refusal.

Once half of its time is gone a request also waits, urgently, at up to three more shards (gateway/shard_race.py); the first slot counts, others are given back. An owner that refuses for want of capacity starts nothing lower for the second in which the gateway asks for the floor; the raw path, which sets no floors, has that switched off. A further shard whose owner can't be reached is no proof either and no longer ends the search.

Not proved to be impossible: a run that can't be cancelled, or an owner that is silent until the deadline, still leaves proved=False. Tests that failed before: the one of the decision and the two with a paused owner.

--- a/bramleybend/decisions/expiry.py
+++ b/bramleybend/decisions/expiry.py
@@ -4,9 +4,15 @@
 Without it: slots go to requests whose callers have given up, and their whole
 prefill is wasted just when capacity is short. The ablation `expiry` switches
 this off together with `places.Place.in_time`.
+
+What is refused for want of capacity may only be shed once nothing lower runs
+(`floor`). So nothing lower starts from the refusal on, for as long as the
+gateway needs to ask for that; else the slot that comes free next goes to a
+lower tier, and the refused request runs out of time without proof.
 """
 
 from bramleybend.decisions.actions import Action, Refuse
+from bramleybend.decisions.floor import HOLD_S
 from bramleybend.decisions.queueing import Waiting, WaitingQueue
 from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.turnaway import retry_after
@@ -28,6 +34,8 @@
     shard: Shard, ask: Ask, reason: str, now: float, *, shed: bool
 ) -> Refuse:
     """Turn a request away, with the time to come back."""
+    if shed and shard.switches.floor_at_refusal:
+        shard.hold_floor(ask.tier, now + HOLD_S)
     ahead = shard.queue.cost_ahead(ask)
     wait = retry_after(ahead, shard.drained_per_second(now), shard.rng)
     return Refuse(ask.request_id, reason, wait, shed)
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -163,9 +163,7 @@
         The next `tick` preempts for whatever waits in the tiers above.
         """
         moment = self._advance(now)
-        floors = self._shard.floors
-        until = moment + max(hold_s, 0)
-        floors[tier] = max(floors.get(tier, until), until)
+        self._shard.hold_floor(tier, moment + max(hold_s, 0))
         return len(self._shard.lower_runs(tier))
 
     def load(self) -> ShardLoad:
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -32,6 +32,10 @@
         }
         return min(self.floors, default=Tier.BULK.value)
 
+    def hold_floor(self, tier: int, until: float) -> None:
+        """Start nothing below a tier for a while."""
+        self.floors[tier] = max(self.floors.get(tier, until), until)
+
     def drained_per_second(self, now: float) -> float | None:
         """Return the cost that the slots can finish, once that is known."""
         return self.drain.per_second(self.pool.limit(), now)
--- a/bramleybend/decisions/switches.py
+++ b/bramleybend/decisions/switches.py
@@ -19,3 +19,4 @@
     holding: bool = True
     pacing: bool = True
     admission: bool = True
+    floor_at_refusal: bool = True  # off where no request asks for a floor
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -43,7 +43,9 @@
 SHORTEST_TIMER_S: Final = 0.001  # a timer that fires early would spin
 # Engines are not preempted: a stream that is cut after its head was sent
 # can't be answered any more.
-SWITCHES: Final = Switches(preemption=False, limits=False)
+SWITCHES: Final = Switches(
+    preemption=False, limits=False, floor_at_refusal=False
+)
 
 
 class ServiceQueue:
--- a/bramleybend/gateway/slot_asker.py
+++ b/bramleybend/gateway/slot_asker.py
@@ -100,11 +100,9 @@
         while self._clock.monotonic() < deadline:
             owner = self.owner(ask.service, ask.shard)
             if owner is not None:
-                call = self._call(owner)
-                reading = first_reply(call, self._with_header(first))
-                if await self._while_owner(reading, ask, owner, deadline):
-                    return Opened(call, owner)
-                call.cancel()
+                opened = await self._open_stream(ask, first, owner, deadline)
+                if opened is not None:
+                    return opened
                 self._note_silent(ask, owner)
             await asyncio.sleep(REOPEN_PAUSE_S)
         return None
@@ -127,6 +125,23 @@
             return None
         return await self.open_at_owner(ask, first, deadline)
 
+    async def _open_stream(
+        self,
+        ask: AskMessage,
+        first: HoldRequest,
+        owner: Member,
+        deadline: float,
+    ) -> Opened | None:
+        call = self._call(owner)
+        reading = first_reply(call, self._with_header(first))
+        reply = None
+        try:
+            reply = await self._while_owner(reading, ask, owner, deadline)
+        finally:
+            if reply is None:
+                call.cancel()
+        return Opened(call, owner) if reply else None
+
     def _unopened(self, ask: AskMessage, deadline: float) -> Refused | Problem:
         in_time = self._clock.monotonic() < deadline
         return _no_owner(ask) if in_time else _out_of_time()
@@ -141,7 +156,6 @@
             call = self._call(owner)
             if await self._acknowledged(call, first):
                 return Opened(call, owner)
-            call.cancel()
             self._note_silent(ask, owner)
             self._avoid_for_now(owner)
         return None
@@ -176,11 +190,16 @@
 
     async def _acknowledged(self, call: Hold, first: HoldRequest) -> bool:
         reading = first_reply(call, self._with_header(first))
+        reply = None
         try:
             async with asyncio.timeout(ACK_TIMEOUT_S):
-                return await reading is not None
+                reply = await reading
         except TimeoutError:
             return False
+        finally:
+            if reply is None:
+                call.cancel()
+        return reply is not None
 
     async def _decided(
         self,
--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -13,6 +13,7 @@
 from bramleybend.gateway.ask import ask_message
 from bramleybend.gateway.attempt import End
 from bramleybend.gateway.job import Deps, Job
+from bramleybend.gateway.shard_race import Found, ShardRace
 from bramleybend.gateway.slots import Slot
 from bramleybend.metrics import Metric
 from bramleybend.models import Ask, Tier
@@ -102,37 +103,30 @@
         excluded: list[str],
         *,
         urgent: bool,
-    ) -> Slot | Answer | Refused:
-        view = self._deps.views.view
-        ranked = rank_shards(ask, view.shards, self._deps.rng) or [0]
-        last: Slot | Answer | Refused = not_run(
-            'no shard can be reached',
-            RETRY_AFTER,
-        )
-        for shard in ranked:
+    ) -> Found:
+        async def ask_shard(shard: int, is_further: bool) -> Found:  # noqa: WPS430
             message = ask_message(ask, excluded, self._left_s(ask))
             message.shard = shard
-            message.urgent = urgent
-            last = await self._acquire_at(
-                message,
-                ask.deadline,
-                was_refused=urgent or isinstance(last, Refused),
-            )
-            if not isinstance(last, Refused):
-                break
-        return last
+            message.urgent = urgent or is_further
+            return await self._acquire_at(message, ask.deadline, is_further)
+
+        view = self._deps.views.view
+        ranked = rank_shards(ask, view.shards, self._deps.rng) or [0]
+        patience_s = 0 if urgent else self._left_s(ask) / 2
+        return await ShardRace(ask_shard, ranked).run(patience_s)
 
     async def _acquire_at(
         self,
         message: AskMessage,
         deadline: float,
-        *,
-        was_refused: bool,
-    ) -> Slot | Answer | Refused:
+        is_further: bool,
+    ) -> Found:
         """Ask one shard; a `Refused` is one that may go on elsewhere."""
         match await self._deps.asker.acquire(message, deadline):
             case Ok(slot):
                 return slot
+            case Err(Problem() as problem) if is_further:
+                return Refused(reason=str(problem), shed=True)
             case Err(Problem() as problem):
                 return not_run(str(problem), RETRY_AFTER)
             case Err(Refused() as refused):
@@ -140,9 +134,11 @@
                 # another shard, is shed whatever its deadline says by now.
                 # Taken for a late arrival it would be turned away without
                 # the tier floor, beside lower tiers that are served.
-                if refused.quarantined or not (refused.shed or was_refused):
+                if refused.quarantined:
                     return _refused(refused)
-                return refused
+                if refused.shed or message.urgent:
+                    return refused
+                return _refused(refused)
         raise AssertionError(message)
 
     def _left_s(self, ask: Ask) -> float:
--- a/tests/decisions/test_owner.py
+++ b/tests/decisions/test_owner.py
@@ -14,6 +14,7 @@
     RunnerInfo,
     RunReport,
 )
+from bramleybend.decisions.floor import HOLD_S
 from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
 from bramleybend.models import Ask, Service, ServiceKind, Tier
 
@@ -309,3 +310,18 @@
     policy.adopt(make_ask('s', suspect=True), 'engine-1', 0)
     policy.runners([RunnerInfo('engine-1')], 1)
     assert not policy.ask(make_ask('a'), 20)
+
+
+def test_a_freed_slot_does_not_go_below_what_was_just_refused() -> None:
+    """Guards against a refused request that then can't be shed with proof."""
+    policy = make_policy('engine-1')
+    for name in ('a', 'b'):
+        policy.ask(make_ask(name, cancellable=False), 0)
+    policy.ask(make_ask('high', tier=Tier.HIGH, deadline=2), 0)
+    policy.ask(make_ask('bulk', tier=Tier.BULK), 0)
+    refused = policy.tick(2)
+    assert [act.request_id for act in refused if isinstance(act, Refuse)] == [
+        'high'
+    ]
+    assert not granted(policy.ended('a', DONE, 2.1))
+    assert granted(policy.tick(2 + HOLD_S)) == ['bulk']
--- a/tests/failures/test_shortage.py
+++ b/tests/failures/test_shortage.py
@@ -7,18 +7,21 @@
 queue counts) is held against what the engines were running at that moment.
 """
 
+import asyncio
+import signal
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
+import pytest
 import yaml
 
 from bramleybend.answers import Outcome
 from bramleybend.models import Tier
-from tests.utils.cluster import EXAMPLE, Layout
+from tests.utils.cluster import ENGINE_SERVICE, EXAMPLE, Layout
 from tests.utils.engine import EngineConfig
 from tests.utils.engine_batch import Run
-from tests.utils.eventlog import parse_events
+from tests.utils.eventlog import LoggedEvent, parse_events
 from tests.utils.load import Stream
 from tests.utils.scenario import Scenario, assert_clean, scenario
 from tests.utils.waiting import wait_until
@@ -100,3 +103,48 @@
             ]
             assert not lower, (shed, asked[shed['req']], lower)
         assert_clean(scene.verdict())
+
+
+@pytest.mark.parametrize('pause_s', [0.9, 1.2])
+async def test_no_higher_tier_is_shed_after_a_brief_pause_of_an_owner(
+    tmp_path: Path,
+    pause_s: float,
+) -> None:
+    """Guards against higher tiers that wait where nobody can serve them."""
+    async with scenario(LAYOUT, tmp_path, _two_owners()) as scene:
+        async with scene.load(LOAD):
+            await wait_until(
+                lambda: scene.count(Outcome.DONE) >= 10,
+                'requests are served before the pause',
+            )
+            owner = scene.owner(ENGINE_SERVICE).scheduler
+            owner.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(pause_s)
+            owner.send_signal(signal.SIGCONT)
+            await wait_until(
+                lambda: scene.count(Outcome.NOT_RUN, 'logbook-check') >= 20,
+                '20 requests of the second tier turned away',
+            )
+        served = list(_served(scene))
+        wrong = [
+            (shed, lower)
+            for shed in _sheds(scene)
+            if (lower := _lower_beside(shed, served))
+        ]
+        assert not wrong, f'{len(wrong)} of them: {wrong[:3]}'
+
+
+def _sheds(scene: Scenario) -> list[LoggedEvent]:
+    return [
+        event
+        for event in parse_events(scene.cluster.event_lines())
+        if event['event'] == 'settled' and event['outcome'] == 'not_run'
+    ]
+
+
+def _lower_beside(shed: LoggedEvent, served: list[_Served]) -> list[_Served]:
+    return [
+        each
+        for each in served
+        if each.tier > int(shed['tier']) and each.start < shed.at < each.end
+    ]
