A caller of a lost home is told before its deadline

What callers saw: no answer at all.

Lookups have 5 s, of which the first sends and the forward to the dead home had used more than one.

Test: tests/test_lost_home.py, 4.0 s against deadlines of 1 and 2 s before.

--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -184,7 +184,7 @@
     def _make_intake(self) -> Intake:
         forwarder = Forwarder(
             ForwardPort(self._channels, self._headers, self._is_member),
-            LostHomes(self._log, self._cfg.vm, self.events),
+            LostHomes(self._log, self._cfg.vm, self._clock, self.events),
             self._clock,
             self.events,
         )
--- a/bramleybend/gateway/lost_home.py
+++ b/bramleybend/gateway/lost_home.py
@@ -13,6 +13,7 @@
 
 from bramleybend.answers import Answer, Outcome, not_run, unknown
 from bramleybend.clients.log_service import LogService
+from bramleybend.clock import Clock
 from bramleybend.events import EventLog
 from bramleybend.gateway.run import Run
 from bramleybend.state.journal_records import (
@@ -30,6 +31,9 @@
 
 MAX_VIEWS: Final = 32
 SETTLE_S: Final = 4.0
+# Of what is left to the deadline, so that the answer arrives before it.
+ANSWER_MARGIN_S: Final = 0.2
+LEAST_SETTLE_S: Final = 0.5
 RETRY_AFTER: Final = timedelta(seconds=1)
 LOG_DOWN: Final = 'its home is gone and the log that would tell is down'
 
@@ -45,9 +49,16 @@
 class LostHomes:
     """Reads journals of gone homes, a few kept at a time."""
 
-    def __init__(self, log: LogService, vm: str, events: EventLog) -> None:
+    def __init__(
+        self,
+        log: LogService,
+        vm: str,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
         """Have read nothing yet."""
         self._log = log
+        self._clock = clock
         self._vm = vm
         self._events = events
         self._views: OrderedDict[str, LockedView] = OrderedDict()
@@ -68,11 +79,15 @@
         # came before it, long past its deadline.
         locked = self._view(request_id.ticket.incarnation)
         try:
-            async with asyncio.timeout(SETTLE_S), locked.lock:
+            async with asyncio.timeout(self._patience_s(run)), locked.lock:
                 return await self._fate(request_id, run, locked.view)
         except TimeoutError:
             return unknown(LOG_DOWN)
 
+    def _patience_s(self, run: Run) -> float:
+        left_s = run.req.deadline - self._clock.monotonic() - ANSWER_MARGIN_S
+        return min(max(left_s, LEAST_SETTLE_S), SETTLE_S)
+
     async def _fate(
         self,
         request_id: RequestId,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -75,7 +75,7 @@
 
 async def _fate(log: FakeLog, request_id: RequestId) -> Run:
     run = _run(request_id)
-    await LostHomes(log, 'other', EVENTS).settle(request_id, run)
+    await LostHomes(log, 'other', CLOCK, EVENTS).settle(request_id, run)
     return run
 
 
@@ -216,7 +216,7 @@
     Each caller is told `unknown` within seconds. Without a limit each would
     wait for the hanging reads of all that came before it.
     """
-    lost = LostHomes(HangingLog(CLOCK), 'other', EVENTS)
+    lost = LostHomes(HangingLog(CLOCK), 'other', CLOCK, EVENTS)
     runs = [(_id(str(number)), _run(_id(str(number)))) for number in range(5)]
     async with asyncio.timeout(SETTLE_S + 2):
         await asyncio.gather(*(lost.settle(*each) for each in runs))
--- /dev/null
+++ b/tests/test_lost_home.py
@@ -0,0 +1,48 @@
+"""Answers for requests whose home is gone, while the log hangs."""
+
+import asyncio
+import time
+from typing import cast
+
+import pytest
+
+from bramleybend.answers import Outcome
+from bramleybend.clients.log_service import LogService
+from bramleybend.clock import SystemClock
+from bramleybend.events import EventLog
+from bramleybend.gateway.lost_home import LEAST_SETTLE_S, SETTLE_S, LostHomes
+from bramleybend.gateway.run import RequestBody, Run
+from bramleybend.state.tickets import RequestId, Ticket
+
+TICKET = Ticket('10.0.0.1', 7001, 'incarnation', 0)
+
+
+class _HangingLog:
+    """Takes calls and says nothing."""
+
+    async def read(self, stream: str, start: int) -> None:
+        await asyncio.Event().wait()
+
+
+async def _settled_after(deadline_s: float) -> float:
+    clock = SystemClock()
+    log = cast('LogService', _HangingLog())
+    homes = LostHomes(log, 'vm', clock, EventLog('gateway', 'a', clock))
+    deadline = clock.monotonic() + deadline_s
+    run = Run(RequestBody('id', 'w', 's', 'p', deadline, b'', 'f', False))
+    began = time.monotonic()
+    await homes.settle(RequestId(TICKET, 'own'), run)
+    assert run.answer
+    assert run.answer.outcome is Outcome.UNKNOWN
+    return time.monotonic() - began
+
+
+@pytest.mark.parametrize('deadline_s', [1, 2])
+async def test_a_caller_is_told_before_its_deadline(deadline_s: float) -> None:
+    """Guards against an answer that comes when its caller has left."""
+    assert await _settled_after(deadline_s) < deadline_s
+
+
+async def test_a_caller_past_its_deadline_gets_a_short_try() -> None:
+    """Guards against a resend that is refused what the log still tells."""
+    assert LEAST_SETTLE_S <= await _settled_after(-1) < SETTLE_S
