An ask that is sent again tells the time that is left; a silent owner is logged once

Waiting at the owner may now send the same ask more than once. The owner was told the time left at the first send each time, so it would have refused too late, and each send wrote a line of its own.

--- a/bramleybend/gateway/slot_asker.py
+++ b/bramleybend/gateway/slot_asker.py
@@ -97,14 +97,21 @@
         Below the highest tier no other VM's grant counts, so a slow owner is
         waited for until it answers or the members have replaced it.
         """
+        began = self._clock.monotonic()
+        silent = ''
         while self._clock.monotonic() < deadline:
             owner = self.owner(ask.service, ask.shard)
             if owner is not None:
                 opened = await self._open_stream(ask, first, owner, deadline)
                 if opened is not None:
                     return opened
-                self._note_silent(ask, owner)
+                if owner.incarnation != silent:
+                    self._note_silent(ask, owner)
+                silent = owner.incarnation
             await asyncio.sleep(REOPEN_PAUSE_S)
+            if first.HasField('ask'):
+                waited_s = self._clock.monotonic() - began
+                first.ask.timeout_s = max(ask.timeout_s - waited_s, 0)
         return None
 
     def owner(self, service: str, shard: int) -> Member | None:
@@ -140,7 +147,7 @@
         finally:
             if reply is None:
                 call.cancel()
-        return Opened(call, owner) if reply else None
+        return None if reply is None else Opened(call, owner)
 
     def _unopened(self, ask: AskMessage, deadline: float) -> Refused | Problem:
         in_time = self._clock.monotonic() < deadline
