A gateway doesn't take its own pause for an outage of the log

What callers saw: slot claims told "the log is down and this profile writes to it first" by a log that answered.

When a process that stood still wakes, the answer lies in its socket and the timeout is due; asyncio runs the timeout first. So each pause of 2 s or more failed all calls to the log that were under way.

Such limits are waited for in ten steps, and a step counts once however long it took. Used for calls to the log and the VM list and for an owner's acknowledgement; deadlines of gRPC calls are left as they are.

Why it works. After any pause the loop has one step or more to read what came. A peer that is really silent is given up as before.

Test: tests/test_patience.py; its first test got a timeout before.

--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -17,6 +17,7 @@
 from result import Err, Ok, Result
 
 from bramleybend.errors import ErrorKind, Problem, ProblemError
+from bramleybend.patience import within
 
 READ_SIZE: Final = 65536
 DEFAULT_PORT: Final = 80
@@ -148,9 +149,8 @@
             return Err(self._problem(ErrorKind.PEER_UNAVAILABLE, exc))
         body = b'' if payload is None else json.dumps(payload).encode()
         try:
-            async with asyncio.timeout(self._timeout_s + extra_s):
-                await exchange.send(method, target, (), body)
-                return Ok(await read_whole(exchange))
+            asking = _asked(exchange, method, target, body)
+            return Ok(await within(self._timeout_s + extra_s, asking))
         except CALL_FAILURES as exc:
             return Err(self._problem(ErrorKind.TIMEOUT, exc))
         finally:
@@ -164,6 +164,13 @@
         )
 
 
+async def _asked(
+    exchange: Exchange, method: str, target: str, body: bytes
+) -> HttpResponse:
+    await exchange.send(method, target, (), body)
+    return await read_whole(exchange)
+
+
 async def read_whole(exchange: Exchange) -> HttpResponse:
     """Read head and body, up to `MAX_BODY`."""
     head = await exchange.head()
--- a/bramleybend/gateway/slot_asker.py
+++ b/bramleybend/gateway/slot_asker.py
@@ -19,6 +19,7 @@
 )
 from bramleybend.gateway.slots import Slot
 from bramleybend.models import Tier
+from bramleybend.patience import within
 from bramleybend.state.member import Member
 from bramleybend.wire.bramleybend_pb2 import (
     AskMessage,
@@ -199,8 +200,7 @@
         reading = first_reply(call, self._with_header(first))
         reply = None
         try:
-            async with asyncio.timeout(ACK_TIMEOUT_S):
-                reply = await reading
+            reply = await within(ACK_TIMEOUT_S, reading)
         except TimeoutError:
             return False
         finally:
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,68 @@
+"""Time limits of a process that stood still."""
+
+import asyncio
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+from result import Ok
+
+from bramleybend.clients.http import HttpApi
+from bramleybend.patience import within
+
+LIMIT_S = 0.5
+STALL_S = 1.0
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+
+
+@contextmanager
+def _peer(answer_after_s: float) -> Iterator[str]:
+    """Answer one request from a thread, which no stall of the loop holds up."""
+
+    def _serve() -> None:
+        conn, _ = listener.accept()
+        with conn:
+            conn.recv(65536)
+            time.sleep(answer_after_s)
+            conn.sendall(ANSWER)
+
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        thread = threading.Thread(target=_serve, daemon=True)
+        thread.start()
+        yield f'http://127.0.0.1:{listener.getsockname()[1]}'
+        thread.join()
+
+
+async def test_an_answer_that_came_while_the_process_stood_still_is_read() -> (
+    None
+):
+    """Guards against taking an own pause for an outage of the log."""
+    with _peer(0.1) as url:
+        calling = asyncio.create_task(HttpApi(url, LIMIT_S).call('GET', '/'))
+        await asyncio.sleep(0.05)
+        time.sleep(STALL_S)
+        assert isinstance(await calling, Ok)
+
+
+async def test_a_silent_peer_is_given_up_in_time() -> None:
+    began = time.monotonic()
+    with pytest.raises(TimeoutError):
+        await within(LIMIT_S, asyncio.sleep(30))
+    assert LIMIT_S <= time.monotonic() - began < 4 * LIMIT_S
+
+
+async def test_work_that_is_given_up_is_cancelled() -> None:
+    cancelled = asyncio.Event()
+
+    async def _work() -> None:
+        try:
+            await asyncio.sleep(30)
+        finally:
+            cancelled.set()
+
+    with pytest.raises(TimeoutError):
+        await within(0.1, _work())
+    await asyncio.wait_for(cancelled.wait(), 1)
