--- a/bramleybend/gateway/shard_race.py
+++ b/bramleybend/gateway/shard_race.py
@@ -7,8 +7,8 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Final, TypeAlias
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any, Final, TypeAlias
 
 from bramleybend.answers import Answer
 from bramleybend.gateway.attempt import End
@@ -20,14 +20,25 @@
 
 Found: TypeAlias = Slot | Answer | Refused
 AskShard: TypeAlias = Callable[[int, bool], Awaitable[Found]]
+Leave: TypeAlias = Callable[[Coroutine[Any, Any, None]], None]
 
 
 class ShardRace:
     """One request's asks, each at another shard; used once."""
 
-    def __init__(self, ask_shard: AskShard, shards: Sequence[int]) -> None:
-        """Take the shards in rank; `ask_shard` also hears if one was asked."""
+    def __init__(
+        self,
+        ask_shard: AskShard,
+        shards: Sequence[int],
+        leave: Leave,
+    ) -> None:
+        """Take the shards in rank.
+
+        `ask_shard` also hears whether another one was asked before; `leave`
+        finishes what nobody waits for.
+        """
         self._ask_shard = ask_shard
+        self._leave = leave
         self._left = deque(shards)
         self._asking: set[asyncio.Task[Found]] = set()
         self._asked = False
@@ -82,4 +93,4 @@
         ended = await asyncio.gather(*self._asking, return_exceptions=True)
         for found in ended:
             if isinstance(found, Slot):
-                await found.end(Ended(outcome=End.NOT_SENT))
+                self._leave(found.end(Ended(outcome=End.NOT_SENT)))
--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -1,8 +1,9 @@
 """Finds a slot for a job, and refuses it only where that is allowed."""
 
 import asyncio
+from collections.abc import Coroutine
 from datetime import timedelta
-from typing import Final
+from typing import Any, Final
 
 from result import Err, Ok
 
@@ -35,6 +36,7 @@
     def __init__(self, deps: Deps) -> None:
         """Take the means; hold no state between jobs."""
         self._deps = deps
+        self._ending: set[asyncio.Task[None]] = set()
 
     async def find(self, job: Job, excluded: list[str]) -> Slot | Answer:
         """Wait for a slot; refuse only what may be refused."""
@@ -127,7 +129,7 @@
         view = self._deps.views.view
         ranked = rank_shards(ask, view.shards, self._deps.rng) or [0]
         patience_s = 0 if urgent else self._left_s(ask) / 2
-        return await ShardRace(ask_shard, ranked).run(patience_s)
+        return await ShardRace(ask_shard, ranked, self._leave).run(patience_s)
 
     async def _acquire_at(
         self,
@@ -155,6 +157,11 @@
                 return _refused(refused)
         raise AssertionError(message)
 
+    def _leave(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._ending.add(task)
+        task.add_done_callback(self._ending.discard)
+
     def _left_s(self, ask: Ask) -> float:
         return max(ask.deadline - self._deps.clock.monotonic(), 0)
 
--- a/tests/test_shard_race.py
+++ b/tests/test_shard_race.py
@@ -1,15 +1,22 @@
 """One request's asks for a slot, each at another shard."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from bramleybend.answers import Answer, not_run
-from bramleybend.gateway.shard_race import MOST_AT_ONCE, Found, ShardRace
+from bramleybend.gateway.shard_race import (
+    MOST_AT_ONCE,
+    AskShard,
+    Found,
+    ShardRace,
+)
 from bramleybend.gateway.slots import Slot
 from bramleybend.wire.bramleybend_pb2 import Ended, Refused
 
 LONG_S = 30
+left: set[asyncio.Task[None]] = set()
 FULL = Refused(reason='deadline_unmet', shed=True)
 
 
@@ -42,13 +49,19 @@
         return found
 
 
+def _race(ask: AskShard, shards: Sequence[int]) -> ShardRace:
+    return ShardRace(
+        ask, shards, lambda work: left.add(asyncio.create_task(work))
+    )
+
+
 async def test_a_request_waits_elsewhere_too_once_its_patience_is_over() -> (
     None
 ):
     """Guards against lower tiers that start at a shard it doesn't wait at."""
     slot = _Slot()
     shards = _Shards({1: (0, slot)})
-    assert await ShardRace(shards.ask, [0, 1]).run(0.05) is slot
+    assert await _race(shards.ask, [0, 1]).run(0.05) is slot
     assert shards.asked == [(0, False), (1, True)]
     assert shards.given_up == [0]
     assert not slot.ends
@@ -58,7 +71,7 @@
     """Guards against a request that counts in every shard's queue."""
     slot = _Slot()
     shards = _Shards({0: (0.05, slot)})
-    assert await ShardRace(shards.ask, [0, 1, 2]).run(LONG_S) is slot
+    assert await _race(shards.ask, [0, 1, 2]).run(LONG_S) is slot
     assert shards.asked == [(0, False)]
 
 
@@ -73,7 +86,8 @@
         await both_asked.wait()
         return slots[shard]
 
-    kept = await ShardRace(ask, [0, 1]).run(0)
+    kept = await _race(ask, [0, 1]).run(0)
+    await asyncio.gather(*left)
     given_back = [slot for slot in slots if slot.ends]
     assert [each.outcome for each in given_back[0].ends] == ['not_sent']
     assert [slot for slot in slots if not slot.ends] == [kept]
@@ -81,14 +95,14 @@
 
 async def test_the_refusals_of_all_shards_are_one_refusal() -> None:
     shards = _Shards({number: (0, FULL) for number in range(9)})
-    assert await ShardRace(shards.ask, range(9)).run(LONG_S) is FULL
+    assert await _race(shards.ask, range(9)).run(LONG_S) is FULL
     assert [shard for shard, _ in shards.asked] == list(range(9))
 
 
 async def test_few_shards_are_asked_at_once() -> None:
     """Guards against asks that grow with the number of shards."""
     shards = _Shards({})
-    race = asyncio.create_task(ShardRace(shards.ask, range(40)).run(0))
+    race = asyncio.create_task(_race(shards.ask, range(40)).run(0))
     await asyncio.sleep(1)
     assert len(shards.asked) == MOST_AT_ONCE
     race.cancel()
@@ -99,5 +113,5 @@
 async def test_a_final_answer_ends_the_search() -> None:
     answer: Answer = not_run('quarantined', timedelta(seconds=1))
     shards = _Shards({0: (0, answer)})
-    assert await ShardRace(shards.ask, [0, 1]).run(LONG_S) is answer
+    assert await _race(shards.ask, [0, 1]).run(LONG_S) is answer
     assert shards.asked == [(0, False)]
