--- a/bramleybend/cli/log_queries.py
+++ b/bramleybend/cli/log_queries.py
@@ -8,11 +8,23 @@
 from bramleybend.timeline.cause import Finding, findings
 from bramleybend.timeline.merge import Filter, merge, select
 from bramleybend.timeline.text import render
-from bramleybend.timeline.times import TierTimes, spans_shown, tier_times
+from bramleybend.timeline.times import (
+    TierTimes,
+    sizes_shown,
+    spans_shown,
+    tier_times,
+)
 
 MOST_SHOWN = 5  # events of one step; the count in its text is of all
 MOST_REASONS = 8  # of a tier, the most frequent first
-TIMES_HEADER = ('tier', 'served', 'waited ms', 'to first ms', 'rest ms')
+TIMES_HEADER = (
+    'tier',
+    'served',
+    'waited ms',
+    'to first ms',
+    'rest ms',
+    'served by size',
+)
 
 
 def explain_from_logs(ctx: Context) -> Report:
@@ -38,7 +50,9 @@
 async def times(ctx: Context) -> Report:
     """Show by tier where the time of requests went, and what was not served.
 
-    Times are the median, nine of ten and ninety-nine of a hundred.
+    Times are the median, nine of ten and ninety-nine of a hundred; the
+    shares served are of all, of the fifth below the largest tenth, and of
+    that tenth.
     """
     rows = tier_times(merge(list(read_logs(ctx.flags.logs))).events)
     shown = table(TIMES_HEADER, map(_times_row, rows))
@@ -52,6 +66,7 @@
                 'waited_ms': row.waited.values,
                 'to_first_ms': row.to_first.values,
                 'rest_ms': row.rest.values,
+                'work_and_served': row.sizes.values,
                 'unserved': row.unserved,
             }
             for row in rows
@@ -61,7 +76,7 @@
 
 def _times_row(row: TierTimes) -> tuple[str, ...]:
     spans = map(spans_shown, (row.waited, row.to_first, row.rest))
-    return (row.tier, str(row.served), *spans)
+    return (row.tier, str(row.served), *spans, sizes_shown(row.sizes))
 
 
 def _unserved(row: TierTimes) -> str:
--- a/bramleybend/direct/models.py
+++ b/bramleybend/direct/models.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from types import MappingProxyType
 
+from bramleybend.decisions.runs import COMPLETION_COST
 from bramleybend.models import Repeat, Tier
 
 
@@ -138,6 +139,17 @@
     likely_output: int | None
     resume_after: str  # the last event that the caller has
 
+    @property
+    def expected_output(self) -> int:
+        """Return the tokens that the answer is likely to have."""
+        return self.likely_output or self.most_output
+
+    @property
+    def expected_work(self) -> float:
+        """Return the work of a run, in prompt-token equivalents."""
+        work = self.prompt_tokens + self.expected_output * COMPLETION_COST
+        return float(max(work, 1))
+
     def units(self, allotment: Allotment) -> float:
         """Return what the request counts as against an allotment."""
         if not allotment.by_tokens:
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -227,6 +227,7 @@
             route=job.terms.route.name,
             workspace=job.terms.workspace,
             tier=int(job.terms.tier),
+            work=int(job.facts.expected_work),
             status=int(status),
             runners=','.join(job.trail),
             why=failure.reason if failure else reason,
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -27,7 +27,6 @@
 ANSWER_MARGIN_S: Final = 0.02
 # The queue refuses earlier than we give up on it: it knows when to come back.
 QUEUE_MARGIN_S: Final = 2 * ANSWER_MARGIN_S
-OUTPUT_COST: Final = 8  # of a token made, in prompt tokens
 # Runners that turned a request away are full for about one run's time.
 RETRY_REFUSED_S: Final = 0.3
 TIMEOUT: Final = 'timeout'
@@ -60,7 +59,7 @@
                 req=job.facts.attempt_id,
                 service=job.terms.service,
                 tokens=job.facts.prompt_tokens,
-                output=job.facts.likely_output or job.facts.most_output,
+                output=job.facts.expected_output,
                 runner=placed.runner.name,
                 owner=placed.owner.vm if placed.owner else 'own',
                 waited_ms=self.ms_since(job.req.received_at),
@@ -192,13 +191,12 @@
 
     def _ask(self, job: Job) -> Ask:
         facts = job.facts
-        output = facts.likely_output or facts.most_output
         return Ask(
             request_id=self._parts.placer.next_id(),
             service=job.terms.service,
             tier=job.terms.tier,
             workspace=job.terms.workspace,
-            cost=float(max(facts.prompt_tokens + output * OUTPUT_COST, 1)),
+            cost=facts.expected_work,
             prompt_tokens=facts.prompt_tokens,
             prefixes=(),
             deadline=job.event_by - QUEUE_MARGIN_S,
--- a/tests/timeline/test_times.py
+++ b/tests/timeline/test_times.py
@@ -3,7 +3,12 @@
 from bramleybend.status import ExitStatus
 from bramleybend.timeline.merge import merge
 from bramleybend.timeline.read import read_lines
-from bramleybend.timeline.times import TierTimes, spans_shown, tier_times
+from bramleybend.timeline.times import (
+    TierTimes,
+    sizes_shown,
+    spans_shown,
+    tier_times,
+)
 from tests.cli.world import World
 from tests.timeline.test_cause import LOGS, line
 
@@ -56,6 +61,19 @@
     }
 
 
+def test_the_share_served_is_told_by_size() -> None:
+    """A tier that serves its small requests only doesn't look healthy."""
+    (row,) = rows(
+        *(
+            answered(
+                f'r{work}', f'status={200 if work < 90 else 503} work={work}'
+            )
+            for work in range(100)
+        )
+    )
+    assert sizes_shown(row.sizes) == '0.90 / 1.00 / 0.00'
+
+
 def test_nothing_measured_is_shown_as_such() -> None:
     """A tier in which nobody was served has no times."""
     (row,) = rows(answered('a', 'status=503 why=full ms=2'))
