--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -15,7 +15,7 @@
 """
 
 from dataclasses import replace
-from math import isfinite
+from math import isfinite, isnan
 
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
@@ -38,6 +38,7 @@
         prompt_tokens=tokens,
         tier=Tier(tier),
         deadline=ask.deadline if isfinite(ask.deadline) else 0,
+        begin_by=0 if isnan(ask.begin_by) else ask.begin_by,
     )
 
 
@@ -63,4 +64,5 @@
     if rate is None:
         return False
     wait = shard.queue.cost_ahead(ask) / rate
-    return wait > (ask.deadline - now) * SURE_WAIT
+    left = min(ask.begin_by, ask.deadline) - now
+    return wait > left * SURE_WAIT
--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -19,7 +19,13 @@
 from math import inf
 
 from bramleybend.decisions.actions import Action, Grant
-from bramleybend.decisions.places import Place, best_of, places_of
+from bramleybend.decisions.places import (
+    UNLIMITED,
+    Place,
+    best_of,
+    places_of,
+    time_left,
+)
 from bramleybend.decisions.queueing import WINDOW, Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
@@ -99,7 +105,7 @@
     able = places
     if ask.excluded:
         able = [one for one in places if one.runner.name not in ask.excluded]
-    left = ask.deadline - now if in_time else inf
+    left = time_left(ask, now) if in_time else UNLIMITED
     standing = best_of(able, ask, left)
     if standing.runner is None:
         return None
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -48,13 +48,13 @@
         if ask.request_id in self._shard.line(ask):
             return []
         ask = cleaned(ask)
-        if ask.deadline <= moment:
+        if min(ask.begin_by, ask.deadline) <= moment:
             return [self._refuse(ask, 'deadline_past', shed=False)]
         reason = refusal(self._shard, ask, moment) if self._listed else None
         if reason is not None:
             return [self._refuse(ask, reason, shed=True)]
-        seconds = self._shard.pool.least_seconds(ask)
-        self._shard.line(ask).add(ask, moment, seconds)
+        least = self._shard.pool.least_time(ask)
+        self._shard.line(ask).add(ask, moment, least)
         return self._act(moment)
 
     def adopt(self, ask: Ask, runner: str, now: float) -> list[Action]:
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import inf
+from typing import Final
 
 from bramleybend.decisions.failing import FAILED_S
 from bramleybend.decisions.runs import Runner
@@ -27,6 +28,21 @@
 OTHERS = 4.0  # seconds the others lose by a second of prefill at mean pace
 
 
+@dataclass(frozen=True, slots=True)
+class TimeLeft:
+    """Seconds that remain for a request's answer."""
+
+    begin: float  # until its first token
+    end: float  # until its last
+
+    def covers(self, filled: float, ended: float) -> bool:
+        """Tell whether a run that takes so long stays within it."""
+        return filled < self.begin and ended < self.end
+
+
+UNLIMITED: Final = TimeLeft(inf, inf)
+
+
 # Not frozen, with slots: one is made for each runner and start, and a frozen
 # one takes longer to make.
 @dataclass(slots=True)
@@ -66,18 +82,19 @@
         """Tell whether a request may be started here."""
         return self._takes(self.prefill_tokens(ask))
 
-    def look(self, ask: Ask, decode: float, left: float) -> 'Look':
+    def look(self, ask: Ask, decode: float, left: 'TimeLeft') -> 'Look':
         """Weigh a run here: prefill also takes time from the others.
 
-        It may start here if it would end in the time left. An idle runner
-        always gets a try: were it believed too slow for ever, nothing would
-        run there that could prove otherwise.
+        It may start here if it would begin to answer and end in time. An
+        idle runner always gets a try: were it believed too slow for ever,
+        nothing would run there that could prove otherwise.
         """
         prefill = self.prefill_tokens(ask)
         seconds = self._seconds(prefill, decode)
         work = prefill / self.mean.prefill
         lost = self.failing * FAILED_S
-        in_time = seconds < left or not self.runner.in_flight
+        filled = self._seconds(prefill, 0)
+        in_time = left.covers(filled, seconds) or not self.runner.in_flight
         return Look(
             seconds + work * OTHERS + lost, in_time and self._takes(prefill)
         )
@@ -114,8 +131,8 @@
     least: float  # of all places, the wait for each included
 
 
-def best_of(places: Sequence[Place], ask: Ask, left: float) -> Standing:
-    """Weigh the places for one request with so many seconds left.
+def best_of(places: Sequence[Place], ask: Ask, left: TimeLeft) -> Standing:
+    """Weigh the places for one request with so much time left.
 
     Each cache is looked into once, and that of a place that would lose with
     the whole prompt cached not at all; the choice is the same. One request
@@ -136,6 +153,11 @@
     return standing
 
 
+def time_left(ask: Ask, now: float) -> TimeLeft:
+    """Return the time that remains for a request's answer."""
+    return TimeLeft(ask.begin_by - now, ask.deadline - now)
+
+
 def decode_work(ask: Ask) -> float:
     """Return the work of a request beyond its prompt, at least one."""
     return max(ask.cost - ask.prompt_tokens, 1)
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -11,6 +11,7 @@
 from bramleybend.decisions.cache_view import CacheView
 from bramleybend.decisions.limits import ConcurrencyLimit
 from bramleybend.decisions.pacing import RAMP_S, Ramp
+from bramleybend.decisions.queueing import LeastTime
 from bramleybend.decisions.runs import Run, Runner
 from bramleybend.decisions.speeds import FIRST_PACE, Pace, Speed
 from bramleybend.decisions.switches import Switches
@@ -73,22 +74,12 @@
         pace = runner.speed.pace if self._switches.speeds else None
         return pace or mean
 
-    def least_seconds(self, ask: Ask) -> float:
+    def least_time(self, ask: Ask) -> LeastTime:
         """Estimate how long a request takes on the best idle runner."""
         if not self._switches.expiry:
-            return 0
-        mean = self.mean_pace()
+            return LeastTime(0, 0)
         decode = max(ask.cost - ask.prompt_tokens, 1)
-        return min(
-            (
-                self.pace_of(runner, mean).seconds(
-                    _prefill(ask, runner),
-                    decode,
-                )
-                for runner in self._runners.values()
-            ),
-            default=0,
-        )
+        return LeastTime(self._least(ask, 0), self._least(ask, decode))
 
     def mean_pace(self) -> Pace:
         """Return the peers' mean, or a guess before any run has ended."""
@@ -104,6 +95,19 @@
             sum(pace.decode for pace in paces) / len(paces),
         )
 
+    def _least(self, ask: Ask, decode: float) -> float:
+        mean = self.mean_pace()
+        return min(
+            (
+                self.pace_of(runner, mean).seconds(
+                    _prefill(ask, runner),
+                    decode,
+                )
+                for runner in self._runners.values()
+            ),
+            default=0,
+        )
+
     def _count(self, run: Run) -> None:
         runner = self._runners.get(run.runner)
         if runner is not None:
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -46,6 +46,14 @@
 WINDOW = 12  # entries a free runner may choose its best prefix match from
 
 
+@dataclass(frozen=True)
+class LeastTime:
+    """The least seconds that a request takes on an idle runner."""
+
+    begin: float  # until its first token
+    end: float  # until its last
+
+
 @dataclass(frozen=True)
 class Waiting:
     """One queued request."""
@@ -199,15 +207,17 @@
         """Tell whether a request waits."""
         return request_id in self._entries
 
-    def add(self, ask: Ask, now: float, seconds: float) -> None:
-        """Queue a request that takes so many seconds at least."""
+    def add(self, ask: Ask, now: float, least: LeastTime) -> None:
+        """Queue a request that takes so long at least."""
         # An estimate that is wrong leaves at least half of the time to try.
-        seconds = min(seconds, max(ask.deadline - now, 0) / 2)
+        end_s = min(least.end, max(ask.deadline - now, 0) / 2)
+        begin_s = min(least.begin, max(ask.begin_by - now, 0) / 2)
         entry = Waiting(
             ask,
             now,
-            ask.deadline - seconds * SURE,
-            ask.deadline - seconds * LIKELY - LEAD_S,
+            min(ask.begin_by - begin_s * SURE, ask.deadline - end_s * SURE),
+            min(ask.begin_by - begin_s * LIKELY, ask.deadline - end_s * LIKELY)
+            - LEAD_S,
             now + ask.cost * self._ageing,
             ask.on_time_until,
         )
--- a/bramleybend/direct/ask_messages.py
+++ b/bramleybend/direct/ask_messages.py
@@ -32,6 +32,7 @@
         sorted(ask.excluded),
         ask.suspect,
         ask.on_time_until - now,
+        ask.begin_by - now,
     )
 
 
@@ -50,6 +51,7 @@
         suspect=news.suspect,
         excluded=frozenset(news.excluded),
         on_time_until=now + news.on_time_s,
+        begin_by=now + news.begin_s,
     )
 
 
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -24,10 +24,11 @@
     workspace: str
     cost: float
     prompt_tokens: int
-    patience_s: float
+    patience_s: float  # the time left for the whole answer
     excluded: list[str]
     suspect: bool  # it gets a runner to itself
     on_time_s: float  # the time left for a start that is on time
+    begin_s: float  # the time left for an answer to begin
 
 
 class Queued(msgspec.Struct, tag='queued', array_like=True):
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -29,6 +29,8 @@
 QUEUE_MARGIN_S: Final = 2 * ANSWER_MARGIN_S
 # Runners that turned a request away are full for about one run's time.
 RETRY_REFUSED_S: Final = 0.3
+# Of the time left for a stream: its pace falls as others join its runner.
+PACE_RESERVE: Final = 0.3
 TIMEOUT: Final = 'timeout'
 DONE: Final = 'done'
 FAILED: Final = 'failed'
@@ -199,13 +201,21 @@
             cost=facts.expected_work,
             prompt_tokens=facts.prompt_tokens,
             prefixes=(),
-            deadline=job.event_by - QUEUE_MARGIN_S,
+            deadline=self._ends_by(job),
+            begin_by=job.event_by - QUEUE_MARGIN_S,
             cancellable=False,
             suspect=self._parts.containment.runs_alone(job.fingerprint),
             excluded=self._excluded(job),
             on_time_until=job.req.received_at + job.terms.route.objective_s,
         )
 
+    def _ends_by(self, job: Job) -> float:
+        """Return by when the answer should end at its runner's present pace."""
+        ends_by = job.ends_at - QUEUE_MARGIN_S
+        if job.terms.route.streaming:
+            ends_by -= max(self.left(job), 0) * PACE_RESERVE
+        return ends_by
+
     def _excluded(self, job: Job) -> frozenset[str]:
         """Leave out runners that failed this content, while others remain.
 
--- a/bramleybend/models.py
+++ b/bramleybend/models.py
@@ -155,3 +155,4 @@
     suspect: bool = False  # its content was in flight when a runner crashed
     excluded: frozenset[str] = field(default_factory=frozenset)
     on_time_until: float = inf  # for a start, on the same clock
+    begin_by: float = inf  # without an answer begun its caller leaves then
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -23,10 +23,16 @@
     OTHERS,
     SHORT_TOKENS,
     Place,
+    TimeLeft,
     places_of,
 )
 from bramleybend.decisions.pool import RunnerPool
-from bramleybend.decisions.queueing import WINDOW, Waiting, WaitingQueue
+from bramleybend.decisions.queueing import (
+    WINDOW,
+    LeastTime,
+    Waiting,
+    WaitingQueue,
+)
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.switches import Switches
@@ -35,6 +41,7 @@
 
 NOW = 1000.0
 STATES = 400
+LEAST = LeastTime(0.1, 0.3)
 PREFIXES = [f'prefix-{number}' for number in range(12)]
 
 
@@ -47,14 +54,16 @@
     return seconds + work * OTHERS + place.failing * FAILED_S
 
 
-def plainly_takes(place: Place, ask: Ask, left: float) -> bool:
-    """Tell whether a request may start at a place and ends in time."""
+def plainly_takes(place: Place, ask: Ask, left: TimeLeft) -> bool:
+    """Tell whether a request may start at a place and is in time there."""
     if not place.free:
         return False
     short = place.prefill_tokens(ask) <= SHORT_TOKENS
     if place.fill >= place.gate and not short:
         return False
-    return place.seconds(ask) < left or not place.runner.in_flight
+    begins = place.fill + place.pace.seconds(place.prefill_tokens(ask), 0)
+    in_time = begins < left.begin and place.seconds(ask) < left.end
+    return in_time or not place.runner.in_flight
 
 
 def plain_choices(
@@ -64,7 +73,9 @@
     hold = shard.switches.holding and len(window) < min(len(places), WINDOW)
     for position, entry in enumerate(window):
         ask = entry.ask
-        left = ask.deadline - NOW if shard.switches.expiry else inf
+        left = TimeLeft(inf, inf)
+        if shard.switches.expiry:
+            left = TimeLeft(ask.begin_by - NOW, ask.deadline - NOW)
         able = [one for one in places if one.runner.name not in ask.excluded]
         taken = [one for one in able if plainly_takes(one, ask, left)]
         if not taken:
@@ -99,6 +110,7 @@
         prompt_tokens=prompt,
         prefixes=tuple(rng.sample(PREFIXES, rng.randint(0, 4))),
         deadline=NOW + rng.choice([0.2, 1, 5, 60]),
+        begin_by=NOW + rng.choice([0.1, 0.5, 2, inf]),
         cancellable=False,
         excluded=frozenset(rng.sample(['r0', 'r1', 'r2'], rng.randint(0, 2))),
     )
@@ -129,7 +141,7 @@
         stir(rng, runner)
     queue = WaitingQueue({}, tiers=True, fair=True, short_first=True)
     for number in range(rng.choice([1, 5, 40])):
-        queue.add(random_ask(rng, number), NOW - rng.random() * 3, 0.3)
+        queue.add(random_ask(rng, number), NOW - rng.random() * 3, LEAST)
     return Shard(
         pool, queue, WaitingQueue({}), DrainRate(), rng, switches=switches
     )
--- a/tests/decisions/test_queueing.py
+++ b/tests/decisions/test_queueing.py
@@ -1,9 +1,11 @@
 """Who is next, and who leaves."""
 
-from bramleybend.decisions.queueing import WaitingQueue
+from bramleybend.decisions.queueing import LeastTime, WaitingQueue
 from bramleybend.models import Tier
 from tests.decisions.test_owner import make_ask
 
+LEAST = LeastTime(0, 1)
+
 
 def drain(queue: WaitingQueue, count: int) -> list[str]:
     names = []
@@ -18,9 +20,9 @@
 def test_large_workspace_does_not_delay_a_small_one() -> None:
     queue = WaitingQueue({})
     for number in range(100):
-        queue.add(make_ask(f'large{number:03}', workspace='large'), 0, 1)
+        queue.add(make_ask(f'large{number:03}', workspace='large'), 0, LEAST)
     for number in range(3):
-        queue.add(make_ask(f'small{number}', workspace='small'), 1, 1)
+        queue.add(make_ask(f'small{number}', workspace='small'), 1, LEAST)
     first = drain(queue, 6)
     assert sum(name.startswith('small') for name in first) == 3
 
@@ -28,8 +30,8 @@
 def test_weights_share_in_proportion() -> None:
     queue = WaitingQueue({'a': 3, 'b': 1})
     for number in range(40):
-        queue.add(make_ask(f'a{number}', workspace='a'), 0, 1)
-        queue.add(make_ask(f'b{number}', workspace='b'), 0, 1)
+        queue.add(make_ask(f'a{number}', workspace='a'), 0, LEAST)
+        queue.add(make_ask(f'b{number}', workspace='b'), 0, LEAST)
     first = drain(queue, 20)
     assert sum(name.startswith('a') for name in first) == 15
 
@@ -37,40 +39,40 @@
 def test_idle_workspace_saves_up_no_claim() -> None:
     queue = WaitingQueue({})
     for number in range(50):
-        queue.add(make_ask(f'a{number:02}', workspace='a'), 0, 1)
+        queue.add(make_ask(f'a{number:02}', workspace='a'), 0, LEAST)
     drain(queue, 40)
     for number in range(20):
-        queue.add(make_ask(f'b{number:02}', workspace='b'), 9, 1)
+        queue.add(make_ask(f'b{number:02}', workspace='b'), 9, LEAST)
     assert sum(name.startswith('b') for name in drain(queue, 10)) <= 6
 
 
 def test_short_passes_long_but_only_for_a_bounded_time() -> None:
     queue = WaitingQueue({})
-    queue.add(make_ask('long', cost=20_000, deadline=900), 0, 1)
-    queue.add(make_ask('short', cost=100, deadline=900), 5, 1)
-    queue.add(make_ask('late', cost=100, deadline=900), 60, 1)
+    queue.add(make_ask('long', cost=20_000, deadline=900), 0, LEAST)
+    queue.add(make_ask('short', cost=100, deadline=900), 5, LEAST)
+    queue.add(make_ask('late', cost=100, deadline=900), 60, LEAST)
     assert drain(queue, 3) == ['short', 'long', 'late']
 
 
 def test_tiers_go_first_whatever_the_shares() -> None:
     queue = WaitingQueue({'bulk': 1000})
-    queue.add(make_ask('a', workspace='bulk', tier=Tier.BULK), 0, 1)
-    queue.add(make_ask('b', tier=Tier.CRITICAL), 5, 1)
+    queue.add(make_ask('a', workspace='bulk', tier=Tier.BULK), 0, LEAST)
+    queue.add(make_ask('b', tier=Tier.CRITICAL), 5, LEAST)
     assert drain(queue, 2) == ['b', 'a']
 
 
 def test_nonsense_weight_counts_as_one() -> None:
     queue = WaitingQueue({'a': -3, 'b': 0})
     for number in range(10):
-        queue.add(make_ask(f'a{number}', workspace='a'), 0, 1)
-        queue.add(make_ask(f'b{number}', workspace='b'), 0, 1)
+        queue.add(make_ask(f'a{number}', workspace='a'), 0, LEAST)
+        queue.add(make_ask(f'b{number}', workspace='b'), 0, LEAST)
     assert sum(name.startswith('a') for name in drain(queue, 10)) == 5
 
 
 def test_entries_leave_in_order_of_their_latest_start() -> None:
     queue = WaitingQueue({})
-    queue.add(make_ask('a', deadline=10), 0, 2)
-    queue.add(make_ask('b', deadline=5), 0, 2)
+    queue.add(make_ask('a', deadline=10), 0, LeastTime(0, 2))
+    queue.add(make_ask('b', deadline=5), 0, LeastTime(0, 2))
     assert queue.next_due(Tier.NORMAL) == 4
     late = queue.due(4.5, Tier.NORMAL)
     assert [entry.ask.request_id for entry in late] == ['b']
--- a/tests/direct/test_ask_messages.py
+++ b/tests/direct/test_ask_messages.py
@@ -19,6 +19,7 @@
     suspect=True,
     excluded=frozenset(('r1', 'r2')),
     on_time_until=100.5,
+    begin_by=102.0,
 )
 
 
@@ -31,4 +32,4 @@
     told = decode(encode(ask_news(ASK, 100.0)))
     assert isinstance(told, AskNews)
     heard = ask_from(told, 7.0)
-    assert heard == replace(ASK, deadline=15.0, on_time_until=7.5)
+    assert heard == replace(ASK, deadline=15.0, on_time_until=7.5, begin_by=9.0)
