--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -9,7 +9,8 @@
 served per weight is next (start-time fair queueing). Within a workspace an
 entry is ordered by arrival plus `AGEING` seconds for each unit of cost, so a
 short one overtakes a long one only if it came soon after; the key never
-changes, so a long one is passed over for a bounded time. Trials with four
+changes, so a long one is passed over for a bounded time, of which
+`AGEING_SHARE` leaves it most of what its caller waits. Trials with four
 times the ageing changed nothing beyond noise, and the ablation `short_first`
 shows no loss (docs/BENCHMARKS.md): `places` already lets short prompts pass.
 
@@ -38,6 +39,7 @@
 from bramleybend.models import Ask, Tier
 
 AGEING = 0.0005  # seconds of later arrival that a unit of cost counts as
+AGEING_SHARE = 0.125  # of the time left for a start, at most
 SURE = 0.5  # of the least seconds; only what is surely too late is given up
 LIKELY = 1.0  # times the least seconds: what a run takes
 LEAD_S = 1.0  # before that: a preemption takes a round trip and a cleanup
@@ -212,13 +214,17 @@
         # An estimate that is wrong leaves at least half of the time to try.
         end_s = min(least.end, max(ask.deadline - now, 0) / 2)
         begin_s = min(least.begin, max(ask.begin_by - now, 0) / 2)
+        latest_start = min(
+            ask.begin_by - begin_s * SURE, ask.deadline - end_s * SURE
+        )
+        most_ageing = max(latest_start - now, 0) * AGEING_SHARE
         entry = Waiting(
             ask,
             now,
-            min(ask.begin_by - begin_s * SURE, ask.deadline - end_s * SURE),
+            latest_start,
             min(ask.begin_by - begin_s * LIKELY, ask.deadline - end_s * LIKELY)
             - LEAD_S,
-            now + ask.cost * self._ageing,
+            now + min(ask.cost * self._ageing, most_ageing),
             ask.on_time_until,
         )
         self._entries[ask.request_id] = entry
--- a/tests/decisions/test_queueing.py
+++ b/tests/decisions/test_queueing.py
@@ -54,6 +54,16 @@
     assert drain(queue, 3) == ['short', 'long', 'late']
 
 
+def test_a_long_one_is_passed_for_a_part_of_its_wait_only() -> None:
+    """Passed over for longer than its caller waits, it would never start."""
+    queue = WaitingQueue({})
+    long = make_ask('long', cost=20_000, deadline=900, begin_by=4)
+    queue.add(long, 0, LEAST)
+    queue.add(make_ask('short', cost=100, deadline=900), 0.3, LEAST)
+    queue.add(make_ask('late', cost=100, deadline=900), 1, LEAST)
+    assert drain(queue, 3) == ['short', 'long', 'late']
+
+
 def test_tiers_go_first_whatever_the_shares() -> None:
     queue = WaitingQueue({'bulk': 1000})
     queue.add(make_ask('a', workspace='bulk', tier=Tier.BULK), 0, LEAST)
