--- a/tests/utils/raw_runner.py
+++ b/tests/utils/raw_runner.py
@@ -8,6 +8,7 @@
 
 ID = 'x-bramleybend-attempt-id'
 STAMP = 'x-bramleybend-response-stamp'
+LIMIT = 'server-limit'
 
 
 @dataclass
@@ -28,12 +29,17 @@
         return self.headers.get(ID, '')
 
     def answer(
-        self, status: str = '200 OK', body: bytes = b'done', attempt: str = ''
+        self,
+        status: str = '200 OK',
+        body: bytes = b'done',
+        attempt: str = '',
+        limit: str = '',
     ) -> bytes:
-        """Return a whole answer's bytes."""
+        """Return a whole answer's bytes; `limit` in requests a second."""
+        limited = f'{LIMIT}: {limit}\r\n' if limit else ''
         return (
             f'HTTP/1.1 {status}\r\n{ID}: {attempt or self.attempt}\r\n'
-            f'{STAMP}: s1\r\nKeep-Alive: timeout=5\r\n'
+            f'{STAMP}: s1\r\nKeep-Alive: timeout=5\r\n{limited}'
             f'Content-Length: {len(body)}\r\n\r\n'
         ).encode() + body
 
