--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -54,7 +54,11 @@
 
 
 def _is_out(runner: Runner, ask: Ask) -> bool:
-    return runner.leaving or runner.name in ask.excluded
+    return (
+        runner.leaving
+        or runner.name in ask.excluded
+        or (runner.rate is not None and not runner.rate.per_s)
+    )
 
 
 def _waits_too_long(shard: Shard, ask: Ask, now: float) -> bool:
--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -157,7 +157,8 @@
 def next_start(shard: Shard, now: float) -> float:
     """Return when something may start without any event.
 
-    Ramps and floors end, and what is held for a better runner gets urgent.
+    Ramps and floors end, what is held for a better runner gets urgent, and
+    a runner that named a limit takes its next request.
     """
     if not shard.queue and not shard.suspects:
         return inf
@@ -166,4 +167,7 @@
     times.extend(
         runner.ramp.next_step(runner.limit.value, now) for runner in shard.pool
     )
+    times.extend(
+        now + runner.rate.wait_s(now) for runner in shard.pool if runner.rate
+    )
     return min((time for time in times if time > now), default=inf)
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -129,6 +129,20 @@
         self._shard.pool.update(names, self._shard.runs.values(), moment)
         return self._act(moment)
 
+    def start_rates(
+        self, per_s: Mapping[str, float], now: float
+    ) -> list[Action]:
+        """Take in how often runners may be sent a request.
+
+        Runners that are not named may be at any time.
+        """
+        moment = self._advance(now)
+        changed = [
+            runner.limit_starts(per_s.get(runner.name), moment)
+            for runner in self._shard.pool
+        ]
+        return self._act(moment) if any(changed) else []
+
     def cache_event(
         self,
         runner_name: str,
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -208,7 +208,7 @@
     runner: Runner, pace: Pace, mean: Pace, gate: float, now: float
 ) -> Place:
     free = runner.room(now) > 0
-    wait = 0 if free else runner.wait_s()
+    wait = 0 if free else runner.wait_s(now)
     return Place(
         runner,
         pace,
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -64,7 +64,7 @@
     def limit(self) -> int:
         """Sum the limits of runners that get new work."""
         return sum(
-            runner.limit.value
+            runner.capacity()
             for runner in self._runners.values()
             if not runner.leaving
         )
--- a/bramleybend/decisions/runs.py
+++ b/bramleybend/decisions/runs.py
@@ -1,11 +1,13 @@
 """What the owner knows of each granted run and each runner."""
 
 from dataclasses import dataclass, field
+from math import ceil
 
 from bramleybend.decisions.cache_view import CacheView
 from bramleybend.decisions.failing import FailureShare
 from bramleybend.decisions.limits import ConcurrencyLimit
 from bramleybend.decisions.pacing import Ramp
+from bramleybend.decisions.rates import StartRate
 from bramleybend.decisions.speeds import Speed
 from bramleybend.models import Ask, Tier
 
@@ -42,10 +44,35 @@
     backlog: int = 0  # prompt tokens sent there and not known as filled
     alone: str | None = None  # the suspect that runs here by itself
     failing: FailureShare = field(default_factory=FailureShare)
+    rate: StartRate | None = None  # while the runner names a limit
 
-    def wait_s(self) -> float:
-        """Estimate the wait for a slot when all are taken."""
-        return self.mean_seconds / max(len(self.in_flight), 1)
+    def limit_starts(self, per_s: float | None, now: float) -> bool:
+        """Start so many a second from now on; tells whether that is new."""
+        before = self.rate.per_s if self.rate else None
+        if per_s is None:
+            self.rate = None
+        elif self.rate is None:
+            self.rate = StartRate(per_s, now)
+        else:
+            self.rate.change(per_s, now)
+        return before != per_s
+
+    def started(self, now: float) -> None:
+        """Count a start, also one that another owner granted."""
+        if self.rate is not None:
+            self.rate.started(now)
+
+    def capacity(self) -> int:
+        """Return how many requests it runs at once, by all its limits."""
+        if self.rate is None:
+            return self.limit.value
+        at_once = ceil(self.rate.per_s * self.mean_seconds)
+        return min(self.limit.value, at_once)
+
+    def wait_s(self, now: float) -> float:
+        """Estimate the wait for a slot when none is free."""
+        wait = self.mean_seconds / max(len(self.in_flight), 1)
+        return wait if self.rate is None else max(wait, self.rate.wait_s(now))
 
     def forget(self, request_id: str) -> None:
         """Free a slot; unknown ids change nothing."""
@@ -59,6 +86,8 @@
         share = self.ramp.share(now)
         if self.leaving or self.alone is not None or not share:
             return 0
+        if self.rate is not None and self.rate.wait_s(now):
+            return 0
         allowed = int(self.limit.value * share)
         return max(allowed, 1) - len(self.in_flight)
 
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -63,6 +63,7 @@
         runner.backlog += prefill
         self.runs[ask.request_id] = run
         runner.in_flight.add(ask.request_id)
+        runner.started(now)
         runner.cache.sent(ask.prefixes, now)
         if ask.suspect:
             runner.alone = ask.request_id
@@ -87,6 +88,7 @@
         )
         if runner is not None:
             runner.in_flight.add(ask.request_id)
+            runner.started(now)
             runner.streams.add(ask.request_id)
             runner.cache.sent(ask.prefixes, now)
             if ask.suspect:
--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -13,6 +13,7 @@
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.dialect import Dialect
 from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.runner_limits import RunnerLimits
 from bramleybend.direct.sse import Event, EventSplitter
 
 MAX_ANSWER: Final = 33_554_432  # bytes, 32 MiB of an answer that is no stream
@@ -61,12 +62,14 @@
         self,
         channels: RunnerChannels,
         dialect: Dialect,
+        limits: RunnerLimits,
         runner: RunnerEntry,
         attempt_id: str,
     ) -> None:
         """Prepare; nothing is opened yet."""
         self._channels = channels
         self._dialect = dialect
+        self._limits = limits
         self._attempt_id = attempt_id
         self._channel: Channel | None = None
         self.runner = runner
@@ -85,11 +88,13 @@
             return Failure(
                 Fate.NOT_RUN, f'no connection: {exc}', unreachable=True
             )
+        sent_at = self._limits.now()
         try:
             await self._send(self._channel, outgoing)
             head = await self._own_head(self._channel)
         except BROKEN as exc:
             return self._broken(exc)
+        self._note_limit(head, sent_at)
         return await self._checked(head)
 
     async def whole(self, head: Head) -> WholeAnswer | Failure:
@@ -147,6 +152,12 @@
             channel.expect_another()
         raise EOFError('the runner answers other requests in place of ours')
 
+    def _note_limit(self, head: Head, sent_at: float) -> None:
+        facts = self._dialect.answer_facts(head)
+        if facts.attempt_id == self._attempt_id and facts.limit is not None:
+            runner = self.runner.incarnation
+            self._limits.answered(runner, facts.limit, sent_at)
+
     async def _checked(self, head: Head) -> Head | Failure:
         facts = self._dialect.answer_facts(head)
         if facts.not_run:
--- a/bramleybend/direct/beat_messages.py
+++ b/bramleybend/direct/beat_messages.py
@@ -58,6 +58,14 @@
     refused: bool
 
 
+class LimitNews(msgspec.Struct, array_like=True):
+    """The limit that a runner last named in an answer."""
+
+    runner: str  # its incarnation
+    per_s: float | None  # requests from all VMs; none: no limit any more
+    age_s: float  # since that answer
+
+
 class FeedNews(msgspec.Struct, array_like=True):
     """How far a VM has read one of the platform's logs."""
 
@@ -86,6 +94,7 @@
     tells_all: bool  # all of its totals are among them
     runs: list[RunNews] | None  # all of them; none: not told here
     crashes: list[CrashNews]
+    limits: list[LimitNews]
 
 
 class Alive(msgspec.Struct, array_like=True):
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -15,6 +15,7 @@
 from bramleybend.direct.models import RequestFacts
 from bramleybend.direct.placing import Placer
 from bramleybend.direct.replies import RawRequest
+from bramleybend.direct.runner_limits import RunnerLimits
 from bramleybend.events import EventLog
 
 
@@ -52,6 +53,7 @@
     intake: Intake
     placer: Placer
     containment: Containment
+    limits: RunnerLimits
     channels: RunnerChannels
     dialect: Dialect
     resends: ResendBudget
--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from math import inf
 from typing import Final
 
@@ -31,25 +32,28 @@
 TELL_ALL_S: Final = 5.0
 
 
+@dataclass(frozen=True)
+class Tables:
+    """What heartbeats tell of, and what they change."""
+
+    members: Members
+    placer: Placer
+    queues: Queues
+    allotments: AllotmentBook
+    containment: Containment
+
+
 class PeerListener:
     """Joins the members, the queues and the allotments to the socket."""
 
-    def __init__(
-        self,
-        members: Members,
-        placer: Placer,
-        queues: Queues,
-        allotments: AllotmentBook,
-        containment: Containment,
-        state: State,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, tables: Tables, state: State, clock: Clock) -> None:
         """Tell of these tables."""
-        self._members = members
-        self._placer = placer
-        self._queues = queues
-        self._allotments = allotments
-        self._containment = containment
+        self._members = tables.members
+        self._placer = tables.placer
+        self._queues = tables.queues
+        self._allotments = tables.allotments
+        self._containment = tables.containment
+        self._limits = tables.queues.limits
         self._state = state
         self._clock = clock
         self._totals = OwnTotals()
@@ -71,6 +75,7 @@
             tells_all,
             self._placer.runs() if receiver.tells_runs else None,
             self._containment.news(),
+            self._limits.news(),
         )
 
     def take_beat(self, beat: Beat, address: str) -> None:
@@ -84,6 +89,7 @@
             _peer(vm, incarnation), beat.spendings, tells_all=beat.tells_all
         )
         self._containment.heard(beat.crashes)
+        self._limits.heard(beat.limits)
         if beat.runs is not None:
             self._take_runs(vm, beat.runs)
 
--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -17,11 +17,10 @@
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from functools import lru_cache
 from heapq import nlargest
 from typing import Final, TypeAlias
 
-from xxhash import xxh64_intdigest
+from bramleybend.direct.ranks import hash_of, rank_of
 
 BEAT_S: Final = 0.2
 # Three heartbeats: one lost datagram is no failure, and the callers of a VM
@@ -36,7 +35,6 @@
 SETTLE_S: Final = 1.0
 # One may be down and another frozen, and the domain still hears the rest.
 HUBS: Final = 3
-MOST_RANKS: Final = 4096  # kept hashes; some ten for each VM
 
 # Whether it stays, its capacity, a hash, its name.
 _HubRank: TypeAlias = tuple[bool, int, int, str]
@@ -135,10 +133,10 @@
             if not member.is_alive(now)
         ]
 
-    def ready_fronts(self, now: float) -> list[str]:
-        """Return where callers may connect, without our own."""
+    def serving(self, now: float) -> list[Member]:
+        """Return those that callers may use now."""
         return [
-            member.front
+            member
             for member in self.alive(now)
             if member.ready and not member.leaving
         ]
@@ -159,9 +157,9 @@
         """Rank the VMs of each domain anew."""
         own = self.own
         ranks: dict[str, list[_HubRank]] = defaultdict(list)
-        ranks[own.domain].append((True, *_rank('hub', own), own.vm))
+        ranks[own.domain].append((True, *rank_of('hub', own), own.vm))
         for one in self.alive(now):
-            rank = (not one.leaving, *_rank('hub', one), one.vm)
+            rank = (not one.leaving, *rank_of('hub', one), one.vm)
             ranks[one.domain].append(rank)
         self._hubs = {
             domain: _first_names(ranked) for domain, ranked in ranks.items()
@@ -197,14 +195,14 @@
         ahead = [vm for vm, is_able in able.items() if is_able]
         if self._hubs and not self.is_hub(self.own.vm):
             return not any(self.is_hub(vm) for vm in ahead)
-        ours = _rank(work, self.own)
+        ours = rank_of(work, self.own)
         hubs = [vm for vm in ahead if not self._hubs or self.is_hub(vm)]
         return sum(self._rank_of(work, vm) > ours for vm in hubs) < most
 
     def owners(self, service: str, now: float, most: int) -> list[Member]:
         """Return the first in rank for a service's work, without us."""
         able = (one for one in self.alive(now) if self._may_own(one, now))
-        return nlargest(most, able, key=lambda one: _rank(service, one))
+        return nlargest(most, able, key=lambda one: rank_of(service, one))
 
     def owner(self, service: str, now: float, able: bool) -> Member | None:
         """Return who orders a service's work; none: we do ourselves.
@@ -215,8 +213,8 @@
         best = next(iter(self.owners(service, now, 1)), None)
         if best is None or not able:
             return best
-        ours = _rank(service, self.own)
-        return None if ours > _rank(service, best) else best
+        ours = rank_of(service, self.own)
+        return None if ours > rank_of(service, best) else best
 
     def _may_own(self, member: Member, now: float) -> bool:
         return (
@@ -229,17 +227,8 @@
     def _rank_of(self, work: str, vm: str) -> tuple[int, int]:
         member = self._members.get(vm)
         capacity = member.capacity if member else self.own.capacity
-        return capacity, _hash_of(work, vm)
+        return capacity, hash_of(work, vm)
 
 
 def _first_names(ranked: list[_HubRank]) -> list[str]:
     return [rank[-1] for rank in nlargest(HUBS, ranked)]
-
-
-def _rank(work: str, one: Member | Self) -> tuple[int, int]:
-    return one.capacity, _hash_of(work, one.vm)
-
-
-@lru_cache(MOST_RANKS)
-def _hash_of(work: str, vm: str) -> int:
-    return xxh64_intdigest(f'{work}/{vm}'.encode())
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from random import Random
 from typing import Final, TypeAlias
@@ -125,6 +125,10 @@
         ]
         self._act(self._policy.runners(infos, self._clock.monotonic()))
 
+    def take_rates(self, per_s: Mapping[str, float]) -> None:
+        """Take in the limits of runners; those not named have none."""
+        self._act(self._policy.start_rates(per_s, self._clock.monotonic()))
+
     def heard_runs(self, vm: str, runs: Iterable[RunNews]) -> None:
         """Take in what a VM says it has running here."""
         now = self._clock.monotonic()
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -19,13 +19,13 @@
 from bramleybend.direct.ingress import Ingress
 from bramleybend.direct.intake import Intake
 from bramleybend.direct.job import Parts
-from bramleybend.direct.listener import PeerListener
+from bramleybend.direct.listener import PeerListener, Tables
 from bramleybend.direct.members import Members, Self
 from bramleybend.direct.meters import Meters
 from bramleybend.direct.models import IngressLimits, RunnerEntry
 from bramleybend.direct.peers import Peers
 from bramleybend.direct.placing import Placer
-from bramleybend.direct.queues import Queues
+from bramleybend.direct.queues import make_queues
 from bramleybend.direct.service import DirectService
 from bramleybend.direct.suspension import SuspensionWatch
 from bramleybend.entry_settings import ENTRY, EntrySettings
@@ -78,22 +78,23 @@
         )
         self._allotments = AllotmentBook(cfg.allotment_tolerance())
         self._containment = Containment(clock, self.events)
-        self._queues = Queues(self.book, clock, rng)
+        self._queues = make_queues(
+            self.book, self.members, clock, self.events, rng
+        )
         self.placer = Placer(
             self.book, self.members, self._queues, clock, self.events
         )
         self.placer.may_own = self._may_own
         self._channels = RunnerChannels(clock)
         self._channels.most = self._most_connections
-        self._listener = PeerListener(
+        tables = Tables(
             self.members,
             self.placer,
             self._queues,
             self._allotments,
             self._containment,
-            self._state,
-            clock,
         )
+        self._listener = PeerListener(tables, self._state, clock)
         self.peers = Peers(
             self.members,
             self._queues.engines,
@@ -118,7 +119,8 @@
 
     def fronts(self) -> list[str]:
         """Return the addresses that callers may use now."""
-        fronts = self.members.ready_fronts(self._clock.monotonic())
+        others = self.members.serving(self._clock.monotonic())
+        fronts = [member.front for member in others]
         if self.is_ready():
             fronts.append(self.members.own.front)
         return sorted(fronts)
@@ -199,6 +201,7 @@
             ),
             self.placer,
             self._containment,
+            self._queues.limits,
             self._channels,
             dialect,
             ResendBudget(
@@ -257,6 +260,7 @@
             for entry in entries
         }
         self._channels.keep_only(incarnations)
+        self._queues.limits.keep_only(incarnations)
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
@@ -270,6 +274,7 @@
                     feed.wake()
             for _, queue in self._queues:
                 queue.sweep()
+            self._queues.take_limits()
             self.swept()
 
 
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -73,6 +73,7 @@
         return Attempt(
             self._parts.channels,
             self._parts.dialect,
+            self._parts.limits,
             placed.runner,
             job.facts.attempt_id,
         )
--- a/bramleybend/platform/headers.py
+++ b/bramleybend/platform/headers.py
@@ -29,6 +29,7 @@
 MILLISECONDS: Final = 1000
 MISDIRECTED: Final = 421
 ENCODING: Final = 'content-encoding'
+RUNNER_LIMIT: Final = 'server-limit'
 _DROPPED: Final = frozenset(name.encode() for name in SYSTEM_HEADERS)
 
 
@@ -74,10 +75,13 @@
     def answer_facts(self, head: Head) -> AnswerFacts:
         """Return what a runner says of its answer."""
         said = head.get(NOT_EXECUTED) is not None
+        # Another runner answers in place of the one that was asked.
+        is_misdirected = head.status == MISDIRECTED
         return AnswerFacts(
             head.get(ATTEMPT_ID) or '',
             bool(head.get(STAMP)),
-            said or head.status == MISDIRECTED,
+            said or is_misdirected,
+            None if is_misdirected else head.get(RUNNER_LIMIT) or '',
         )
 
     def caller_headers(self, head: Head) -> list[tuple[bytes, bytes]]:
--- /dev/null
+++ b/tests/direct/test_limit_news.py
@@ -0,0 +1,103 @@
+"""What VMs make of the limits that runners name."""
+
+import pytest
+
+from bramleybend.clock import ManualClock
+from bramleybend.direct.beat_messages import LimitNews
+from bramleybend.direct.runner_limits import (
+    END_TOLD_S,
+    LEAST_PER_S,
+    RunnerLimits,
+)
+from bramleybend.events import EventLog
+from tests.utils.instants import START
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """Return a clock that a test moves."""
+    return ManualClock(START)
+
+
+@pytest.fixture
+def limits(clock: ManualClock) -> RunnerLimits:
+    """Return a VM's limits."""
+    return RunnerLimits(clock, EventLog('vm', 'i', clock))
+
+
+def test_the_newest_limit_is_in_force(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """A runner changes what it takes; each answer replaces the last."""
+    limits.answered('r', '4', clock.monotonic())
+    clock.advance(1)
+    limits.answered('r', '1.5', clock.monotonic())
+    assert limits.in_force() == {'r': 1.5}
+
+
+def test_an_older_answer_does_not_end_a_limit(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """A request sent before the limit was heard is answered after it."""
+    sent_at = clock.monotonic()
+    clock.advance(1)
+    limits.answered('r', '2', clock.monotonic())
+    clock.advance(1)
+    limits.answered('r', '', sent_at)
+    assert limits.in_force() == {'r': 2}
+    sent_at = clock.monotonic()
+    clock.advance(1)
+    limits.answered('r', '', sent_at)
+    assert not limits.in_force()
+
+
+@pytest.mark.parametrize('text', ['soon', '-1', 'nan', 'inf', '1,5'])
+def test_a_value_that_is_no_rate_changes_nothing(
+    limits: RunnerLimits, clock: ManualClock, text: str
+) -> None:
+    """Taken for no limit, it would flood a runner in need."""
+    limits.answered('r', '3', clock.monotonic())
+    clock.advance(1)
+    limits.answered('r', text, clock.monotonic())
+    assert limits.in_force() == {'r': 3}
+
+
+def test_a_runner_that_takes_nothing_is_still_asked(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """Without a request it could never say that it takes more."""
+    limits.answered('r', '0', clock.monotonic())
+    assert limits.in_force() == {'r': LEAST_PER_S}
+
+
+def test_other_vms_learn_the_newest_word(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """News that comes late doesn't replace what was heard since."""
+    limits.answered('r', '3', clock.monotonic())
+    limits.heard([LimitNews('r', 1, 2.0), LimitNews('other', 5, 0.1)])
+    assert limits.in_force() == {'r': 3, 'other': 5}
+    clock.advance(1)
+    limits.heard([LimitNews('r', None, 0.5)])
+    assert limits.in_force() == {'other': 5}
+
+
+def test_an_end_is_told_for_a_while(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """A VM that missed it would send a sound runner next to nothing."""
+    limits.answered('r', '3', clock.monotonic())
+    clock.advance(1)
+    limits.answered('r', '', clock.monotonic())
+    assert [one.per_s for one in limits.news()] == [None]
+    clock.advance(END_TOLD_S)
+    assert not limits.news()
+
+
+def test_a_runner_that_is_gone_takes_its_limit_along(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """Its successor at the same address named none."""
+    limits.answered('r', '3', clock.monotonic())
+    limits.keep_only({'successor'})
+    assert not limits.in_force()
--- a/tests/direct/test_runner_limits.py
+++ b/tests/direct/test_runner_limits.py
@@ -89,3 +89,29 @@
         most = limited.most_within(WINDOW_S, since)
         assert 0 < most <= allowed(float(limit))
         assert other.came_at
+
+
+@pytest.mark.parametrize('service', [ENGINE, PLAIN])
+async def test_a_limit_ends_when_the_runner_names_none(service: str) -> None:
+    """A runner that has recovered gets no work for ever."""
+    async with playing(VMS) as world:
+        (runner,) = await start(world, service, ['2'])
+        await press(world, service, 2)
+        runner.limit = ''
+        await press(world, service, 3)
+        begun = asyncio.get_running_loop().time()
+        await press(world, service, 2)
+        assert runner.most_within(1, begun) >= 10
+
+
+async def test_a_vm_that_starts_keeps_to_a_limit_that_others_heard() -> None:
+    """A VM that comes up sends its runner a burst until it is told itself."""
+    async with playing(VMS - 1) as world:
+        limited, _ = await start(world, PLAIN, ['1', ''])
+        await press(world, PLAIN, 1)
+        await world.add_vm()
+        await world.ready()
+        await world.knows(PLAIN, 2)
+        begun = asyncio.get_running_loop().time()
+        await press(world, PLAIN, WINDOW_S)
+        assert limited.most_within(WINDOW_S, begun) <= allowed(1)
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -14,11 +14,11 @@
 from bramleybend.decisions.allotments import AllotmentBook, Allowance
 from bramleybend.direct.book import Book
 from bramleybend.direct.containment import Containment
-from bramleybend.direct.listener import PeerListener
+from bramleybend.direct.listener import PeerListener, Tables
 from bramleybend.direct.members import BEAT_S, Members, Self
 from bramleybend.direct.peers import Peers
 from bramleybend.direct.placing import Placer
-from bramleybend.direct.queues import Queues
+from bramleybend.direct.queues import make_queues
 from bramleybend.events import EventLog
 from tests.utils.instants import START
 
@@ -192,16 +192,13 @@
         )
     )
     book = Book(clock, events)
-    queues = Queues(book, clock, Random(number))
+    queues = make_queues(book, members, clock, events, Random(number))
     placer = Placer(book, members, queues, clock, events)
     allotments = AllotmentBook()
     vm: Vm
+    containment = Containment(clock, events)
     listener = PeerListener(
-        members,
-        placer,
-        queues,
-        allotments,
-        Containment(clock, events),
+        Tables(members, placer, queues, allotments, containment),
         lambda: vm.state(),  # noqa: PLW0108
         clock,
     )
