--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -94,7 +94,7 @@
 
 
 def _is_held(choice: Choice, now: float) -> bool:
-    return choice.regret >= HOLD_S and now <= choice.entry.urgent_from
+    return choice.regret >= HOLD_S and now < choice.entry.urgent_from
 
 
 def _weigh(
@@ -163,7 +163,7 @@
     if not shard.queue and not shard.suspects:
         return inf
     times = list(shard.floors.values())
-    times.extend(shard.queue.next_urgent(tier) for tier in Tier)
+    times.extend(shard.queue.next_urgent(tier, now) for tier in Tier)
     times.extend(
         runner.ramp.next_step(runner.limit.value, now) for runner in shard.pool
     )
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -276,10 +276,12 @@
             self._entries[request_id] for _, request_id in islice(ids, most)
         ]
 
-    def next_urgent(self, tier: int) -> float:
-        """Return when the next entry of a tier is at risk."""
-        urgent = self._tiers[tier].urgent if tier in self._tiers else ()
-        return urgent[0][0] if urgent else inf
+    def next_urgent(self, tier: int, now: float) -> float:
+        """Return when the next entry of a tier gets at risk."""
+        if tier not in self._tiers:
+            return inf
+        later = self._tiers[tier].urgent.irange(minimum=(now, LAST_ID))
+        return next(later, (inf, ''))[0]
 
     def next_due(self, tier: int) -> float:
         """Return the earliest latest start in a tier."""
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -84,7 +84,7 @@
         best = min(taken, key=lambda one: plain_cost(one, ask))
         least = min(plain_cost(one, ask) + one.wait for one in able)
         regret = plain_cost(best, ask) - least + position * PLACE_S
-        if not hold or regret < HOLD_S or entry.urgent_from < NOW:
+        if not hold or regret < HOLD_S or entry.urgent_from <= NOW:
             yield Choice(entry, best.runner, regret)
 
 
--- a/tests/decisions/test_queueing.py
+++ b/tests/decisions/test_queueing.py
@@ -88,3 +88,12 @@
     assert [entry.ask.request_id for entry in late] == ['b']
     queue.remove('b')
     assert queue.next_due(Tier.NORMAL) == 9
+
+
+def test_the_next_at_risk_is_told_beside_one_that_is() -> None:
+    """A held request is not woken for while an urgent one waits."""
+    queue = WaitingQueue({})
+    queue.add(make_ask('a', deadline=10), 0, LEAST)
+    queue.add(make_ask('b', deadline=20), 0, LEAST)
+    first = queue.next_urgent(Tier.NORMAL, 0)
+    assert first < queue.next_urgent(Tier.NORMAL, first) < 20
