--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -45,34 +45,61 @@
     regret: float  # seconds, beside the best it could wait for
 
 
-def start_waiting(shard: Shard, now: float) -> list[Action]:
-    """Fill the free slots."""
+def start_waiting(
+    shard: Shard, now: float, added: str | None = None
+) -> list[Action]:
+    """Fill the free slots.
+
+    `added` names the only request that came since nothing else could start.
+    """
     actions = _start_suspect(shard, now)
     while True:
-        choice = choose(shard, now)
+        choice = choose(shard, now, added)
         if choice is None:
             return actions
+        # What starts changes for how long others would wait.
+        added = None
         shard.start(choice.entry.ask, choice.runner, now)
         actions.append(
             Grant(choice.entry.ask.request_id, choice.runner.name),
         )
 
 
-def choose(shard: Shard, now: float) -> Choice | None:
-    """Return what starts next, if anything may."""
+def choose(shard: Shard, now: float, added: str | None = None) -> Choice | None:
+    """Return what starts next, if anything may.
+
+    With `added`, only the window that this request came to is weighed.
+    """
     if not shard.queue or not shard.pool.has_room(now):
         return None
+    windows = [
+        window
+        for window in islice(
+            shard.queue.windows(shard.lowest_tier(now)), MOST_WINDOWS
+        )
+        if added is None or _holds(window, added)
+    ]
+    return _first_choice(shard, windows, now)
+
+
+def _first_choice(
+    shard: Shard, windows: list[list[Waiting]], now: float
+) -> Choice | None:
+    if not windows:
+        return None
     places = places_of(shard, now)
     longest = max(place.most_prefill() for place in places)
-    for window in islice(
-        shard.queue.windows(shard.lowest_tier(now)), MOST_WINDOWS
-    ):
+    for window in windows:
         choices = _choices(shard, window, places, longest, now)
         if choices:
             return min(choices, key=_by_regret)
     return None
 
 
+def _holds(window: list[Waiting], request_id: str) -> bool:
+    return any(entry.ask.request_id == request_id for entry in window)
+
+
 def _choices(
     shard: Shard,
     window: list[Waiting],
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -38,6 +38,8 @@
         self._shard = shard
         self._now = -inf
         self._listed = False
+        # Until then what waits can't start, unless something happens.
+        self._settled_until = -inf
 
     def ask(self, ask: Ask, now: float) -> list[Action]:
         """Take in a request for a slot; a repeated one changes nothing."""
@@ -55,7 +57,7 @@
             return [self._refuse(ask, reason, shed=True)]
         least = self._shard.pool.least_time(ask)
         self._shard.line(ask).add(ask, moment, least)
-        return self._act(moment)
+        return self._act(moment, added=ask.request_id)
 
     def adopt(self, ask: Ask, runner: str, now: float) -> list[Action]:
         """Take over a run whose previous owner was lost."""
@@ -178,6 +180,7 @@
         """
         moment = self._advance(now)
         self._shard.hold_floor(tier, moment + max(hold_s, 0))
+        self._settled_until = -inf
         return len(self._shard.lower_runs(tier))
 
     def load(self) -> ShardLoad:
@@ -195,12 +198,17 @@
         self._now = max(self._now, now)
         return self._now
 
-    def _act(self, now: float) -> list[Action]:
-        actions = expire(self._shard, now)
-        if self._shard.switches.on_time_first:
-            self._shard.queue.pass_over_late(now)
-        actions.extend(start_waiting(self._shard, now))
-        actions.extend(preempt(self._shard, now))
+    def _act(self, now: float, added: str | None = None) -> list[Action]:
+        shard = self._shard
+        actions = expire(shard, now)
+        has_moved = shard.switches.on_time_first and (
+            shard.queue.pass_over_late(now)
+        )
+        if actions or has_moved or now >= self._settled_until:
+            added = None
+        actions.extend(start_waiting(shard, now, added))
+        actions.extend(preempt(shard, now))
+        self._settled_until = next_start(shard, now)
         return actions
 
 
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -237,8 +237,9 @@
             self._tier(entry.ask.tier).remove(entry)
         return entry
 
-    def pass_over_late(self, now: float) -> None:
-        """Move back what can't be on time any more."""
+    def pass_over_late(self, now: float) -> bool:
+        """Move back what can't be on time any more; tells whether any was."""
+        has_moved = False
         for line in self._tiers.values():
             ids = tuple(line.objectives.irange(maximum=(now, LAST_ID)))
             for _, request_id in ids:
@@ -249,6 +250,8 @@
                 )
                 self._entries[request_id] = moved
                 line.add(moved)
+                has_moved = True
+        return has_moved
 
     def charge(self, ask: Ask, cost: float) -> None:
         """Count cost as served to the request's workspace."""
--- /dev/null
+++ b/tests/decisions/test_settled.py
@@ -0,0 +1,123 @@
+"""An owner that weighs only what is new decides as one that weighs all."""
+
+from dataclasses import replace
+from math import inf
+from random import Random
+
+import pytest
+
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+)
+from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
+from bramleybend.decisions.switches import Switches
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+
+SERVICE = Service('lm', ServiceKind.ENGINE, slots=1)
+EVENTS = 1500
+RUNNERS = 4
+
+
+def make_policy() -> ShardPolicy:
+    """Make the policy of four engines with three slots each."""
+    switches = Switches(preemption=False, limits=False)
+    policy = make_shard_policy(SERVICE, Random(1), switches=switches)
+    infos = [
+        RunnerInfo(f'r{number}', leaving=False, slots=3, warm=True)
+        for number in range(RUNNERS)
+    ]
+    policy.runners(infos, -100)
+    return policy
+
+
+def random_ask(rng: Random, number: int, now: float) -> Ask:
+    """Return a request of unlike size and patience."""
+    prompt = rng.choice([40, 500, 3000, 12_000])
+    return Ask(
+        request_id=f'req-{number}',
+        service='lm',
+        tier=Tier(rng.randint(1, 3)),
+        workspace=f'workspace-{rng.randint(0, 4)}',
+        cost=prompt + rng.choice([80, 800, 9000]),
+        prompt_tokens=prompt,
+        prefixes=(),
+        deadline=now + rng.choice([1, 4, 12]),
+        cancellable=False,
+        on_time_until=now + rng.choice([0.2, 0.5, inf]),
+        begin_by=now + rng.choice([0.5, 2, inf]),
+    )
+
+
+class Pair:
+    """The policy as it is, and one that weighs everything each time."""
+
+    def __init__(self, rng: Random) -> None:
+        """Start both alike."""
+        self._rng = rng
+        self._policy, self._plain = make_policy(), make_policy()
+        self._running: dict[str, tuple[Ask, str, float]] = {}
+        self._asked: dict[str, Ask] = {}
+        self.started = 0
+
+    def step(self, number: int, now: float) -> None:
+        """Let one thing happen to both."""
+        kind = self._rng.random()
+        if kind < 0.5:
+            ask = random_ask(self._rng, number, now)
+            self._asked[ask.request_id] = ask
+            self._both('ask', ask, now)
+        elif kind < 0.6 or not self._running:
+            self._both('tick', now)
+        else:
+            self._move_on(now)
+
+    def _move_on(self, now: float) -> None:
+        name = self._rng.choice(sorted(self._running))
+        ask, _, since = self._running[name]
+        if self._rng.random() < 0.4:
+            self._both('first_token', name, ask.prompt_tokens, 0, now)
+            return
+        self._running.pop(name)
+        report = RunReport('done', prompt_tokens=ask.prompt_tokens)
+        report = replace(report, completion_tokens=20, seconds=now - since)
+        self._both('ended', name, report, now)
+
+    def _both(self, event: str, *facts: object) -> None:
+        now = facts[-1]
+        assert isinstance(now, float)
+        self._plain._settled_until = -inf
+        expected = getattr(self._plain, event)(*facts)
+        actions: list[Action] = getattr(self._policy, event)(*facts)
+        assert _kinds(actions) == _kinds(expected)
+        for action in actions:
+            if isinstance(action, Grant):
+                self.started += 1
+                name = action.request_id
+                self._running[name] = (self._asked[name], action.runner, now)
+
+
+def _kinds(actions: list[Action]) -> list[object]:
+    return [
+        replace(action, retry_after=None)  # type: ignore[arg-type]
+        if isinstance(action, Refuse)
+        else action
+        for action in actions
+    ]
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_what_is_new_alone_is_weighed_with_the_same_outcome(
+    seed: int,
+) -> None:
+    """A request that could start isn't passed over until the next event."""
+    rng = Random(seed)
+    pair = Pair(rng)
+    now = float(0)
+    for number in range(EVENTS):
+        now += rng.expovariate(40)
+        pair.step(number, now)
+    assert pair.started > EVENTS / 10
