--- a/tests/direct/test_runner_limits.py
+++ b/tests/direct/test_runner_limits.py
@@ -115,3 +115,29 @@
         begun = asyncio.get_running_loop().time()
         await press(world, PLAIN, WINDOW_S)
         assert limited.most_within(WINDOW_S, begun) <= allowed(1)
+
+
+@pytest.mark.parametrize('service', [ENGINE, PLAIN])
+async def test_a_limit_holds_while_a_vm_is_lost(service: str) -> None:
+    """Whoever takes over begins with a burst of its own."""
+    async with playing(VMS) as world:
+        limited, _ = await start(world, service, ['1', ''])
+        await press(world, service, SETTLED_S)
+        begun = asyncio.get_running_loop().time()
+        lost = world.vms.pop()
+        await asyncio.gather(press(world, service, WINDOW_S), lost.kill())
+        assert limited.most_within(WINDOW_S, begun) <= allowed(1)
+
+
+async def test_a_successor_is_not_held_to_the_limit_of_a_runner() -> None:
+    """A sound runner is spared for what the one before it said."""
+    async with playing(VMS) as world:
+        await start(world, ENGINE, ['0.4'])
+        await press(world, ENGINE, SETTLED_S)
+        world.store.topic('keyed.servers').put('r0', b'')
+        successor = LimitedRunner('')
+        await world.add_runner('successor', ENGINE, successor.behave)
+        await world.knows(ENGINE, 1)
+        begun = asyncio.get_running_loop().time()
+        await press(world, ENGINE, 2)
+        assert successor.most_within(1, begun) >= 10
