--- a/bramleybend/direct/beat_messages.py
+++ b/bramleybend/direct/beat_messages.py
@@ -94,7 +94,7 @@
     tells_all: bool  # all of its totals are among them
     runs: list[RunNews] | None  # all of them; none: not told here
     crashes: list[CrashNews]
-    limits: list[LimitNews]
+    limits: list[LimitNews] = []  # not told by earlier versions
 
 
 class Alive(msgspec.Struct, array_like=True):
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -6,6 +6,7 @@
 add nothing but the chance that it falls silent without an error.
 """
 
+from math import inf
 from typing import Final, TypeAlias
 
 import msgspec
@@ -28,7 +29,8 @@
     excluded: list[str]
     suspect: bool  # it gets a runner to itself
     on_time_s: float  # the time left for a start that is on time
-    begin_s: float  # the time left for an answer to begin
+    # The time left for an answer to begin. Not told by earlier versions.
+    begin_s: float = inf
 
 
 class Queued(msgspec.Struct, tag='queued', array_like=True):
--- a/tests/direct/test_ask_messages.py
+++ b/tests/direct/test_ask_messages.py
@@ -1,8 +1,12 @@
 """What an asking VM says of a request, as the owner reads it."""
 
 from dataclasses import replace
+from math import inf
+
+import msgspec
 
 from bramleybend.direct.ask_messages import ask_from, ask_news
+from bramleybend.direct.beat_messages import Beat, Profile, Scope
 from bramleybend.direct.messages import AskNews, decode, encode
 from bramleybend.models import Ask, Tier
 
@@ -33,3 +37,22 @@
     assert isinstance(told, AskNews)
     heard = ask_from(told, 7.0)
     assert heard == replace(ASK, deadline=15.0, on_time_until=7.5, begin_by=9.0)
+
+
+def test_an_ask_of_an_earlier_version_is_read() -> None:
+    """During an update VMs of both versions serve callers."""
+    fields = msgspec.msgpack.decode(encode(ask_news(ASK, 100.0)))
+    told = decode(msgspec.msgpack.encode(fields[:-1]))
+    assert isinstance(told, AskNews)
+    assert ask_from(told, 7.0) == replace(
+        ASK, deadline=15.0, on_time_until=7.5, begin_by=inf
+    )
+
+
+def test_a_heartbeat_of_an_earlier_version_is_read() -> None:
+    """Unread, each VM of one version would take the others for gone."""
+    profile = Profile('vm', 'i', 'a', 'd', 1, 'f', ready=True, leaving=False)
+    beat = Beat(profile, Scope.NONE, 1, [], [], True, None, [])
+    fields = msgspec.msgpack.decode(encode(beat))
+    told = decode(msgspec.msgpack.encode(fields[:-1]))
+    assert told == beat
