A stopping gateway answers callers that have connected

Callers saw a reset from a VM that was being drained.

Cause: only requests that had been read whole counted as in flight. The log shows four connections cancelled while they were read, 30 ms after the callers woke. Ruled out: an answer cut under way (nothing was in flight), the log.

The stop now empties the listener's queue and gives every open connection up to 3 s for one more request, answered with Connection: close.

Messages moved to http_messages.py.

--- a/bramleybend/gateway/core.py
+++ b/bramleybend/gateway/core.py
@@ -116,7 +116,7 @@
         deadline = self._clock.monotonic() + self._cfg.drain_timeout_s
         while self._busy and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
-        await self._http.stop()
+        await self._http.stop(max(deadline - self._clock.monotonic(), 0))
         for home in self.intake.homes:
             await home.journal.close()
         for task in self._tasks:
--- /dev/null
+++ b/bramleybend/gateway/http_messages.py
@@ -0,0 +1,61 @@
+"""Requests and answers as callers' HTTP connections carry them."""
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from bramleybend.answers import Answer
+
+JSON_TYPE: Final = 'application/json'
+EVENT_TYPE: Final = 'text/event-stream'
+OUTCOME_HEADER: Final = 'Bramleybend-Outcome'
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A whole request, header names in lower case."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """What goes back: one body, or a stream of parts."""
+
+    status: int
+    content_type: str = JSON_TYPE
+    body: bytes = b''
+    parts: AsyncIterator[bytes] | None = None
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+
+
+def answer_of(answer: Answer) -> HttpAnswer:
+    """Put an answer without a runner's body in its HTTP form."""
+    headers = {OUTCOME_HEADER: str(answer.outcome)}
+    if answer.retry_after is not None:
+        seconds = max(round(answer.retry_after.total_seconds()), 1)
+        headers['Retry-After'] = str(seconds)
+    return HttpAnswer(
+        answer.http_status,
+        JSON_TYPE,
+        json.dumps(payload_of(answer)).encode(),
+        headers=headers,
+    )
+
+
+def payload_of(answer: Answer) -> dict[str, object]:
+    """Return the JSON object that tells an answer."""
+    after = answer.retry_after
+    return {
+        'outcome': answer.outcome,
+        'reason': answer.reason,
+        'remedy': answer.remedy,
+        'retry_after_s': after.total_seconds() if after else None,
+    }
--- a/bramleybend/gateway/http_server.py
+++ b/bramleybend/gateway/http_server.py
@@ -6,23 +6,27 @@
 """
 
 import asyncio
-import json
-from collections.abc import (
-    AsyncIterator,
-    Awaitable,
-    Callable,
-    Iterator,
-    Mapping,
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import (
+    AbstractContextManager,
+    asynccontextmanager,
+    contextmanager,
+    suppress,
 )
-from contextlib import AbstractContextManager, contextmanager, suppress
-from dataclasses import dataclass, field
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Final
 
 import h11
 
-from bramleybend.answers import Answer, rejected
+from bramleybend.answers import Answer, not_run, rejected
 from bramleybend.clients.http import BROKEN, READ_SIZE, close_writer
+from bramleybend.gateway.http_messages import (
+    Handler,
+    HttpAnswer,
+    HttpRequest,
+    answer_of,
+)
 from bramleybend.gateway.run import TornError
 
 MAX_HEADER_BYTES: Final = 16_384
@@ -32,58 +36,12 @@
 READ_TIMEOUT_S: Final = 30.0
 LOST: Final = (*BROKEN, TornError)
 LINGER_S: Final = 2.0
-JSON_TYPE: Final = 'application/json'
-EVENT_TYPE: Final = 'text/event-stream'
-OUTCOME_HEADER: Final = 'Bramleybend-Outcome'
-
-
-@dataclass(frozen=True)
-class HttpRequest:
-    """A whole request, header names in lower case."""
-
-    method: str
-    target: str
-    headers: Mapping[str, str]
-    body: bytes
-
-
-@dataclass(frozen=True)
-class HttpAnswer:
-    """What goes back: one body, or a stream of parts."""
-
-    status: int
-    content_type: str = JSON_TYPE
-    body: bytes = b''
-    parts: AsyncIterator[bytes] | None = None
-    headers: Mapping[str, str] = field(default_factory=dict)
-
-
-Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
-
-
-def answer_of(answer: Answer) -> HttpAnswer:
-    """Put an answer without a runner's body in its HTTP form."""
-    headers = {OUTCOME_HEADER: str(answer.outcome)}
-    if answer.retry_after is not None:
-        seconds = max(round(answer.retry_after.total_seconds()), 1)
-        headers['Retry-After'] = str(seconds)
-    return HttpAnswer(
-        answer.http_status,
-        JSON_TYPE,
-        json.dumps(payload_of(answer)).encode(),
-        headers=headers,
-    )
-
-
-def payload_of(answer: Answer) -> dict[str, object]:
-    """Return the JSON object that tells an answer."""
-    after = answer.retry_after
-    return {
-        'outcome': answer.outcome,
-        'reason': answer.reason,
-        'remedy': answer.remedy,
-        'retry_after_s': after.total_seconds() if after else None,
-    }
+# A stopping server still reads what a caller is sending. Callers that were
+# paused while they connected, and kept connections, get as long.
+LAST_REQUEST_S: Final = 3.0
+# Longer than a turn of the event loop, which accepts all that is queued.
+ACCEPT_S: Final = 0.05
+STOPPING_RETRY_AFTER: Final = timedelta(seconds=1)
 
 
 class HttpServer:
@@ -98,7 +56,8 @@
         self._handler = handler
         self._count_rejected = count_rejected
         self._server: asyncio.Server | None = None
-        self._open: set[asyncio.Task[None]] = set()
+        self._open: dict[asyncio.Task[None], Connection] = {}
+        self._stopping = False
         self.answering = 0  # requests that have come in and not gone out
 
     async def start(self, address: str, port: int) -> None:
@@ -117,11 +76,23 @@
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
-    async def stop(self) -> None:
-        """Stop listening and end the connections that are idle by now."""
+    async def stop(self, limit_s: float) -> None:
+        """Answer whoever has connected, for at most `limit_s`, then close.
+
+        The kernel resets what is still queued when a listener is closed, so
+        the queue is emptied first. Each connection ends with the request
+        that it is sending, or after `LAST_REQUEST_S` without one.
+        """
+        self._stopping = True
+        for conn in self._open.values():
+            conn.finish()
         if self._server is not None:
+            await asyncio.sleep(ACCEPT_S)
             self._server.close()
-        for task in tuple(self._open):
+            await asyncio.sleep(ACCEPT_S)
+        if self._open:
+            await asyncio.wait(self._open, timeout=limit_s)
+        for task in self._open:
             task.cancel()
         await asyncio.gather(*self._open, return_exceptions=True)
 
@@ -140,15 +111,17 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._open.add(task)
         conn = Connection(reader, writer, self._handler, self._answer_begun)
+        self._open[task] = conn
+        if self._stopping:
+            conn.finish()
         try:
             await conn.serve(self._count_rejected)
         except LOST:
             # The caller has gone; it will send the same id again.
             return
         finally:
-            self._open.discard(task)
+            self._open.pop(task)
             with suppress(asyncio.CancelledError):
                 await close_writer(writer)
 
@@ -172,6 +145,15 @@
             h11.SERVER,
             max_incomplete_event_size=MAX_HEADER_BYTES,
         )
+        self._finishing = False
+        self._read_limit: asyncio.Timeout | None = None
+
+    def finish(self) -> None:
+        """Close after the next answer, or soon if no request comes."""
+        self._finishing = True
+        if self._read_limit is not None:
+            now = asyncio.get_running_loop().time()
+            self._read_limit.reschedule(now + LAST_REQUEST_S)
 
     async def serve(self, count_rejected: Callable[[], None]) -> None:
         """Answer requests until either side closes."""
@@ -221,10 +203,18 @@
         except h11.RemoteProtocolError as exc:
             return _malformed(exc)
         except TimeoutError:
+            return self._overdue()
+
+    def _overdue(self) -> Answer | None:
+        """Return what to tell a caller that has not sent a whole request."""
+        if not self._finishing:
             return _half_sent()
+        if self._http.their_state is h11.IDLE:
+            return None
+        return not_run('this VM is stopping', STOPPING_RETRY_AFTER)
 
     async def _read_request(self) -> HttpRequest | Answer | None:
-        async with asyncio.timeout(READ_TIMEOUT_S):
+        async with self._read_in_time():
             head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
@@ -242,6 +232,16 @@
             body,
         )
 
+    @asynccontextmanager
+    async def _read_in_time(self) -> AsyncIterator[None]:
+        limit_s = LAST_REQUEST_S if self._finishing else READ_TIMEOUT_S
+        try:
+            async with asyncio.timeout(limit_s) as limit:
+                self._read_limit = limit
+                yield
+        finally:
+            self._read_limit = None
+
     async def _read_body(self) -> bytes | Answer:
         parts: list[bytes] = []
         size = 0
@@ -267,6 +267,8 @@
             ('Content-Type', answer.content_type),
             *answer.headers.items(),
         ]
+        if self._finishing:
+            headers.append(('Connection', 'close'))
         if answer.parts is None:
             headers.append(('Content-Length', str(len(answer.body))))
         else:
--- a/bramleybend/gateway/routes.py
+++ b/bramleybend/gateway/routes.py
@@ -9,7 +9,7 @@
 
 from bramleybend.answers import Answer, Outcome, not_run, rejected
 from bramleybend.gateway.border import Received
-from bramleybend.gateway.http_server import (
+from bramleybend.gateway.http_messages import (
     EVENT_TYPE,
     JSON_TYPE,
     OUTCOME_HEADER,
