A request that asks for leave to be shed is told by its deadline

Cause: the round that asks owners whether anything lower runs knew no deadline, and all requests of a tier queued at one lock, each with a round of its own, one second long while an owner is silent. Ruled out: late event loops, answers that were written and not read.

Requests now share the round under way and wait for it until their answer is due. An unusable slot is given back in the background.

--- a/bramleybend/gateway/floor_round.py
+++ b/bramleybend/gateway/floor_round.py
@@ -51,19 +51,41 @@
         self._permits = permits
         self._port = port
         self._clock = clock
-        self._locks: dict[tuple[str, Tier], asyncio.Lock] = {}
-
-    async def may_shed(self, service: str, tier: Tier, shards: int) -> bool:
-        """Whether no owner serves anything below `tier` of the service."""
-        lock = self._locks.setdefault((service, tier), asyncio.Lock())
-        async with lock:
-            # Under a shortage many requests ask at once; the first one's
-            # round answers for all, so rounds don't grow with the load.
-            if self._permits.permit(service, tier, self._clock.monotonic()):
-                return True
-            await self._ask_all(service, tier, shards)
+        self._rounds: dict[tuple[str, Tier], asyncio.Task[None]] = {}
+
+    async def may_shed(
+        self,
+        service: str,
+        tier: Tier,
+        shards: int,
+        answer_by: float,
+    ) -> bool:
+        """Whether no owner serves anything below `tier` of the service.
+
+        False if that is not proved by `answer_by` on the monotonic clock.
+        """
+        if self._permits.permit(service, tier, self._clock.monotonic()):
+            return True
+        # Under a shortage many requests ask at once. They share a round, as
+        # one each would keep the last of them waiting past its deadline while
+        # an owner is silent.
+        left_s = answer_by - self._clock.monotonic()
+        if left_s > 0:
+            asking = self._round(service, tier, shards)
+            await asyncio.wait((asking,), timeout=left_s)
         return self._permits.permit(service, tier, self._clock.monotonic())
 
+    def _round(
+        self, service: str, tier: Tier, shards: int
+    ) -> asyncio.Task[None]:
+        """Return the round that is under way, or begin one."""
+        key = (service, tier)
+        asking = self._rounds.get(key)
+        if asking is None or asking.done():
+            asking = asyncio.create_task(self._ask_all(service, tier, shards))
+            self._rounds[key] = asking
+        return asking
+
     async def _ask_all(self, service: str, tier: Tier, shards: int) -> None:
         started = self._permits.begin(
             service,
--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -58,7 +58,8 @@
                 if final is not None:
                     return final
                 urgent = True
-                await asyncio.sleep(pause_s)
+                left_s = max(answer_by - self._deps.clock.monotonic(), 0)
+                await asyncio.sleep(min(pause_s, left_s))
                 pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
             elif isinstance(found, Answer) or await self._usable(job, found):
                 return found
@@ -82,7 +83,7 @@
         answer_by: float,
     ) -> Answer | None:
         """Return the final answer, or None while it may not be shed."""
-        if await self._may_shed(job):
+        if await self._may_shed(job, answer_by):
             return self._shed(job, refused, proved=True)
         if self._deps.clock.monotonic() >= answer_by:
             # No owner would say that nothing lower runs, and the time is
@@ -101,15 +102,16 @@
         ):
             self._deps.note(job, 'granted', runner=slot.runner)
             return True
-        await slot.end(Ended(outcome=End.NOT_SENT))
+        self._leave(slot.end(Ended(outcome=End.NOT_SENT)))
         await asyncio.sleep(SHED_PAUSE_S)
         return False
 
-    async def _may_shed(self, job: Job) -> bool:
+    async def _may_shed(self, job: Job, answer_by: float) -> bool:
         return await self._deps.floors.may_shed(
             job.service.name,
             job.tier,
             job.service.shards,
+            answer_by,
         )
 
     async def _acquire(
--- a/tests/test_slot_search.py
+++ b/tests/test_slot_search.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from types import SimpleNamespace
 from typing import cast
@@ -21,6 +21,7 @@
 from bramleybend.wire.bramleybend_pb2 import AskMessage, Refused
 
 CLOCK = SystemClock()
+MayShed = Callable[..., Awaitable[bool]]
 
 
 class _SilentOwner:
@@ -37,10 +38,10 @@
     return False
 
 
-def _deps() -> Deps:
+def _deps(may_shed: MayShed = _never) -> Deps:
     deps = SimpleNamespace(
         asker=_SilentOwner(),
-        floors=SimpleNamespace(may_shed=_never),
+        floors=SimpleNamespace(may_shed=may_shed),
         views=SimpleNamespace(view=SimpleNamespace(shards=())),
         clock=CLOCK,
         metrics=make_metrics(None),
@@ -83,3 +84,18 @@
     assert isinstance(found, Answer)
     assert found.outcome is Outcome.NOT_RUN
     assert time.monotonic() - began < deadline_s
+
+
+async def test_a_silent_owner_does_not_delay_the_answer() -> None:
+    """Guards against a wait for proof that goes on past the deadline."""
+
+    async def ask_for_long(
+        service: str, tier: Tier, shards: int, answer_by: float
+    ) -> bool:
+        await asyncio.sleep(max(answer_by - CLOCK.monotonic(), 0))
+        return False
+
+    deadline = CLOCK.monotonic() + 1
+    found = await SlotSearch(_deps(ask_for_long)).find(_job(deadline), [])
+    assert isinstance(found, Answer)
+    assert CLOCK.monotonic() < deadline
