Drain and wait ask again within their own time limit

An operator's drain ended with an error and left the VM's scheduler serving.

Cause: one call of 2 s decided over a command of 30 s; wait did the same over one read of the VM list. Draining is idempotent, so the order is given again.

Before: test_drain_outlasts_a_program_that_is_silent_for_a_moment[7001], [7002] and test_wait_outlasts_a_list_that_is_silent_for_a_moment failed.

--- a/bramleybend/cli/draining.py
+++ b/bramleybend/cli/draining.py
@@ -7,6 +7,7 @@
 from bramleybend.cli.control import ProcessStatus
 from bramleybend.cli.exceptions import fail, unwrap
 from bramleybend.cli.output import Report
+from bramleybend.cli.persistence import ask_until
 from bramleybend.cli.processes import (
     Process,
     Told,
@@ -14,7 +15,7 @@
     entry_vms,
     of_vm,
 )
-from bramleybend.errors import ErrorKind
+from bramleybend.errors import ErrorKind, ProblemError
 
 
 async def drain(ctx: Context) -> Report:
@@ -47,12 +48,22 @@
 
 
 async def _order(ctx: Context, process: Process) -> bool:
-    """Give the order; false if the program has ended."""
-    ordered = await ctx.env.make_control(process.endpoint).drain()
-    problem = ordered.err()
-    if problem and problem.kind is ErrorKind.PEER_UNAVAILABLE:
-        return False
-    unwrap(ordered)
+    """Give the order until it is taken; false if the program has ended.
+
+    Draining is idempotent, so an order without an answer is given again: a
+    program that stood still for a moment must not leave its VM half drained.
+    """
+
+    async def give() -> None:  # noqa: WPS430
+        unwrap(await ctx.env.make_control(process.endpoint).drain())
+
+    deadline = ctx.env.clock.monotonic() + ctx.flags.timeout_s
+    try:
+        await ask_until(ctx, deadline, ErrorKind.TIMEOUT, give)
+    except ProblemError as exc:
+        if exc.problem.kind is ErrorKind.PEER_UNAVAILABLE:
+            return False
+        raise
     return True
 
 
--- a/bramleybend/cli/fleet_queries.py
+++ b/bramleybend/cli/fleet_queries.py
@@ -1,12 +1,14 @@
 """Queries of the serving processes: they change nothing."""
 
 from collections.abc import Sequence
+from functools import partial
 
 from bramleybend.cli.constants import POLL_S
 from bramleybend.cli.context import Context
 from bramleybend.cli.exceptions import fail
 from bramleybend.cli.log_queries import explain_from_logs
 from bramleybend.cli.output import Report
+from bramleybend.cli.persistence import ask_until
 from bramleybend.cli.processes import (
     Process,
     Told,
@@ -42,7 +44,8 @@
     deadline = ctx.env.clock.monotonic() + ctx.flags.timeout_s
     shown = -1
     while True:
-        told = await ask_status(ctx, await find_processes(ctx))
+        processes = await _find_processes(ctx, deadline)
+        told = await ask_status(ctx, processes)
         behind = [each for each in told if not _has(each, wanted)]
         done = len(told) - len(behind)
         if done != shown:
@@ -58,6 +61,15 @@
         await ctx.env.sleep(POLL_S)
 
 
+async def _find_processes(ctx: Context, deadline: float) -> list[Process]:
+    return await ask_until(
+        ctx,
+        deadline,
+        ErrorKind.LIST_UNAVAILABLE,
+        partial(find_processes, ctx),
+    )
+
+
 async def explain(ctx: Context) -> Report:
     """Show where a request went and why, from records or collected logs."""
     if ctx.flags.logs:
--- a/tests/cli/test_queries.py
+++ b/tests/cli/test_queries.py
@@ -105,6 +105,18 @@
     assert 'version 1 is in force on all 4 processes' in out
 
 
+async def test_wait_outlasts_a_list_that_is_silent_for_a_moment(
+    world: World,
+) -> None:
+    """Guards against a command that ends long before its time limit."""
+    await world.run('publish', PARWAZ, '--base', '0')
+    world.list_problem = Problem(ErrorKind.LIST_UNAVAILABLE, 'list down', '')
+    world.list_failures = 2
+    status, out, _ = await world.run('wait', '1')
+    assert status is ExitStatus.OK
+    assert 'version 1 is in force on all 4 processes' in out
+
+
 async def test_show_lists_the_version_of_each_program(world: World) -> None:
     """A VM that lags is seen at a glance."""
     await world.run('publish', PARWAZ, '--base', '0')
@@ -156,6 +168,30 @@
     assert 'neither program of entry-1 is there' in err
 
 
+@pytest.mark.parametrize('port', [7001, 7002])
+async def test_drain_outlasts_a_program_that_is_silent_for_a_moment(
+    world: World, port: int
+) -> None:
+    """Guards against a VM that is left half drained."""
+    paused = world.processes[f'10.0.0.1:{port}']
+    paused.silent_orders = 2
+    status, _, err = await world.run('drain', 'entry-1')
+    assert status is ExitStatus.OK
+    assert 'asking again' in err
+    assert world.processes['10.0.0.1:7001'].draining
+    assert world.processes['10.0.0.1:7002'].draining
+
+
+async def test_drain_gives_up_on_a_program_that_stays_silent(
+    world: World,
+) -> None:
+    """Its order is not waited for beyond the command's own time limit."""
+    world.processes['10.0.0.1:7001'].problem = FROZEN
+    status, _, _ = await world.run('drain', 'entry-1')
+    assert status is ExitStatus.TIMEOUT
+    assert not world.processes['10.0.0.1:7002'].draining
+
+
 async def test_drain_takes_a_closed_port_for_the_end(world: World) -> None:
     """A drained gateway ends by itself."""
     gateway = world.processes['10.0.0.1:7001']
--- a/tests/cli/world.py
+++ b/tests/cli/world.py
@@ -107,6 +107,7 @@
     events: list[str] = field(default_factory=list)
     draining: bool = False
     ends: bool = False  # its port closes once it has drained
+    silent_orders: int = 0  # orders to drain that get no answer
     problem: Problem | None = None
 
     async def status(self) -> Result[ProcessStatus, Problem]:
@@ -139,6 +140,9 @@
         """Take the order."""
         if self.problem:
             return Err(self.problem)
+        if self.silent_orders:
+            self.silent_orders -= 1
+            return Err(FROZEN)
         self.draining = True
         return Ok(None)
 
@@ -152,6 +156,7 @@
     )
     vms: list[Vm] = field(default_factory=list)
     list_problem: Problem | None = None
+    list_failures: int = 0  # reads of the list that fail by `list_problem`
     processes: dict[str, FakeProcess] = field(default_factory=dict)
     stdin: str = ''
 
@@ -193,7 +198,11 @@
     async def fetch(self) -> Result[tuple[Vm, ...], Problem]:
         """Return the VM list."""
         if self.list_problem:
-            return Err(self.list_problem)
+            problem = self.list_problem
+            self.list_failures -= 1
+            if not self.list_failures:
+                self.list_problem = None
+            return Err(problem)
         return Ok(tuple(self.vms))
 
     async def _sleep(self, seconds: float) -> None:
