--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from bramleybend.answers import Answer, Outcome, expired, not_run, rejected
-from bramleybend.events import EventLog
+from bramleybend.events import MILLISECONDS, EventLog
 from bramleybend.gateway.border import check_terms
 from bramleybend.gateway.dispatcher import Dispatcher
 from bramleybend.gateway.job import Deps, Job
@@ -220,8 +220,16 @@
             outcome=answer.outcome,
             tier=tier,
             reason=answer.reason,
+            **self._late_field(job),
         )
 
+    def _late_field(self, job: Job) -> dict[str, int]:
+        """Return how long after its deadline a request was settled."""
+        late_s = self._deps.clock.monotonic() - job.run.req.deadline
+        if late_s <= 0:
+            return {}
+        return {'late_ms': round(late_s * MILLISECONDS)}
+
 
 def _joined(run: Run, req: RequestBody) -> Run | Answer:
     # An id sent with other content would be given the answer to what the
--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -11,6 +11,7 @@
 from bramleybend.decisions.floor import grant_usable
 from bramleybend.decisions.routing import rank_shards
 from bramleybend.errors import Problem
+from bramleybend.events import MILLISECONDS
 from bramleybend.gateway.ask import ask_message
 from bramleybend.gateway.attempt import End
 from bramleybend.gateway.job import Deps, Job
@@ -102,6 +103,12 @@
         ):
             self._deps.note(job, 'granted', runner=slot.runner)
             return True
+        self._deps.note(
+            job,
+            'grant_dropped',
+            runner=slot.runner,
+            view_age_ms=round(self._deps.views.view_age_s * MILLISECONDS),
+        )
         self._leave(slot.end(Ended(outcome=End.NOT_SENT)))
         await asyncio.sleep(SHED_PAUSE_S)
         return False
