A gateway's view stays fresh beside a paused scheduler

Callers below the highest tier waited beside free slots, up to not_run, while their VM's scheduler stood still for a second or more.

Cause: a view counts for 1.5 s. A silent scheduler was waited for 0.9 s, the next one then waited 0.4 s for news, and the own one was asked first again after each reply, so the view was 1.8 s old in every cycle and all grants of that time were dropped. Ruled out: waiting at the paused owner (grants came, of sound owners), the log and the list (answering).

--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -8,6 +8,7 @@
 import asyncio
 from dataclasses import dataclass, field, replace
 from math import inf
+from operator import attrgetter
 from typing import Final
 
 import grpc
@@ -29,7 +30,11 @@
 from bramleybend.wire.headers import Headers
 
 VIEW_WAIT_S: Final = 0.4
-VIEW_TIMEOUT_S: Final = 0.9
+# With a view older than this, no scheduler may wait for news before it replies.
+OVERDUE_S: Final = 0.8
+# After this another scheduler is asked too. Later replies still count.
+REPLY_S: Final = 0.3
+VIEW_TIMEOUT_S: Final = 2.0
 RETRY_S: Final = 0.1
 
 
@@ -67,6 +72,7 @@
         self._clock = clock
         self._events = events
         self._turn = 0
+        self._asking: dict[asyncio.Task[bool], str] = {}
         self._owners: tuple[Member, ...] = ()
         self._asked_at = -inf
 
@@ -99,21 +105,55 @@
 
     async def follow(self) -> None:
         """Ask for views until cancelled."""
-        while True:
-            asked_at = self._clock.monotonic()
-            try:
-                reply = await self._ask(self._next_address())
-            except grpc.aio.AioRpcError:
-                self._turn += 1
-                await asyncio.sleep(RETRY_S)
-            else:
-                self._turn = 0
-                terms = await self._terms(reply)
-                self._take(reply, terms, asked_at)
+        try:
+            while True:
+                await self._ask_next()
+        finally:
+            for asking in self._asking:
+                asking.cancel()
+
+    async def _ask_next(self) -> None:
+        """Ask one scheduler; turn to the next if it is silent."""
+        wait_s = VIEW_WAIT_S if self.view_age_s < OVERDUE_S else 0
+        if self._turn:
+            self._probe_own()
+        asking = self._begin(self._next_address(), wait_s)
+        done, _ = await asyncio.wait((asking,), timeout=wait_s + REPLY_S)
+        if asking not in done:
+            self._turn += 1
+        elif not asking.result():
+            self._turn += 1
+            await asyncio.sleep(RETRY_S)
+
+    def _probe_own(self) -> None:
+        """Ask the VM's own scheduler beside another one, until it replies."""
+        if self._own_address not in self._asking.values():
+            self._begin(self._own_address, wait_s=0)
+
+    def _begin(self, address: str, wait_s: float) -> asyncio.Task[bool]:
+        asking = asyncio.create_task(self._ask_and_take(address, wait_s))
+        self._asking[asking] = address
+        asking.add_done_callback(self._asking.pop)
+        return asking
+
+    async def _ask_and_take(self, address: str, wait_s: float) -> bool:
+        """Take one scheduler's view; false if it gave none."""
+        asked_at = self._clock.monotonic()
+        try:
+            reply = await self._ask(address, wait_s)
+        except grpc.aio.AioRpcError:
+            return False
+        terms = await self._terms(reply)
+        # Several schedulers may be asked at once, and reply in any order.
+        if asked_at > self._asked_at:
+            self._take(reply, terms, asked_at)
+        if address == self._own_address:
+            self._turn = 0
+        return True
 
     def _next_address(self) -> str:
-        # Turn 0 is the VM's own scheduler; each failure moves on to the
-        # next member, and a success comes back to the own one.
+        # Turn 0 is the VM's own scheduler. Each that is silent moves the turn
+        # on to the next member, a reply of the own one brings it back.
         others = [
             member.address
             for member in self.view.members
@@ -122,12 +162,12 @@
         addresses = [self._own_address, *others]
         return addresses[self._turn % len(addresses)]
 
-    async def _ask(self, address: str) -> ViewReply:
+    async def _ask(self, address: str, wait_s: float) -> ViewReply:
         channel = self._channels.get(f'{address}:{self._port}')
         request = ViewRequest(
             header=self._headers.make(),
             known_version=self.terms_version,
-            wait_s=VIEW_WAIT_S,
+            wait_s=wait_s,
         )
         stub = LocalStub(channel)
         reply: ViewReply = await stub.View(request, timeout=VIEW_TIMEOUT_S)
@@ -144,7 +184,7 @@
         self._asked_at = asked_at
         self.view = replace(
             self.view,
-            terms=terms,
+            terms=_newer(self.view.terms, terms),
             offset=max(reply.offset, self.view.offset),
             members=tuple(_member(record) for record in reply.members),
             shards=tuple(
@@ -196,6 +236,13 @@
         return known
 
 
+def _newer(known: Terms | None, read: Terms | None) -> Terms | None:
+    # The known ones may have been replaced while a document was being read.
+    if known is None or read is None:
+        return read or known
+    return max(known, read, key=attrgetter('version'))
+
+
 def _member(record: MemberRecord) -> Member:
     return Member(
         vm=record.vm,
