A woken VM waits for the view that is on its way

Callers were sent away by a sound VM in the moment in which it woke: no fresh terms.

Cause: the age of the view was judged before a scheduler could be heard. Ruled out: the scheduler (running), the connection (answered). An ask or a request now waits up to 1 s, but only while a view is overdue: a VM that is cut off still refuses at once.

Test: tests/test_intake.py, tests/test_view.py (both need what this adds).

--- a/bramleybend/gateway/intake.py
+++ b/bramleybend/gateway/intake.py
@@ -28,6 +28,8 @@
 STALE_RETRY_AFTER: Final = timedelta(seconds=2)
 DRAIN_RETRY_AFTER: Final = timedelta(seconds=1)
 MAX_OLD_HOMES: Final = 4
+# A VM that was paused hears from a scheduler within milliseconds of waking.
+FRESHEN_S: Final = 1.0
 
 
 @dataclass(frozen=True)
@@ -59,6 +61,19 @@
         """Whether new requests can be served."""
         return not self.draining and self._not_fresh() is None
 
+    async def freshen(self) -> None:
+        """Wait a moment for a view that is overdue, if it decides anything.
+
+        A VM that was cut off still hears from its own scheduler that its
+        terms are old, so its callers go elsewhere at once.
+        """
+        views = self._deps.views
+        until = self._deps.clock.monotonic() + FRESHEN_S
+        left_s = FRESHEN_S
+        while left_s > 0 and views.is_overdue and self._not_fresh():
+            await views.next_view(left_s)
+            left_s = until - self._deps.clock.monotonic()
+
     @property
     def homes(self) -> tuple[Home, ...]:
         """Every home of this process, the current one last."""
--- a/bramleybend/gateway/routes.py
+++ b/bramleybend/gateway/routes.py
@@ -44,6 +44,7 @@
         parts = urlsplit(req.target)
         match req.method, parts.path:
             case HTTPMethod.GET, '/v1/address':
+                await self._intake.freshen()
                 return self._address(parts.query)
             case HTTPMethod.GET, '/ready':
                 return self._ready()
@@ -87,6 +88,7 @@
         return answer_of(not_run('not ready', RETRY_AFTER))
 
     async def _request(self, req: HttpRequest) -> HttpAnswer:
+        await self._intake.freshen()
         run = self._intake.take(Received(req.headers, req.body))
         if isinstance(run, Answer):
             return answer_of(run)
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from math import inf
 from operator import attrgetter
@@ -75,6 +76,7 @@
         self._asking: dict[asyncio.Task[bool], str] = {}
         self._owners: tuple[Member, ...] = ()
         self._asked_at = -inf
+        self._taken = asyncio.Event()
 
     def owners(self) -> tuple[Member, ...]:
         """Return the members that may own shards.
@@ -103,6 +105,17 @@
         """
         return self._clock.monotonic() - self._asked_at
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether a view should have come by now."""
+        return self.view_age_s >= OVERDUE_S
+
+    async def next_view(self, limit_s: float) -> None:
+        """Wait for the next view, for at most `limit_s` seconds."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._taken.wait()
+
     async def follow(self) -> None:
         """Ask for views until cancelled."""
         try:
@@ -114,7 +127,7 @@
 
     async def _ask_next(self) -> None:
         """Ask one scheduler; turn to the next if it is silent."""
-        wait_s = VIEW_WAIT_S if self.view_age_s < OVERDUE_S else 0
+        wait_s = 0 if self.is_overdue else VIEW_WAIT_S
         if self._turn:
             self._probe_own()
         asking = self._begin(self._next_address(), wait_s)
@@ -211,6 +224,8 @@
         self._owners = tuple(
             member for member in self.view.members if member.may_own
         )
+        self._taken.set()
+        self._taken = asyncio.Event()
 
     async def _terms(self, reply: ViewReply) -> Terms | None:
         known = self.view.terms
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -2,8 +2,11 @@
 
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
 from typing import Any, Unpack, cast
 
+import pytest
+
 from bramleybend.answers import Answer, Outcome
 from bramleybend.clock import ManualClock
 from bramleybend.events import EventLog
@@ -17,6 +20,7 @@
 from bramleybend.state.tickets import Ticket
 
 CLOCK = ManualClock(datetime(2026, 12, 2, tzinfo=UTC))
+STALE_S = 10
 EVENTS = EventLog('gateway', 'feed', CLOCK)
 
 
@@ -89,3 +93,33 @@
     assert isinstance(answer, Answer)
     assert answer.outcome is Outcome.REJECTED
     assert metrics.counted == [Metric.REJECTED]
+
+
+@dataclass
+class _Views:
+    """A view that is too old until the next one comes."""
+
+    is_overdue: bool
+    age_s: float = STALE_S + 1
+    view: Any = field(default_factory=lambda: SimpleNamespace(terms='any'))
+
+    async def next_view(self, limit_s: float) -> None:
+        self.is_overdue, self.age_s = False, 0
+
+
+@pytest.mark.parametrize('is_overdue', [True, False])
+async def test_a_woken_vm_waits_for_the_view_that_is_on_its_way(
+    is_overdue: bool,
+) -> None:
+    """Guards against callers sent away a moment before fresh terms are here.
+
+    One that hears from its scheduler, but of no fresh terms, is cut off.
+    """
+    views = cast('Any', _Views(is_overdue))
+    unused = cast('Any', None)
+    intake = Intake(
+        IntakeDeps(views, unused, _home, CLOCK, EVENTS, NullMetrics(), STALE_S),
+    )
+    assert not intake.ready
+    await intake.freshen()
+    assert intake.ready is is_overdue
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -1,6 +1,7 @@
 """How a gateway keeps its view while schedulers stand still."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from types import SimpleNamespace
@@ -13,7 +14,12 @@
 from bramleybend.clock import SystemClock
 from bramleybend.decisions.floor import FRESH_S
 from bramleybend.events import EventLog
-from bramleybend.gateway.view import ViewFollower
+from bramleybend.gateway.view import (
+    OVERDUE_S,
+    REPLY_S,
+    VIEW_WAIT_S,
+    ViewFollower,
+)
 from bramleybend.wire.bramleybend_pb2 import (
     Header,
     MemberRecord,
@@ -131,3 +137,15 @@
     other_was = other.asked
     await play.oldest_view()
     assert other.asked == other_was
+
+
+async def test_a_gateway_hears_from_a_scheduler_as_soon_as_it_wakes(
+    play: _Play,
+) -> None:
+    """Guards against callers that a woken VM sends away."""
+    time.sleep(OVERDUE_S + REPLY_S)  # the whole process stands still
+    assert play.views.is_overdue
+    began = CLOCK.monotonic()
+    while play.views.is_overdue:
+        await play.views.next_view(PAUSE_S)
+    assert CLOCK.monotonic() - began < VIEW_WAIT_S
