--- a/bramleybend/gateway/home.py
+++ b/bramleybend/gateway/home.py
@@ -177,11 +177,12 @@
 
     async def _has_right(self, request_id: RequestId, job: Job) -> bool:
         # A log behind a cut link answers nothing, and each call to it takes
-        # its whole timeout. The caller is answered at its deadline; a right
-        # that comes later is never used, so `not_run` stays true.
+        # its whole timeout. The caller is answered before its deadline; a
+        # right that comes later is never used, so `not_run` stays true.
         intent = encode_intent(request_id)
+        left_s = self._deps.answer_by(job) - self._deps.clock.monotonic()
         try:
-            async with asyncio.timeout(self._deps.left_s(job)):
+            async with asyncio.timeout(left_s):
                 return await self.journal.right(str(request_id), intent)
         except TimeoutError:
             return False
--- a/bramleybend/gateway/job.py
+++ b/bramleybend/gateway/job.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from random import Random
+from typing import Final
 
 from bramleybend.clock import Clock
 from bramleybend.events import EventLog
@@ -13,6 +14,10 @@
 from bramleybend.metrics import Metrics
 from bramleybend.models import Ask, Profile, Service, Tier
 
+# A caller stops listening at its deadline; what is told then reaches nobody.
+ANSWER_SHARE: Final = 0.05
+ANSWER_MARGIN_S: Final = 0.2
+
 
 @dataclass(frozen=True)
 class Deps:
@@ -35,6 +40,11 @@
             **fields,
         )
 
+    def answer_by(self, job: 'Job') -> float:
+        """Return by when to tell a job that it was not run."""
+        margin_s = min(self.left_s(job) * ANSWER_SHARE, ANSWER_MARGIN_S)
+        return job.run.req.deadline - margin_s
+
     def left_s(self, job: 'Job') -> float:
         """Seconds to the job's deadline; 0 once it has passed."""
         return max(job.run.req.deadline - self.clock.monotonic(), 0)
--- a/bramleybend/gateway/slot_search.py
+++ b/bramleybend/gateway/slot_search.py
@@ -26,9 +26,6 @@
 # at the first pause alone made 1,300 refusals in the event log of one test.
 SHED_PAUSE_S: Final = 0.05
 LONGEST_PAUSE_S: Final = 0.4
-# A caller stops listening at its deadline; what is told then reaches nobody.
-ANSWER_SHARE: Final = 0.05
-ANSWER_MARGIN_S: Final = 0.2
 
 
 class SlotSearch:
@@ -49,7 +46,7 @@
 
     async def _find(self, job: Job, excluded: list[str]) -> Slot | Answer:
         ask = job.ask()
-        answer_by = self._answer_by(ask)
+        answer_by = self._deps.answer_by(job)
         urgent = False
         pause_s = SHED_PAUSE_S
         while True:
@@ -73,10 +70,6 @@
             tier=int(job.tier),
         )
 
-    def _answer_by(self, ask: Ask) -> float:
-        margin_s = min(self._left_s(ask) * ANSWER_SHARE, ANSWER_MARGIN_S)
-        return ask.deadline - margin_s
-
     async def _refusal(
         self,
         job: Job,
--- a/tests/test_slot_search.py
+++ b/tests/test_slot_search.py
@@ -21,6 +21,7 @@
 from bramleybend.wire.bramleybend_pb2 import AskMessage, Refused
 
 CLOCK = SystemClock()
+MARGIN_S = 0.1
 MayShed = Callable[..., Awaitable[bool]]
 
 
@@ -46,7 +47,7 @@
         clock=CLOCK,
         metrics=make_metrics(None),
         rng=Random(1),
-        left_s=lambda job: max(job.ask().deadline - CLOCK.monotonic(), 0),
+        answer_by=lambda job: job.ask().deadline - MARGIN_S,
         note=lambda *_args, **_fields: None,
     )
     return cast('Deps', deps)
