A peer that isn't run for 100 ms is not taken for lost

Operators' status told 'cannot be reached' of a process at work, and every call that waits for a new gRPC connection failed at once, whatever its own limit.

Cause: gRPC gives up a connection attempt after grpc.min_reconnect_backoff_ms, 100 ms here, which covers the peer's first frame. Ruled out: pauses that add up to the call's 2 s (a server stopped for 0.3 s is enough; UNAVAILABLE after 0.1 s).

--- a/bramleybend/scheduler/peer_wire.py
+++ b/bramleybend/scheduler/peer_wire.py
@@ -21,10 +21,12 @@
 MAX_CHANNELS: Final = 32
 FETCH_TIMEOUT_S: Final = 2.0
 MAX_TERMS: Final = 33_554_432  # bytes; any document of terms fits
+# Over a probe's own limit, or a peer that isn't run for a moment looks lost.
+CONNECT_TIMEOUT_MS: Final = 1000
 # A peer that comes back must be met by the next probe, not after a backoff.
 OPTIONS: Final = (
     ('grpc.initial_reconnect_backoff_ms', 100),
-    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', CONNECT_TIMEOUT_MS),
     ('grpc.max_reconnect_backoff_ms', 500),
     ('grpc.use_local_subchannel_pool', 1),
     ('grpc.enable_http_proxy', 0),
--- a/bramleybend/wire/channels.py
+++ b/bramleybend/wire/channels.py
@@ -18,6 +18,9 @@
 # at most the sum of the two times.
 KEEPALIVE_TIME_MS: Final = 2000
 KEEPALIVE_TIMEOUT_MS: Final = 1500
+# gRPC gives up a connection whose peer is silent for this long, and every call
+# that waits for it. A peer that a busy machine doesn't run is no lost one.
+CONNECT_TIMEOUT_MS: Final = 3000
 
 CHANNEL_OPTIONS: Final = (
     ('grpc.keepalive_time_ms', KEEPALIVE_TIME_MS),
@@ -26,7 +29,7 @@
     ('grpc.max_receive_message_length', MAX_MESSAGE),
     ('grpc.max_send_message_length', MAX_MESSAGE),
     ('grpc.initial_reconnect_backoff_ms', 100),
-    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', CONNECT_TIMEOUT_MS),
     ('grpc.max_reconnect_backoff_ms', 1000),
     # Without this, channels of one process share a subchannel and its
     # backoff, so one refused connect delays unrelated calls.
