Test: pauses of one program at a time cost no answer

The test that pauses on purpose: gateways and schedulers stop one after another for 0.9 to 1.4 s, ten times, by a seeded schedule, under a mixed load.

--- /dev/null
+++ b/tests/failures/test_paused_processes.py
@@ -0,0 +1,53 @@
+"""A busy machine doesn't run one process after another for a second."""
+
+import asyncio
+import signal
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from tests.utils.cluster import Layout
+from tests.utils.engine import EngineConfig
+from tests.utils.load import Stream
+from tests.utils.scenario import Scenario, assert_clean, scenario
+
+LAYOUT = Layout(
+    vms=3,
+    engines=(EngineConfig(decode_tps=100),) * 2,
+    plain_latencies_ms=(30, 60),
+)
+LOAD = (
+    Stream('slot-claim', 12, 8),
+    Stream('availability', 8, 5),
+    Stream('debrief', 4, 12, (200, 600), (40, 80)),
+)
+PAUSES = 10
+# Shorter than what makes an owner start anew, see `decisions.floor`.
+PAUSE_S = (0.9, 1.4)
+BETWEEN_S = (0.05, 0.4)
+
+
+async def _pause_one_by_one(scene: Scenario, rng: Random) -> None:
+    for _ in range(PAUSES):
+        vm = rng.choice(scene.cluster.vms)
+        paused = rng.choice(vm.processes)
+        paused.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(*PAUSE_S))
+        paused.send_signal(signal.SIGCONT)
+        await asyncio.sleep(rng.uniform(*BETWEEN_S))
+
+
+@pytest.mark.parametrize('seed', [3, 4, 6, 10])
+async def test_pauses_of_one_process_at_a_time_cost_no_answer(
+    tmp_path: Path, seed: int
+) -> None:
+    """Guards against a process that isn't run being taken for a lost one."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        async with scene.load(LOAD):
+            await scene.done_more(20, 'the load is served')
+            await _pause_one_by_one(scene, Random(seed))
+            await scene.done_more(20, 'the load is served after the pauses')
+        assert not scene.cut_answers(), scene.cut_answers()[:5]
+        assert_clean(scene.verdict())
+        assert scene.verdict().is_clean, scene.verdict().reasons
