A slot is given back if its caller leaves as it is granted

A search that asks several shards waits, after the first grant, for the others to close. Cancelled in that wait it lost the slot: not used, not ended, its stream open. Found by reading; not seen in a run.

Before: test_a_slot_that_was_found_is_not_lost_with_a_caller_that_leaves failed, no end was told. After: passes.

--- a/bramleybend/gateway/shard_race.py
+++ b/bramleybend/gateway/shard_race.py
@@ -59,9 +59,18 @@
                 elif self._may_go_on(found):
                     found = None
         finally:
-            await self._let_go()
+            await self._finish(found)
         return found
 
+    async def _finish(self, found: Found | None) -> None:
+        """Let the other asks go; cancelled meanwhile, give back the winner."""
+        letting_go = asyncio.create_task(self._let_go())
+        try:
+            await asyncio.shield(letting_go)
+        except asyncio.CancelledError:
+            self._give_back(found)
+            raise
+
     def _may_go_on(self, found: Found) -> bool:
         is_last = not self._asking and not self._left
         return isinstance(found, Refused) and not is_last
@@ -92,5 +101,8 @@
             task.cancel()
         ended = await asyncio.gather(*self._asking, return_exceptions=True)
         for found in ended:
-            if isinstance(found, Slot):
-                self._leave(found.end(Ended(outcome=End.NOT_SENT)))
+            self._give_back(found)
+
+    def _give_back(self, found: object) -> None:
+        if isinstance(found, Slot):
+            self._leave(found.end(Ended(outcome=End.NOT_SENT)))
--- a/tests/test_shard_race.py
+++ b/tests/test_shard_race.py
@@ -115,3 +115,25 @@
     shards = _Shards({0: (0, answer)})
     assert await _race(shards.ask, [0, 1]).run(LONG_S) is answer
     assert shards.asked == [(0, False)]
+
+
+async def test_a_slot_that_was_found_is_not_lost_with_a_caller_that_leaves() -> (
+    None
+):
+    """Guards against slots that stay taken while nobody uses them."""
+    slot = _Slot()
+
+    async def ask(shard: int, is_further: bool) -> Found:
+        if is_further:
+            return slot
+        try:
+            await asyncio.sleep(LONG_S)
+        finally:
+            await asyncio.sleep(0.3)  # its stream takes a while to close
+        return FULL
+
+    racing = asyncio.create_task(_race(ask, [0, 1]).run(0))
+    await asyncio.sleep(0.1)
+    racing.cancel()
+    found = (await asyncio.gather(racing, return_exceptions=True))[0]
+    assert found is slot or slot.ends
