--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -167,7 +167,10 @@
         """Return when `tick` has something to do, if nothing else happens."""
         moment = self._advance(now)
         shard = self._shard
-        times = [next_start(shard, moment)]
+        start = self._settled_until
+        if start <= moment:
+            start = next_start(shard, moment)
+        times = [start]
         for line in (shard.queue, shard.suspects):
             times.extend(line.next_due(tier) for tier in Tier)
         earliest = min(times)
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -11,7 +11,7 @@
 by trials at 0 to 7, see docs/design/decisions.md.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from math import inf
 from typing import Final
@@ -56,23 +56,16 @@
     wait: float  # for a slot, seconds
     fill: float  # seconds until its prompts are filled
     gate: float  # the most of these with which it takes a long prompt
-    failing: float = 0  # share of its runs that failed lately
-
-    def least_cost(self, decode: float) -> float:
-        """Return what a run costs here if all of its prompt is cached.
-
-        It is added up as in `look`, so it is never more than the cost there.
-        """
-        lost = self.failing * FAILED_S
-        return self.fill + self.pace.seconds(0, decode) + lost
+    failing: float  # share of its runs that failed lately
+    cached_tokens: Callable[[Sequence[str], int], int]  # its cache's estimate
 
     def prefill_tokens(self, ask: Ask) -> int:
         """Estimate the prompt tokens that are not cached here."""
-        cached = self.runner.cache.cached_tokens(
-            ask.prefixes,
-            ask.prompt_tokens,
-        )
-        return max(ask.prompt_tokens - cached, 0)
+        prompt = ask.prompt_tokens
+        if not ask.prefixes:
+            return prompt
+        cached = self.cached_tokens(ask.prefixes, prompt)
+        return prompt - cached if prompt > cached else 0
 
     def seconds(self, ask: Ask) -> float:
         """Estimate how long a request runs here."""
@@ -82,17 +75,6 @@
         """Tell whether a request may be started here."""
         return self._takes(self.prefill_tokens(ask))
 
-    def look(self, ask: Ask, decode: float, left: 'TimeLeft') -> 'Look':
-        """Weigh a run here: prefill also takes time from the others."""
-        prefill = self.prefill_tokens(ask)
-        seconds = self._seconds(prefill, decode)
-        work = prefill / self.mean.prefill
-        lost = self.failing * FAILED_S
-        return Look(
-            seconds + work * OTHERS + lost,
-            self.may_start(prefill, seconds, left),
-        )
-
     def may_start(self, prefill: int, seconds: float, left: 'TimeLeft') -> bool:
         """Tell whether a run of so many seconds may be started here.
 
@@ -100,7 +82,7 @@
         always gets a try: were it believed too slow for ever, nothing would
         run there that could prove otherwise.
         """
-        if not self._takes(prefill):
+        if not self.free or not self._takes(prefill):
             return False
         filled = self._seconds(prefill, 0)
         return left.covers(filled, seconds) or not self.runner.in_flight
@@ -120,14 +102,6 @@
         return prefill <= SHORT_TOKENS
 
 
-@dataclass(slots=True)
-class Look:
-    """What a request would cost at one place."""
-
-    cost: float  # seconds
-    may_start: bool
-
-
 @dataclass(slots=True)
 class Standing:
     """Where a request would run best now, beside waiting for another place."""
@@ -140,47 +114,57 @@
 def best_of(places: Sequence[Place], ask: Ask, left: TimeLeft) -> Standing:
     """Weigh the places for one request with so much time left.
 
-    Each cache is looked into once, and that of a place that would lose with
-    the whole prompt cached not at all; the choice is the same. One request
-    under a standing queue of 50 took an owner of 70 runners 10.2 ms before
-    and 2.3 ms now (one run each, beside other work).
+    A place that would lose with the whole prompt cached is not looked into.
+    The sums stand in the loops and not in a method of `Place`: they are done
+    for each entry that is weighed and each runner, most of what an owner's
+    decisions cost.
     """
-    if not ask.prefixes:
-        return _best_uncached(places, ask, left)
     decode = decode_work(ask)
     standing = Standing(None, inf, inf)
-    for place in places:
-        bar = standing.cost if place.free else standing.least
-        if place.least_cost(decode) + place.wait >= bar:
-            continue
-        look = place.look(ask, decode, left)
-        standing.least = min(standing.least, look.cost + place.wait)
-        if look.may_start and look.cost < standing.cost:
-            standing.runner = place.runner
-            standing.cost = look.cost
+    free = [place for place in places if place.free]
+    _weigh_free(free, ask, decode, left, standing)
+    if len(free) < len(places):
+        _weigh_busy(places, ask, decode, standing)
     return standing
 
 
-def _best_uncached(
-    places: Sequence[Place], ask: Ask, left: TimeLeft
-) -> Standing:
-    """Weigh the places for a prompt without known prefixes.
-
-    All of it is filled at each place, so no cache is looked into; the sums
-    are those of `Place.look`.
-    """
-    prompt, decode = ask.prompt_tokens, decode_work(ask)
-    standing = Standing(None, inf, inf)
+def _weigh_free(
+    places: Sequence[Place],
+    ask: Ask,
+    decode: float,
+    left: TimeLeft,
+    standing: Standing,
+) -> None:
     for place in places:
-        seconds = place.fill + place.pace.seconds(prompt, decode)
-        others = prompt / place.mean.prefill * OTHERS
-        cost = seconds + others + place.failing * FAILED_S
-        if cost + place.wait < standing.least:
-            standing.least = cost + place.wait
-        if cost < standing.cost and place.may_start(prompt, seconds, left):
+        decoding = decode / place.pace.decode
+        lost = place.failing * FAILED_S
+        if place.fill + decoding + lost >= standing.cost:
+            continue
+        prefill = place.prefill_tokens(ask)
+        seconds = place.fill + (prefill / place.pace.prefill + decoding)
+        cost = seconds + prefill / place.mean.prefill * OTHERS + lost
+        standing.least = min(standing.least, cost)
+        if cost < standing.cost and place.may_start(prefill, seconds, left):
             standing.runner = place.runner
             standing.cost = cost
-    return standing
+
+
+def _weigh_busy(
+    places: Sequence[Place], ask: Ask, decode: float, standing: Standing
+) -> None:
+    for place in places:
+        if place.free:
+            continue
+        decoding = decode / place.pace.decode
+        lost = place.failing * FAILED_S
+        if place.fill + decoding + lost + place.wait >= standing.least:
+            continue
+        prefill = place.prefill_tokens(ask)
+        seconds = place.fill + (prefill / place.pace.prefill + decoding)
+        others = prefill / place.mean.prefill * OTHERS
+        cost = seconds + others + lost + place.wait
+        if cost < standing.least:
+            standing.least = cost
 
 
 def time_left(ask: Ask, now: float) -> TimeLeft:
@@ -218,4 +202,5 @@
         runner.backlog / pace.prefill,
         gate,
         runner.failing.value(now),
+        runner.cache.cached_tokens,
     )
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -79,7 +79,20 @@
         if not self._switches.expiry:
             return LeastTime(0, 0)
         decode = max(ask.cost - ask.prompt_tokens, 1)
-        return LeastTime(self._least(ask, 0), self._least(ask, decode))
+        mean = self.mean_pace()
+        paces = [
+            (self.pace_of(runner, mean), _prefill(ask, runner))
+            for runner in self._runners.values()
+        ]
+        return LeastTime(
+            min(
+                (pace.seconds(prefill, 0) for pace, prefill in paces), default=0
+            ),
+            min(
+                (pace.seconds(prefill, decode) for pace, prefill in paces),
+                default=0,
+            ),
+        )
 
     def mean_pace(self) -> Pace:
         """Return the peers' mean, or a guess before any run has ended."""
@@ -95,19 +108,6 @@
             sum(pace.decode for pace in paces) / len(paces),
         )
 
-    def _least(self, ask: Ask, decode: float) -> float:
-        mean = self.mean_pace()
-        return min(
-            (
-                self.pace_of(runner, mean).seconds(
-                    _prefill(ask, runner),
-                    decode,
-                )
-                for runner in self._runners.values()
-            ),
-            default=0,
-        )
-
     def _count(self, run: Run) -> None:
         runner = self._runners.get(run.runner)
         if runner is not None:
