--- a/tests/failures/test_paused_processes.py
+++ b/tests/failures/test_paused_processes.py
@@ -22,6 +22,7 @@
     Stream('availability', 8, 5),
     Stream('debrief', 4, 12, (200, 600), (40, 80)),
 )
+LONGEST_DEADLINE_S = max(stream.deadline_s for stream in LOAD)
 PAUSES = 10
 # Shorter than what makes an owner start anew, see `decisions.floor`.
 PAUSE_S = (0.9, 1.4)
@@ -51,3 +52,20 @@
         assert not scene.cut_answers(), scene.cut_answers()[:5]
         assert_clean(scene.verdict())
         assert scene.verdict().is_clean, scene.verdict().reasons
+
+
+async def test_requests_are_told_their_fate_while_no_scheduler_runs(
+    tmp_path: Path,
+) -> None:
+    """Guards against waits on schedulers that outlast a request's deadline."""
+    async with scenario(LAYOUT, tmp_path) as scene:
+        schedulers = [vm.scheduler for vm in scene.cluster.vms]
+        async with scene.load(LOAD):
+            await scene.done_more(20, 'the load is served')
+            for each in schedulers:
+                each.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(LONGEST_DEADLINE_S)
+            for each in schedulers:
+                each.send_signal(signal.SIGCONT)
+            await scene.done_more(20, 'the load is served again')
+        assert_clean(scene.verdict())
