A run that is slow to stop is told of at its deadline

A run that is stopped at its request's deadline was told of once its engine had confirmed, or 2 s later: seen as late_ms=2004 and 2003 in test_a_vm_freezes_while_an_engine_straggles (load 31 to 33, the test's own loop up to 3.7 s late). Its caller has left by then.

The confirmation is now waited for 0.3 s past the deadline; the stop goes on in the background, and the slot is given back with what became of the run, as before.

Price: 'unknown' where 'cancelled' came too late.

--- a/bramleybend/gateway/supervisor.py
+++ b/bramleybend/gateway/supervisor.py
@@ -13,6 +13,8 @@
 from bramleybend.wire.bramleybend_pb2 import Ended
 
 LAST_EVENTS_S: Final = 0.2
+# A caller leaves at its deadline; a stop that takes longer is told to nobody.
+LATE_STOP_S: Final = 0.3
 # For a run that goes on after its request's deadline, to see how it ends.
 OUTLIVED_S: Final = 5.0
 RAN_WHOLE: Final = frozenset((End.WHOLE, End.OVERTAKEN))
@@ -24,7 +26,7 @@
     def __init__(self, deps: Deps) -> None:
         """Supervise nothing yet."""
         self._deps = deps
-        self._ending: set[asyncio.Task[None]] = set()
+        self._ending: set[asyncio.Task[Any]] = set()
 
     async def carry(self, job: Job, slot: Slot, label: str) -> AttemptEnd:
         started = self._deps.clock.monotonic()
@@ -144,13 +146,25 @@
         """Stop the run where that is allowed; true once it is certain."""
         if proceeding.done() or not attempt.sent:
             return False
-        if not job.profile.cancellable or not await attempt.stop():
+        if not job.profile.cancellable or not await self._stop(job, attempt):
             return False
         # A run that ended as it was being cancelled has its last events on
         # the way; thrown away, a whole answer would count as cancelled.
         await asyncio.wait((proceeding,), timeout=LAST_EVENTS_S)
         return not (proceeding.done() and proceeding.result().end is End.WHOLE)
 
+    async def _stop(self, job: Job, attempt: Attempt) -> bool:
+        """Whether the run is over for certain while its caller listens.
+
+        A stop that is not confirmed by then goes on in the background.
+        """
+        stopping = asyncio.create_task(attempt.stop())
+        self._ending.add(stopping)
+        stopping.add_done_callback(self._ending.discard)
+        wait_s = max(self._deps.left_s(job), LATE_STOP_S)
+        await asyncio.wait((stopping,), timeout=wait_s)
+        return stopping.done() and stopping.result()
+
     def _count_prefill(self, job: Job, end: AttemptEnd, estimate: int) -> None:
         """Count prompt tokens by whether their answer reached somebody."""
         if end.end is End.NOT_SENT:
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -23,8 +23,10 @@
 class _Engine:
     """Takes a run, stops none, and goes down with all of them."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, silent: bool = False) -> None:
         self.runs: list[asyncio.StreamWriter] = []
+        self.stops: list[asyncio.StreamWriter] = []
+        self._silent = silent
         self._server: asyncio.Server
 
     async def start(self) -> str:
@@ -44,7 +46,9 @@
     ) -> None:
         head = await reader.readline()
         if b'/cancel' in head:
-            writer.transport.abort()
+            self.stops.append(writer)
+            if not self._silent:
+                writer.transport.abort()
             return
         self.runs.append(writer)
 
@@ -99,3 +103,15 @@
     assert not slot.told
     await wait_until(lambda: bool(slot.told), 'the owner is told of the end')
     assert slot.told[0].runner_crashed
+
+
+async def test_a_run_that_is_slow_to_stop_is_told_of_at_its_deadline() -> None:
+    """Guards against an answer that comes when its caller has left."""
+    engine = _Engine(silent=True)
+    slot = _Slot(await engine.start())
+    job = _job(DEADLINE_S)
+    end = await Supervisor(_deps()).carry(job, cast('Slot', slot), '0')
+    assert SystemClock().monotonic() - job.run.req.deadline < DEADLINE_S * 2
+    assert end.end is End.UNHEARD
+    assert engine.stops
+    engine.crash()
