A woken scheduler's old word doesn't age what its gateway knows

The sleeper served under the new terms at 53.31 s; at 53.46 its scheduler, awake again, learned them too; the ask between was told that the VM has no fresh terms.

Cause: the age of the terms was that of the last reply, and the own scheduler's word was 5 s old, though another's was fresh. Ruled out: the gateway's own pause (its loop was on time then) and the test's. The freshest word heard stands now.

Before: test_a_woken_scheduler_takes_back_nothing_that_others_have_said, 4 s. After: passes.

--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -167,7 +167,7 @@
         """Return when `tick` has something to do, if nothing else happens."""
         moment = self._advance(now)
         shard = self._shard
-        start = self._settled_until
+        start = self._settled_until  # worked out when something last happened
         if start <= moment:
             start = next_start(shard, moment)
         times = [start]
--- a/bramleybend/gateway/view.py
+++ b/bramleybend/gateway/view.py
@@ -219,7 +219,8 @@
                 for record in reply.suspects
                 if record.refused
             ),
-            heard_at=asked_at - reply.age_s,
+            # A scheduler that was paused knows less than others have said.
+            heard_at=max(asked_at - reply.age_s, self.view.heard_at),
         )
         self._owners = tuple(
             member for member in self.view.members if member.may_own
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -49,6 +49,7 @@
     members: list[MemberRecord]
     running: asyncio.Event = field(default_factory=asyncio.Event)
     asked: int = 0
+    age_s: float = 0  # of its word that the terms are in force
 
     def __post_init__(self) -> None:
         self.running.set()
@@ -57,7 +58,7 @@
         await self.running.wait()
         self.asked += 1
         await asyncio.sleep(request.wait_s)
-        return ViewReply(members=self.members)
+        return ViewReply(members=self.members, age_s=self.age_s)
 
 
 @dataclass(frozen=True)
@@ -149,3 +150,17 @@
     while play.views.is_overdue:
         await play.views.next_view(PAUSE_S)
     assert CLOCK.monotonic() - began < VIEW_WAIT_S
+
+
+async def test_a_woken_scheduler_takes_back_nothing_that_others_have_said(
+    play: _Play,
+) -> None:
+    """Guards against callers sent away by a VM that has fresh terms."""
+    own, other, *_ = play.schedulers
+    own.running.clear()
+    await wait_until(lambda: other.asked > 0, 'another scheduler is asked')
+    own.age_s = PAUSE_S
+    own.running.set()
+    goal = own.asked + 5
+    await wait_until(lambda: own.asked > goal, 'the own one is followed again')
+    assert play.views.age_s < PAUSE_S / 2
