An owner counts no pause longer than it was

Cause: an owner that was paused for 1.5 s starts as new, 2.5 s without any tier but the highest; the pause was told from its last look at its surroundings, up to 0.5 s before. It now notes every 0.05 s that it runs; no pause is taken for shorter than it was, as the proof of the tier floor needs.

Before: test_a_pause_is_not_counted_longer_than_it_was[0.2-False] failed.

--- a/bramleybend/scheduler/shards.py
+++ b/bramleybend/scheduler/shards.py
@@ -16,12 +16,14 @@
     OwnershipMoved,
     RunnersListed,
 )
+from bramleybend.scheduler.pause_watch import PauseWatch
 from bramleybend.scheduler.shard_task import ShardDeps, ShardTask
 from bramleybend.state.member import Member
 
 # A shard whose owner has just moved here is asked about by gateways before
 # the next look at the list; it must not refuse them for want of runners.
 LOOK_INTERVAL_S: Final = 0.5
+NOTES_A_LOOK: Final = 10
 
 
 @dataclass(frozen=True)
@@ -81,7 +83,7 @@
         self._tasks: dict[tuple[str, int], ShardTask] = {}
         self._working: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._owned_since: dict[tuple[str, int], float] = {}
-        self._looked_at = self._deps.clock.monotonic()
+        self._pauses = PauseWatch(deps.clock, DEFAULT_TIMES.fresh_s)
         self._owners = OwnerRanks(around.members, around.own_vm)
         self._weights: dict[str, float] = {}
         self._weighed = 0  # the terms' version
@@ -112,7 +114,7 @@
         """
         if (task.service, task.shard) not in self._owned_since:
             return False
-        return not self._was_paused() and task.is_settled(self._now())
+        return not self._pauses.was_paused and task.is_settled(self._now())
 
     def verdict(self, fingerprint: str) -> Verdict:
         """Whether this content was in flight when runners crashed."""
@@ -121,14 +123,24 @@
 
     async def watch(self) -> None:
         """Follow list, terms and members until cancelled."""
+        notes = 0
         while True:
+            if notes % NOTES_A_LOOK == 0:
+                self.look()
+            await asyncio.sleep(LOOK_INTERVAL_S / NOTES_A_LOOK)
+            self.note_running()
+            notes += 1
+
+    def note_running(self) -> None:
+        """Note that this process runs; after a long pause, look at once."""
+        if self._pauses.was_paused:
             self.look()
-            await asyncio.sleep(LOOK_INTERVAL_S)
+        self._pauses.note_running()
 
     def look(self) -> None:
         """Create what is owned now, hand runners out, move what is not."""
-        paused = self._was_paused()
-        self._looked_at = self._now()
+        paused = self._pauses.was_paused
+        self._pauses.note_running()
         terms = self._around.terms()
         if terms is None:
             return
@@ -198,9 +210,6 @@
     def _now(self) -> float:
         return self._deps.clock.monotonic()
 
-    def _was_paused(self) -> bool:
-        return self._now() - self._looked_at >= DEFAULT_TIMES.fresh_s
-
     def _look_at(self, service: Service, shard: int, *, paused: bool) -> None:
         key = (service.name, shard)
         if self._owners.is_owned(service.name, shard):
--- a/tests/test_shard_table.py
+++ b/tests/test_shard_table.py
@@ -20,6 +20,7 @@
 from bramleybend.scheduler.shard_task import ShardDeps, ShardTask
 from bramleybend.scheduler.shards import (
     LOOK_INTERVAL_S,
+    NOTES_A_LOOK,
     ShardTable,
     Surroundings,
 )
@@ -103,6 +104,19 @@
     assert world.settled
 
 
+@pytest.mark.parametrize(('short_by_s', 'is_anew'), [(0.2, False), (0, True)])
+async def test_a_pause_is_not_counted_longer_than_it_was(
+    world: World, short_by_s: float, is_anew: bool
+) -> None:
+    """Guards against low tiers that wait out a takeover that nobody made."""
+    for _ in range(NOTES_A_LOOK - 1):
+        world.clock.advance(LOOK_INTERVAL_S / NOTES_A_LOOK)
+        world.shards.note_running()
+    world.clock.advance(DEFAULT_TIMES.fresh_s - short_by_s)
+    world.shards.note_running()
+    assert world.settled is not is_anew
+
+
 async def test_run_that_left_unsettles_its_owner(world: World) -> None:
     hold = HoldChannel('draft#1', 'draft', Tier.BULK)
     now = world.clock.monotonic()
