--- a/bramleybend/gateway/border.py
+++ b/bramleybend/gateway/border.py
@@ -3,14 +3,14 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from datetime import UTC, datetime, timedelta
+from datetime import UTC, datetime
 from http import HTTPStatus
 from typing import Final
 
 from result import Err, Ok, Result
 from xxhash import xxh3_128_hexdigest
 
-from bramleybend.answers import Answer, not_run, rejected
+from bramleybend.answers import Answer, rejected
 from bramleybend.clock import Clock
 from bramleybend.gateway.run import RequestBody
 from bramleybend.models import Profile, Terms
@@ -20,9 +20,6 @@
 SERVICE: Final = 'bramleybend-service'
 PROFILE: Final = 'bramleybend-profile'
 DEADLINE: Final = 'bramleybend-deadline'
-# A busy machine may hold a request up for so long; over it a clock is wrong.
-LATE_S: Final = 5.0
-LATE_RETRY_AFTER: Final = timedelta(seconds=1)
 SHOWN: Final = 64  # characters of a bad value that an answer repeats
 NAMED: Final = (REQUEST_ID, WORKSPACE, SERVICE, PROFILE, DEADLINE)
 
@@ -88,14 +85,10 @@
     """Refuse a new request whose deadline has passed.
 
     Only a new one: a caller that asks again about a request that has run is
-    owed its answer, and `rejected` would tell it that nothing ran. One that
-    has just missed its deadline is late, not wrong.
+    owed its answer, and `rejected` would tell it that nothing ran.
     """
-    late_s = clock.monotonic() - req.deadline
-    if late_s < 0:
+    if req.deadline > clock.monotonic():
         return None
-    if late_s < LATE_S:
-        return not_run('its deadline passed on the way', LATE_RETRY_AFTER)
     return rejected(
         'the deadline has passed',
         'send a later one; check that both clocks agree',
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -114,17 +114,6 @@
     assert answer['remedy']
 
 
-async def test_a_request_that_is_late_by_a_moment_is_not_bad_input(
-    gateway: str,
-) -> None:
-    """Guards against callers told to mend what was held up on its way."""
-    late = datetime.now(UTC) - timedelta(seconds=1)
-    reply = await _send(gateway, deadline=late.isoformat())
-    answer = json.loads(reply.body)
-    assert (reply.status, answer['outcome']) == (503, Outcome.NOT_RUN)
-    assert 'deadline passed' in answer['reason']
-
-
 @pytest.mark.parametrize(
     ('sent', 'status'),
     [
