Entry VMs tell of late loops, callers that left, and bursts to other VMs

Of a request that reached its runner 0.84 s after its caller had left, no log line told whether the VM's event loop, its link or a wait for a slot was late:

- `event=loop_late`, as gateways and schedulers have it.
- `event=caller_left` and the counter `callers_left`, with the stage its request had reached; a request that is placed afterwards says `left_ms`.
- `event=peer_burst`: bytes to other VMs since the last heartbeat, from 0.2 s of a link of 5 Mbit/s on.

--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -36,6 +36,7 @@
     failure_status: int | None = None  # a runner's own, passed on
     first_event_at: float | None = None  # monotonic
     last_event_at: float | None = None  # monotonic
+    left_at: float | None = None  # monotonic; its caller's leaving
     trail: list[str] = field(default_factory=list)  # runners it was sent to
 
     @property
--- a/bramleybend/direct/meters.py
+++ b/bramleybend/direct/meters.py
@@ -36,6 +36,9 @@
         'answers': MeterInfo(
             'Requests answered.', ('service', 'tier', 'status', 'cause')
         ),
+        'callers_left': MeterInfo(
+            'Callers that left before their answer.', ('service', 'stage')
+        ),
         'denied': MeterInfo(
             'Requests turned away before a service was chosen.', ('status',)
         ),
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -6,9 +6,9 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
-from typing import Any, Protocol, TypeAlias
+from typing import Any, Final, Protocol, TypeAlias
 
 import msgspec
 
@@ -22,6 +22,9 @@
 
 Endpoint: TypeAlias = tuple[str, int]
 
+# Between two heartbeats; 0.2 s of a link of 5 Mbit/s.
+LARGE_BYTES: Final = 131_072
+
 logger = logging.getLogger(__name__)
 
 
@@ -89,6 +92,7 @@
         self._alive: set[str] = set()
         self._direct: dict[str, float] = {}  # VM to when its word is overdue
         self.sent = Traffic()
+        self._told = Traffic()
 
     async def start(self, address: str) -> None:
         """Bind the socket."""
@@ -113,6 +117,7 @@
         self._send_beats(now)
         self._send_digests(now)
         self._beats += 1
+        self._note_large()
 
     def send(self, message: Message, address: str) -> None:
         """Send one message; it may be lost."""
@@ -261,6 +266,17 @@
             self._listener.silent(vm)
         self._alive &= alive
 
+    def _note_large(self) -> None:
+        size = self.sent.size - self._told.size
+        if size >= LARGE_BYTES:
+            self._events.record(
+                'peer_burst',
+                bytes=size,
+                messages=self.sent.messages - self._told.messages,
+                is_hub=self._members.is_hub(self._members.own.vm),
+            )
+        self._told = replace(self.sent)
+
     def _write(self, payload: bytes, address: str) -> None:
         if self._transport is not None:
             self.sent.messages += 1
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -27,7 +27,7 @@
 from bramleybend.direct.placing import Placer
 from bramleybend.direct.queues import make_queues
 from bramleybend.direct.service import DirectService
-from bramleybend.direct.suspension import SuspensionWatch
+from bramleybend.direct.suspension import WatchedSleep
 from bramleybend.entry_settings import ENTRY, EntrySettings
 from bramleybend.events import EventLog
 from bramleybend.identity import make_identity
@@ -264,12 +264,9 @@
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
-        watch = SuspensionWatch(self._clock, loop.time)
+        watched = WatchedSleep(self.events, self._clock, loop.time)
         while True:
-            await asyncio.sleep(SWEEP_S)
-            slept_s = watch.slept_s()
-            if slept_s:
-                self.events.record('suspended', seconds=f'{slept_s:.1f}')
+            if await watched.sleep(SWEEP_S):
                 for feed in self._listener.feeds:
                     feed.wake()
             for _, queue in self._queues:
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -51,10 +51,11 @@
             self._log_denied(facts, reply, req)
             await responder.reply(reply)
             return
-        if admitted.route.streaming:
-            await self._serve_stream(job, responder)
-        else:
-            await self._serve_plain(job, responder)
+        try:
+            await self._serve(job, responder)
+        except asyncio.CancelledError:
+            self._note_left(job)
+            raise
 
     def _job(
         self, req: RawRequest, facts: RequestFacts, terms: Admitted
@@ -76,6 +77,12 @@
         ends_at = req.received_at + patience_s
         return Job(req, facts, terms, ends_at, fingerprint)
 
+    async def _serve(self, job: Job, responder: Responder) -> None:
+        if job.terms.route.streaming:
+            await self._serve_stream(job, responder)
+        else:
+            await self._serve_plain(job, responder)
+
     async def _serve_plain(self, job: Job, responder: Responder) -> None:
         if job.terms.route.may_repeat:
             reply = await self._plain(job)
@@ -237,6 +244,18 @@
             ms=self._tries.ms_since(job.req.received_at),
         )
 
+    def _note_left(self, job: Job) -> None:
+        job.left_at = self._tries.now()
+        stage = 'placed' if job.trail else 'queued'
+        self._parts.meters.count('callers_left', job.terms.service, stage)
+        self._parts.events.record(
+            'caller_left',
+            req=job.facts.attempt_id,
+            stage=stage,
+            runners=','.join(job.trail),
+            ms=self._tries.ms_since(job.req.received_at),
+        )
+
     def _count_answer(self, job: Job, status: int) -> None:
         meters = self._parts.meters
         service, tier = job.terms.service, int(job.terms.tier)
--- a/bramleybend/direct/suspension.py
+++ b/bramleybend/direct/suspension.py
@@ -9,6 +9,8 @@
 from typing import Final
 
 from bramleybend.clock import Clock
+from bramleybend.events import EventLog
+from bramleybend.loop_watch import LoopWatch
 
 # The two clocks are read a few microseconds apart, and a busy process may be
 # off the processor between them; suspensions last for seconds.
@@ -32,3 +34,23 @@
             return 0
         self._ahead = ahead
         return slept
+
+
+class WatchedSleep:
+    """Sleeps between the turns of a part, and records each that was late."""
+
+    def __init__(
+        self, events: EventLog, clock: Clock, steady: Callable[[], float]
+    ) -> None:
+        """Watch from now on; `steady` returns seconds."""
+        self._events = events
+        self._loop_watch = LoopWatch(events, clock)
+        self._suspensions = SuspensionWatch(clock, steady)
+
+    async def sleep(self, seconds: float) -> bool:
+        """Sleep; tells whether the VM was suspended meanwhile."""
+        await self._loop_watch.sleep(seconds)
+        slept_s = self._suspensions.slept_s()
+        if slept_s:
+            self._events.record('suspended', seconds=f'{slept_s:.1f}')
+        return bool(slept_s)
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -65,6 +65,7 @@
                 runner=placed.runner.name,
                 owner=placed.owner.vm if placed.owner else 'own',
                 waited_ms=self.ms_since(job.req.received_at),
+                **self._since_left(job),
             )
         return placed
 
@@ -210,6 +211,11 @@
             on_time_until=job.req.received_at + job.terms.route.objective_s,
         )
 
+    def _since_left(self, job: Job) -> dict[str, int]:
+        if job.left_at is None:
+            return {}
+        return {'left_ms': self.ms_since(job.left_at)}
+
     def _ends_by(self, job: Job) -> float:
         """Return by when the answer should end at its runner's present pace."""
         ends_by = job.ends_at - QUEUE_MARGIN_S
--- a/bramleybend/loop_watch.py
+++ b/bramleybend/loop_watch.py
@@ -17,7 +17,7 @@
 
 
 class LoopWatch:
-    """Sleeps in short steps and records each that took much longer."""
+    """Sleeps, and records each sleep that took much longer."""
 
     def __init__(
         self,
@@ -33,12 +33,16 @@
     async def work(self) -> None:
         """Watch until cancelled."""
         while True:
-            before = self._clock.monotonic()
-            cpu_before = self._cpu_s()
-            await asyncio.sleep(INTERVAL_S)
-            late_s = self._clock.monotonic() - before - INTERVAL_S
-            if late_s >= TOLD_FROM_S:
-                self._record(late_s, self._cpu_s() - cpu_before)
+            await self.sleep(INTERVAL_S)
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep once, for a part that wakes regularly anyhow."""
+        before = self._clock.monotonic()
+        cpu_before = self._cpu_s()
+        await asyncio.sleep(seconds)
+        late_s = self._clock.monotonic() - before - seconds
+        if late_s >= TOLD_FROM_S:
+            self._record(late_s, self._cpu_s() - cpu_before)
 
     def _record(self, late_s: float, cpu_s: float) -> None:
         # Little processor time in a long delay: the process didn't get to run.
