--- /dev/null
+++ b/tests/direct/test_hub_traffic.py
@@ -0,0 +1,74 @@
+"""What VMs send each other leaves their links to callers and runners."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from typing import Final, TypeAlias
+
+from bramleybend.direct.members import HUBS
+from tests.utils.peer_network import Network, Vm
+
+VMS: Final = 84
+WORKSPACES: Final = 16
+LINK_MBPS: Final = 5
+# A request that waits longer at its VM reaches a runner after its caller left.
+MOST_WAIT_S: Final = 0.5
+BYTES_PER_S: Final = LINK_MBPS * 1_000_000 / 8
+
+Datagram: TypeAlias = tuple[bytes, str, str]
+
+
+@dataclass
+class Links(Network):
+    """A network on which each VM's datagrams leave one after another."""
+
+    waits: dict[str, float] = field(default_factory=dict)  # longest, by address
+    _free_at: dict[str, float] = field(default_factory=dict)
+    _arrivals: list[tuple[float, int, Datagram]] = field(default_factory=list)
+    _numbers: Iterator[int] = field(default_factory=count)
+
+    def send(self, payload: bytes, sender: str, receiver: str) -> None:
+        """Take a datagram from a socket."""
+        now = self.clock.monotonic()
+        free_at = max(self._free_at.get(sender, 0), now)
+        free_at += len(payload) / BYTES_PER_S
+        self._free_at[sender] = free_at
+        self.waits[sender] = max(self.waits.get(sender, 0), free_at - now)
+        datagram = payload, sender, receiver
+        heappush(self._arrivals, (free_at, next(self._numbers), datagram))
+
+    def _deliver(self) -> None:
+        now = self.clock.monotonic()
+        while self._arrivals and self._arrivals[0][0] <= now:
+            super().send(*heappop(self._arrivals)[-1])
+        super()._deliver()
+
+
+def _settled() -> Links:
+    """Start VMs that each spent something of each workspace."""
+    network = Links()
+    for number in range(VMS):
+        network.add(number)
+    network.until_all_hear_all()
+    for vm in network.up():
+        for workspace in range(WORKSPACES):
+            vm.spend(f'w{workspace}', 1000, network.clock.monotonic())
+    network.run(6)
+    network.waits.clear()
+    return network
+
+
+def _hubs(network: Network) -> list[Vm]:
+    vms = network.up()
+    first = vms[0].members
+    return [vm for vm in vms if vm is vms[0] or first.is_hub(vm.name)][:HUBS]
+
+
+def test_a_vm_that_becomes_a_hub_keeps_its_link_free() -> None:
+    """No byte waits half a second at a VM when a hub has died."""
+    network = _settled()
+    _hubs(network)[-1].is_up = False
+    network.run(3)
+    longest = sorted(network.waits.values(), reverse=True)
+    assert longest[0] <= MOST_WAIT_S, longest[:HUBS]
