An owner tells once a second what waits beside its free slots

No line of an owner told full runners from a late owner or from a policy that leaves slots free; it took the placed and answered lines of all 84 VMs together. event=queue has both sides in one line, only while something waits.

--- a/bramleybend/decisions/actions.py
+++ b/bramleybend/decisions/actions.py
@@ -4,6 +4,7 @@
 that come back; a gateway feeds `ShardView`s to `rank_shards`.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -71,6 +72,17 @@
     limit: int
 
 
+@dataclass(frozen=True)
+class Backlog:
+    """What waits at an owner, beside what its runners have free."""
+
+    waiting: Mapping[int, int]  # requests by tier
+    oldest_s: float  # how long the first of them has waited
+    running: int
+    slots: int
+    open_runners: int  # that may start something now
+
+
 @dataclass(frozen=True)
 class ShardView:
     """What a gateway last heard about a shard, and how long ago."""
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -12,6 +12,7 @@
 
 from bramleybend.decisions.actions import (
     Action,
+    Backlog,
     Grant,
     RunnerInfo,
     RunReport,
@@ -194,6 +195,20 @@
             self._shard.pool.limit(),
         )
 
+    def backlog(self, now: float) -> Backlog | None:
+        """Return what waits, unless nothing does."""
+        moment = self._advance(now)
+        shard = self._shard
+        if not shard.queue:
+            return None
+        return Backlog(
+            shard.queue.counts(),
+            moment - shard.queue.oldest(),
+            len(shard.runs),
+            shard.pool.limit(),
+            len(shard.pool.free(moment)),
+        )
+
     def _refuse(self, ask: Ask, reason: str, *, shed: bool) -> Action:
         return refuse(self._shard, ask, reason, self._now, shed=shed)
 
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -291,6 +291,14 @@
         expiry = self._tiers[tier].expiry if tier in self._tiers else ()
         return expiry[0][0] if expiry else inf
 
+    def counts(self) -> dict[int, int]:
+        """Count the entries of each tier."""
+        return {tier: len(self._tiers[tier]) for tier in sorted(self._tiers)}
+
+    def oldest(self) -> float:
+        """Return when the entry that waits longest was queued."""
+        return min((one.arrived for one in self._entries.values()), default=inf)
+
     def cost_ahead(self, ask: Ask) -> float:
         """Estimate the cost that a new entry waits behind."""
         above = sum(
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from random import Random
@@ -15,6 +16,7 @@
 from bramleybend.clock import Clock
 from bramleybend.decisions.actions import (
     Action,
+    Backlog,
     Grant,
     Refuse,
     RunnerInfo,
@@ -63,10 +65,13 @@
         self._told: dict[str, frozenset[str]] = {}  # by VM, its runs here
         self._told_at: dict[str, float] = {}  # by VM
         self._timer: asyncio.TimerHandle | None = None
+        self._counts: Counter[str] = Counter()
 
     def ask(self, ask: Ask, reply: Reply) -> None:
         """Queue a request; said again, it only stays."""
         now = self._clock.monotonic()
+        is_repeat = ask.request_id in self._replies
+        self._counts['repeated' if is_repeat else 'asked'] += 1
         self._replies[ask.request_id] = reply
         self._asked_at[ask.request_id] = now
         self._act(self._policy.ask(ask, now))
@@ -80,6 +85,16 @@
         load = self._policy.load()
         return not load.waiting and load.running < load.limit * IDLE_PART
 
+    def backlog(self) -> Backlog | None:
+        """Return what waits here, unless nothing does."""
+        return self._policy.backlog(self._clock.monotonic())
+
+    def take_counts(self) -> Mapping[str, int]:
+        """Return what was asked and decided since the last call."""
+        counts = self._counts
+        self._counts = Counter()
+        return counts
+
     def withdraw(self, request_id: str) -> None:
         """Forget a request, waiting or running."""
         self._replies.pop(request_id, None)
@@ -179,6 +194,9 @@
         reply = self._replies.pop(request_id, None)
         if isinstance(action, Grant):
             self._granted_at[request_id] = self._clock.monotonic()
+            self._counts['granted'] += 1
+        else:
+            self._counts['refused'] += 1
         if reply is not None:
             reply(action)
 
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -131,6 +131,7 @@
         await self.ingress.start(self._cfg.front.host, self._cfg.front.port)
         self.spawn(self.peers.run())
         self.spawn(self._sweep())
+        self.spawn(self._queues.log.run())
         self.events.record('started', **self._cfg.shown())
 
     def follow(self, feed: Feed) -> None:
--- a/bramleybend/direct/queues.py
+++ b/bramleybend/direct/queues.py
@@ -8,6 +8,7 @@
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Members
 from bramleybend.direct.owner import ServiceQueue, make_queue
+from bramleybend.direct.queue_log import QueueLog
 from bramleybend.direct.ranks import rank_of
 from bramleybend.direct.runner_limits import RunnerLimits
 from bramleybend.events import EventLog
@@ -19,6 +20,8 @@
 class Queues:
     """This VM's queue of each service."""
 
+    log: QueueLog
+
     def __init__(
         self,
         book: Book,
@@ -104,4 +107,5 @@
     limits = RunnerLimits(clock, events)
     queues = Queues(book, members, limits, clock, rng)
     limits.changed = queues.take_limits
+    queues.log = QueueLog(queues, events)
     return queues
--- /dev/null
+++ b/tests/direct/test_queue_log.py
@@ -0,0 +1,82 @@
+"""What a VM tells of the queues that it orders."""
+
+import logging
+from random import Random
+
+import pytest
+
+from bramleybend.clock import SystemClock
+from bramleybend.decisions.actions import RunReport
+from bramleybend.direct.book import Book
+from bramleybend.direct.members import Members, Self
+from bramleybend.direct.models import RunnerEntry, RunnerState
+from bramleybend.direct.queue_log import QueueLog
+from bramleybend.direct.queues import Queues, make_queues
+from bramleybend.events import EVENT_LOGGER, EventLog
+from bramleybend.models import Ask, Tier
+
+SERVICE = 'lm'
+
+
+def ask(name: str, tier: Tier) -> Ask:
+    """Return a request that may wait for long."""
+    later = SystemClock().monotonic() + 60
+    return Ask(name, SERVICE, tier, 'w', 100, 50, (), later, cancellable=False)
+
+
+@pytest.fixture
+def queues() -> Queues:
+    """Return the queues of a VM that knows one runner of one slot."""
+    clock = SystemClock()
+    events = EventLog('vm', 'i', clock, kept=0)
+    members = Members(Self('vm', 'i', '127.0.0.1', '127.0.0.1:80'))
+    queues = make_queues(Book(clock, events), members, clock, events, Random(1))
+    entry = RunnerEntry(
+        'r1', 0, SERVICE, '127.0.0.1', 90, 'd', 1, RunnerState.READY
+    )
+    queues.of(SERVICE).take_runners([entry], warm=True)
+    return queues
+
+
+def told(caplog: pytest.LogCaptureFixture) -> list[dict[str, object]]:
+    """Return the events about queues."""
+    lines = [each.msg for each in caplog.records if isinstance(each.msg, dict)]
+    return [line for line in lines if line['event'] == 'queue']
+
+
+async def test_a_queue_tells_what_waits_and_what_is_free(
+    queues: Queues, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Full runners, a late owner and a policy that holds can be told apart."""
+    caplog.set_level(logging.INFO, logger=EVENT_LOGGER)
+    log = QueueLog(queues, EventLog('vm', 'i', SystemClock(), kept=0))
+    queue = queues.of(SERVICE)
+    for name, tier in (('a', Tier.HIGH), ('b', Tier.HIGH), ('c', Tier.NORMAL)):
+        queue.ask(ask(name, tier), lambda action: None)
+    queue.ask(ask('b', Tier.HIGH), lambda action: None)
+    log.record()
+    (line,) = told(caplog)
+    expected = {
+        'waiting': '2:1,3:1',
+        'running': 1,
+        'slots': 1,
+        'open_runners': 0,
+        'asked': 3,
+        'repeated': 1,
+        'granted': 1,
+        'refused': 0,
+    }
+    assert expected.items() <= line.items()
+
+
+async def test_a_queue_in_which_nothing_waits_tells_nothing(
+    queues: Queues, caplog: pytest.LogCaptureFixture
+) -> None:
+    """VMs that order nothing add no lines."""
+    caplog.set_level(logging.INFO, logger=EVENT_LOGGER)
+    log = QueueLog(queues, EventLog('vm', 'i', SystemClock(), kept=0))
+    queue = queues.of(SERVICE)
+    queue.ask(ask('a', Tier.HIGH), lambda action: None)
+    queue.ended('a', RunReport('done'))
+    log.record()
+    assert not told(caplog)
