Known red: requests wait and are refused beside free slots of unlike engines

Two faults of the policy, both in how a round of dispatch looks at the queue:

- whether entries are few, and so may be held for a busy faster runner, is told by one workspace's window, not by all that waits; and each takes the next slot of that runner for its own.
With 16 workspaces and three tiers hundreds are held for the same few engines.
- held entries take the six windows that are weighed, so lower ones never see the free slots.

The plays are of the policy alone, in virtual time, so no owner is late in them.

--- /dev/null
+++ b/tests/decisions/engine_play.py
@@ -0,0 +1,259 @@
+"""Plays a policy on unlike engines in virtual time, without an owner's delay.
+
+Engines work as model runners do: a batch of up to `SLOTS` answers, a token of
+each in every step, and steps that take longer while a prompt is being filled.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from math import exp, log
+from random import Random
+from typing import Final, NamedTuple
+
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+)
+from bramleybend.decisions.owner import make_shard_policy
+from bramleybend.direct.owner import SWITCHES
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+
+ENGINES: Final = 30
+SLOTS: Final = 8
+SLOWNESS: Final = (0.55, 1, 2.8)  # times the seconds of a plain engine
+STEP_S: Final = 0.0031
+STEP_OF_A_RUN_S: Final = 0.0001
+CHUNK: Final = 2048  # tokens of a prompt that are filled in one step
+PREFILL_PER_S: Final = 56_900
+EVENT_TOKENS: Final = 7
+COMPLETION_COST: Final = 8
+WORKSPACES: Final = 16
+PATIENCE_S: Final = 4.0  # until the first event
+PACE_RESERVE: Final = 0.3
+LATE_WORTH: Final = 0.1
+
+
+class Spread(NamedTuple):
+    """A log-normal size."""
+
+    mean: float
+    sigma: float
+    most: int
+
+    def draw(self, rng: Random) -> int:
+        """Return one size."""
+        middle = log(self.mean) - self.sigma**2 / 2
+        return int(
+            min(max(rng.lognormvariate(middle, self.sigma), 1), self.most)
+        )
+
+
+class Kind(NamedTuple):
+    """A kind of request, as callers send it."""
+
+    tier: Tier
+    per_s: float
+    prompt: Spread
+    events: Spread
+    objective_s: float
+    deadline_s: float
+
+
+class Burst(NamedTuple):
+    """A time with more requests than usual."""
+
+    begins: float
+    ends: float
+    times: float
+
+
+@dataclass
+class Tally:
+    """What became of one kind's requests."""
+
+    sent: int = 0
+    on_time: int = 0
+    late: int = 0
+
+    @property
+    def worth(self) -> float:
+        """Return the share of the worth that was earned."""
+        return (self.on_time + self.late * LATE_WORTH) / self.sent
+
+
+@dataclass(eq=False)
+class Run:
+    """One request."""
+
+    kind: Kind
+    ask: Ask
+    to_fill: int
+    answer: int
+    made: int = 0
+    granted_at: float = 0
+    is_told: bool = False  # of its first event
+
+
+@dataclass(eq=False)
+class Engine:
+    """One runner."""
+
+    slowness: float
+    waiting: deque[Run] = field(default_factory=deque)
+    batch: list[Run] = field(default_factory=list)
+    is_busy: bool = False
+
+
+class Play:
+    """One play; ask it for its tallies."""
+
+    def __init__(self, seed: int) -> None:
+        """Start with idle engines."""
+        self._rng = Random(seed)
+        self._now = float(0)
+        self._numbers = count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._policy = make_shard_policy(
+            Service('lm', ServiceKind.ENGINE, slots=1),
+            Random(seed),
+            switches=SWITCHES,
+        )
+        self._engines = {
+            f'r{number}': Engine(SLOWNESS[number % len(SLOWNESS)])
+            for number in range(ENGINES)
+        }
+        self._runs: dict[str, Run] = {}
+        self._wake_at = float(0)
+        self.tallies: dict[Kind, Tally] = {}
+        self.refused_half_idle = 0  # with under half of the slots taken
+        infos = [
+            RunnerInfo(name, slots=SLOTS, warm=True) for name in self._engines
+        ]
+        self._act(self._policy.runners(infos, 0))
+
+    def run(self, kinds: tuple[Kind, ...], burst: Burst, ends: float) -> None:
+        """Let callers send requests of all kinds for a while."""
+        for kind in kinds:
+            self.tallies[kind] = Tally()
+            self._plan_arrivals(kind, burst, ends)
+        while self._events and self._events[0][0] < ends + PATIENCE_S:
+            self._now, _, happen = heappop(self._events)
+            happen()
+
+    def _plan_arrivals(self, kind: Kind, burst: Burst, ends: float) -> None:
+        at = float(0)
+        while at < ends:
+            times = burst.times if burst.begins <= at < burst.ends else 1
+            at += self._rng.expovariate(kind.per_s * times)
+            self._plan(at, lambda: self._arrive(kind))
+
+    def _plan(self, at: float, happen: Callable[[], None]) -> None:
+        heappush(self._events, (at, next(self._numbers), happen))
+
+    def _arrive(self, kind: Kind) -> None:
+        prompt = kind.prompt.draw(self._rng)
+        answer = kind.events.draw(self._rng) * EVENT_TOKENS
+        hint = max(answer * exp(self._rng.gauss(0, 0.5)), 1)
+        ask = Ask(
+            request_id=f'q{next(self._numbers)}',
+            service='lm',
+            tier=kind.tier,
+            workspace=f'w{self._rng.randrange(WORKSPACES)}',
+            cost=prompt + COMPLETION_COST * hint,
+            prompt_tokens=prompt,
+            prefixes=(),
+            deadline=self._now + kind.deadline_s * (1 - PACE_RESERVE),
+            cancellable=False,
+            on_time_until=self._now + kind.objective_s,
+            begin_by=self._now + min(PATIENCE_S, kind.deadline_s),
+        )
+        self.tallies[kind].sent += 1
+        self._runs[ask.request_id] = Run(kind, ask, prompt, answer)
+        self._act(self._policy.ask(ask, self._now))
+
+    def _act(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Grant):
+                self._send(self._runs[action.request_id], action.runner)
+            elif isinstance(action, Refuse):
+                self._runs.pop(action.request_id)
+                self.refused_half_idle += self._taken() < ENGINES * SLOTS / 2
+        due = self._policy.next_wake(self._now)
+        if due is not None:
+            self._wake_at = max(due, self._now + 0.001)
+            self._plan(self._wake_at, self._tick)
+
+    def _taken(self) -> int:
+        return sum(
+            len(engine.batch) + len(engine.waiting)
+            for engine in self._engines.values()
+        )
+
+    def _tick(self) -> None:
+        if self._now >= self._wake_at:
+            self._act(self._policy.tick(self._now))
+
+    def _send(self, run: Run, name: str) -> None:
+        engine = self._engines[name]
+        run.granted_at = self._now
+        engine.waiting.append(run)
+        if not engine.is_busy:
+            engine.is_busy = True
+            self._plan(self._now, lambda: self._step(engine))
+
+    def _step(self, engine: Engine) -> None:
+        while engine.waiting and len(engine.batch) < SLOTS:
+            engine.batch.append(engine.waiting.popleft())
+        engine.is_busy = bool(engine.batch)
+        if not engine.is_busy:
+            return
+        streams = [run for run in engine.batch if not run.to_fill]
+        filling = next((run for run in engine.batch if run.to_fill), None)
+        # While nobody fills, the steps of one event are played as one.
+        steps = 1 if filling else EVENT_TOKENS
+        seconds = (STEP_S + STEP_OF_A_RUN_S * len(engine.batch)) * steps
+        if filling:
+            chunk = min(filling.to_fill, CHUNK)
+            filling.to_fill -= chunk
+            seconds += chunk / PREFILL_PER_S
+        self._plan(
+            self._now + seconds * engine.slowness,
+            lambda: self._end_step(engine, streams, steps),
+        )
+
+    def _end_step(self, engine: Engine, streams: list[Run], steps: int) -> None:
+        for run in streams:
+            run.made += steps
+            if not run.is_told and run.made >= EVENT_TOKENS:
+                self._tell_first(run)
+            if run.made >= run.answer:
+                engine.batch.remove(run)
+                self._end(run)
+        self._step(engine)
+
+    def _tell_first(self, run: Run) -> None:
+        run.is_told = True
+        tally = self.tallies[run.kind]
+        if self._now <= run.ask.on_time_until:
+            tally.on_time += 1
+        else:
+            tally.late += 1
+        name, tokens = run.ask.request_id, run.ask.prompt_tokens
+        self._act(self._policy.first_token(name, tokens, 0, self._now))
+
+    def _end(self, run: Run) -> None:
+        report = RunReport(
+            'done',
+            prompt_tokens=run.ask.prompt_tokens,
+            completion_tokens=run.answer,
+            seconds=self._now - run.granted_at,
+        )
+        name = run.ask.request_id
+        self._runs.pop(name)
+        self._act(self._policy.ended(name, report, self._now))
