A long queue holds no request for a faster runner's pace alone

What callers saw: on a deployment with 30 unlike engines requests waited until they were refused or late beside 80 to 130 free slots of 240, above all those of the lower tiers.

Cause: a request is held for a busy runner that would serve it 0.25 s sooner, unless there are entries enough for all runners. Whether there are was told by one workspace's window. With 16 workspaces each window is short, so in a queue of hundreds everybody was held for the few fast engines, up to a second before they would be too late and long after they could be on time. Each event then weighed all of them again against each runner: most of the owner's processor time.

Change: where more wait than there are runners, only a request whose prefix is cached at the other runner is held, as that saves work; and none is held beyond the moment at which it would start late. Waiting for a pace alone saves nothing when the faster runners are in use anyhow.

Ruled out: holding only by the length of the whole queue.

tests/decisions/test_choice.py weighs plainly what dispatch weighs fast: its copy of the rule changes with the rule, and its random states now have objectives.

--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -9,8 +9,9 @@
 least, each place down the line counting as `PLACE_S`, so an entry is passed
 over a bounded number of times. An entry is held for a busy runner that would
 serve it `HOLD_S` sooner, prefill weighed in (`places.OTHERS`), unless it is
-urgent or there are entries enough for all runners. `MOST_WINDOWS` bounds the
-time of one decision. The three were set by judgement; the ablation `holding`
+urgent, would start late, or there are entries enough for all runners; where
+more wait than there are runners, only for one that has its prefix cached.
+`MOST_WINDOWS` bounds the time of one decision. The three were set by judgement; the ablation `holding`
 in docs/BENCHMARKS.md shows what holding is worth.
 """
 
@@ -43,6 +44,7 @@
     entry: Waiting
     runner: Runner
     regret: float  # seconds, beside the best it could wait for
+    saves_work: bool  # waiting for that one would fill fewer tokens
 
 
 def start_waiting(
@@ -115,13 +117,23 @@
     found = [choice for choice in weighed if choice is not None]
     # Enough entries for all runners will use them all; none is held.
     few = len(window) < min(len(places), WINDOW)
-    if few and shard.switches.holding:
-        return [choice for choice in found if not _is_held(choice, now)]
-    return found
+    if not (few and shard.switches.holding):
+        return found
+    are_few_waiting = len(shard.queue) < len(places)
+    return [
+        choice for choice in found if not _is_held(choice, now, are_few_waiting)
+    ]
 
 
-def _is_held(choice: Choice, now: float) -> bool:
-    return choice.regret >= HOLD_S and now < choice.entry.urgent_from
+def _is_held(choice: Choice, now: float, are_few_waiting: bool) -> bool:
+    if choice.regret < HOLD_S:
+        return False
+    # A long queue uses the faster runners anyway: held for their pace alone,
+    # it would leave the others idle.
+    if not (are_few_waiting or choice.saves_work):
+        return False
+    entry = choice.entry
+    return now < min(entry.urgent_from, entry.on_time_until - HOLD_S)
 
 
 def _weigh(
@@ -141,7 +153,8 @@
     if standing.runner is None:
         return None
     regret = standing.cost - standing.least + position * PLACE_S
-    return Choice(entry, standing.runner, regret)
+    saves_work = standing.least_prefill < standing.prefill
+    return Choice(entry, standing.runner, regret, saves_work)
 
 
 def _by_regret(choice: Choice) -> float:
@@ -191,6 +204,9 @@
         return inf
     times = list(shard.floors.values())
     times.extend(shard.queue.next_urgent(tier, now) for tier in Tier)
+    times.extend(
+        shard.queue.next_late(tier, now + HOLD_S) - HOLD_S for tier in Tier
+    )
     times.extend(
         runner.ramp.next_step(runner.limit.value, now) for runner in shard.pool
     )
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -222,7 +222,9 @@
         has_moved = shard.switches.on_time_first and (
             shard.queue.pass_over_late(now)
         )
-        if actions or has_moved or now >= self._settled_until:
+        # With as many entries as runners, what was held is held no longer.
+        ends_holding = len(shard.queue) == len(shard.pool)
+        if actions or has_moved or ends_holding or now >= self._settled_until:
             added = None
         actions.extend(start_waiting(shard, now, added))
         actions.extend(preempt(shard, now))
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -109,6 +109,8 @@
     runner: Runner | None  # none may take it
     cost: float  # there, seconds
     least: float  # of all places, the wait for each included
+    prefill: int = 0  # tokens to fill there
+    least_prefill: int = 0  # tokens to fill where it costs least
 
 
 def best_of(places: Sequence[Place], ask: Ask, left: TimeLeft) -> Standing:
@@ -143,10 +145,13 @@
         prefill = place.prefill_tokens(ask)
         seconds = place.fill + (prefill / place.pace.prefill + decoding)
         cost = seconds + prefill / place.mean.prefill * OTHERS + lost
-        standing.least = min(standing.least, cost)
+        if cost < standing.least:
+            standing.least = cost
+            standing.least_prefill = prefill
         if cost < standing.cost and place.may_start(prefill, seconds, left):
             standing.runner = place.runner
             standing.cost = cost
+            standing.prefill = prefill
 
 
 def _weigh_busy(
@@ -165,6 +170,7 @@
         cost = seconds + others + lost + place.wait
         if cost < standing.least:
             standing.least = cost
+            standing.least_prefill = prefill
 
 
 def time_left(ask: Ask, now: float) -> TimeLeft:
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -31,6 +31,10 @@
         """Go over the runners."""
         return iter(self._runners.values())
 
+    def __len__(self) -> int:
+        """Count the runners that get new work."""
+        return sum(not runner.leaving for runner in self._runners.values())
+
     def get(self, name: str) -> Runner | None:
         """Return a runner, if it is known."""
         return self._runners.get(name)
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -286,6 +286,13 @@
         later = self._tiers[tier].urgent.irange(minimum=(now, LAST_ID))
         return next(later, (inf, ''))[0]
 
+    def next_late(self, tier: int, after: float) -> float:
+        """Return the next time after which an entry would start late."""
+        if tier not in self._tiers:
+            return inf
+        later = self._tiers[tier].objectives.irange(minimum=(after, LAST_ID))
+        return next(later, (inf, ''))[0]
+
     def next_due(self, tier: int) -> float:
         """Return the earliest latest start in a tier."""
         expiry = self._tiers[tier].expiry if tier in self._tiers else ()
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -82,10 +82,15 @@
         if not taken:
             continue
         best = min(taken, key=lambda one: plain_cost(one, ask))
-        least = min(plain_cost(one, ask) + one.wait for one in able)
+        least_at = min(able, key=lambda one: plain_cost(one, ask) + one.wait)
+        least = plain_cost(least_at, ask) + least_at.wait
         regret = plain_cost(best, ask) - least + position * PLACE_S
-        if not hold or regret < HOLD_S or entry.urgent_from <= NOW:
-            yield Choice(entry, best.runner, regret)
+        saves = least_at.prefill_tokens(ask) < best.prefill_tokens(ask)
+        worth_it = saves or len(shard.queue) < len(places)
+        held_until = min(entry.urgent_from, entry.on_time_until - HOLD_S)
+        held = hold and worth_it and regret >= HOLD_S and held_until > NOW
+        if not held:
+            yield Choice(entry, best.runner, regret, saves)
 
 
 def plain_choice(shard: Shard) -> Choice | None:
@@ -114,6 +119,7 @@
         begin_by=NOW + rng.choice([0.1, 0.5, 2, inf]),
         cancellable=False,
         excluded=frozenset(rng.sample(['r0', 'r1', 'r2'], rng.randint(0, 2))),
+        on_time_until=NOW + rng.choice([0.1, 0.5, 2, inf]),
     )
 
 
