Entries that may not start hide no others from free slots

What callers saw: a short request of a lower tier waited beside free slots, or was refused, while eight requests above it were held for faster runners.

Cause: a decision weighed the next six windows (a workspace's next entries of one tier) and gave up if none of them had a choice. Six workspaces whose requests are held, or whose prompts no runner may fill now, took all six.

Change: the bound is on entries weighed, 72 as before, not on windows. An entry that is too long for any runner at the moment costs one comparison and no longer counts. So the longest decision takes as long as before.

--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -11,12 +11,12 @@
 serve it `HOLD_S` sooner, prefill weighed in (`places.OTHERS`), unless it is
 urgent, would start late, or there are entries enough for all runners; where
 more wait than there are runners, only for one that has its prefix cached.
-`MOST_WINDOWS` bounds the time of one decision. The three were set by judgement; the ablation `holding`
-in docs/BENCHMARKS.md shows what holding is worth.
+`MOST_WEIGHED` bounds the time of one decision. The three were set by
+judgement; the ablation `holding` in docs/BENCHMARKS.md shows what holding is
+worth.
 """
 
 from dataclasses import dataclass
-from itertools import islice
 from math import inf
 
 from bramleybend.decisions.actions import Action, Grant
@@ -34,7 +34,7 @@
 
 PLACE_S = 0.05
 HOLD_S = 0.25
-MOST_WINDOWS = 6
+MOST_WEIGHED = 6 * WINDOW  # entries, in as many windows as that takes
 
 
 @dataclass(frozen=True)
@@ -74,27 +74,22 @@
     """
     if not shard.queue or not shard.pool.has_room(now):
         return None
-    windows = [
-        window
-        for window in islice(
-            shard.queue.windows(shard.lowest_tier(now)), MOST_WINDOWS
-        )
-        if added is None or _holds(window, added)
-    ]
-    return _first_choice(shard, windows, now)
-
-
-def _first_choice(
-    shard: Shard, windows: list[list[Waiting]], now: float
-) -> Choice | None:
-    if not windows:
-        return None
     places = places_of(shard, now)
     longest = max(place.most_prefill() for place in places)
-    for window in windows:
-        choices = _choices(shard, window, places, longest, now)
-        if choices:
-            return min(choices, key=_by_regret)
+    weighed = 0
+    for window in shard.queue.windows(shard.lowest_tier(now)):
+        able = [
+            (position, entry)
+            for position, entry in enumerate(window)
+            if entry.least_prefill <= longest
+        ]
+        if added is None or _holds(window, added):
+            choices = _choices(shard, able, len(window), places, now)
+            if choices:
+                return min(choices, key=_by_regret)
+        weighed += len(able)
+        if weighed >= MOST_WEIGHED:
+            return None
     return None
 
 
@@ -104,19 +99,18 @@
 
 def _choices(
     shard: Shard,
-    window: list[Waiting],
+    able: list[tuple[int, Waiting]],
+    length: int,
     places: list[Place],
-    longest: float,
     now: float,
 ) -> list[Choice]:
     weighed = (
         _weigh(entry, position, places, now, shard.switches.expiry)
-        for position, entry in enumerate(window)
-        if entry.least_prefill <= longest
+        for position, entry in able
     )
     found = [choice for choice in weighed if choice is not None]
     # Enough entries for all runners will use them all; none is held.
-    few = len(window) < min(len(places), WINDOW)
+    few = length < min(len(places), WINDOW)
     if not (few and shard.switches.holding):
         return found
     are_few_waiting = len(shard.queue) < len(places)
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import replace
-from itertools import islice
 from math import inf
 from random import Random
 from typing import Any
@@ -14,7 +13,7 @@
 from bramleybend.decisions.cache_view import CacheView
 from bramleybend.decisions.dispatch import (
     HOLD_S,
-    MOST_WINDOWS,
+    MOST_WEIGHED,
     PLACE_S,
     Choice,
     choose,
@@ -97,10 +96,15 @@
     """Return what a weighing of everything against everything would start."""
     places = places_of(shard, NOW)
     windows = shard.queue.windows(shard.lowest_tier(NOW))
-    for window in islice(windows, MOST_WINDOWS):
+    longest = max((one.most_prefill() for one in places), default=-1)
+    weighed = 0
+    for window in windows:
         choices = list(plain_choices(shard, window, places))
         if choices:
             return min(choices, key=lambda one: one.regret)
+        weighed += sum(entry.least_prefill <= longest for entry in window)
+        if weighed >= MOST_WEIGHED:
+            return None
     return None
 
 
