Entry VMs hold no request for a better runner

Holding keeps a slot free for whoever has its prefix cached there. Callers of the raw path tell no prefixes, so all that is left is waiting for a faster engine. A held request is weighed again at every event.

The plays of tests/decisions/test_free_slots.py run both ways, so the rule of the owners that do hold stays covered.

--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -44,9 +44,10 @@
 IDLE_PART: Final = 0.75
 SHORTEST_TIMER_S: Final = 0.001  # a timer that fires early would spin
 # Engines are not preempted: a stream that is cut after its head was sent
-# can't be answered any more.
+# can't be answered any more. Nothing is held for a better runner: callers of
+# the raw path tell no prefixes, so it would save no work.
 SWITCHES: Final = Switches(
-    preemption=False, limits=False, floor_at_refusal=False
+    preemption=False, limits=False, floor_at_refusal=False, holding=False
 )
 
 
--- a/tests/decisions/engine_play.py
+++ b/tests/decisions/engine_play.py
@@ -21,7 +21,7 @@
     RunReport,
 )
 from bramleybend.decisions.owner import make_shard_policy
-from bramleybend.direct.owner import SWITCHES
+from bramleybend.decisions.switches import Switches
 from bramleybend.models import Ask, Service, ServiceKind, Tier
 
 ENGINES: Final = 30
@@ -113,7 +113,7 @@
 class Play:
     """One play; ask it for its tallies."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, switches: Switches) -> None:
         """Start with idle engines."""
         self._rng = Random(seed)
         self._now = float(0)
@@ -122,7 +122,7 @@
         self._policy = make_shard_policy(
             Service('lm', ServiceKind.ENGINE, slots=1),
             Random(seed),
-            switches=SWITCHES,
+            switches=switches,
         )
         self._engines = {
             f'r{number}': Engine(SLOWNESS[number % len(SLOWNESS)])
--- a/tests/decisions/test_free_slots.py
+++ b/tests/decisions/test_free_slots.py
@@ -1,5 +1,6 @@
 """Free slots of unlike engines beside requests that wait."""
 
+from dataclasses import replace
 from random import Random
 from typing import Final
 
@@ -12,6 +13,7 @@
     RunReport,
 )
 from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
+from bramleybend.decisions.switches import Switches
 from bramleybend.direct.owner import SWITCHES
 from bramleybend.models import Ask, Service, ServiceKind, Tier
 from tests.decisions.engine_play import (
@@ -53,6 +55,9 @@
 LENGTH_S: Final = 10.0
 FLOOR: Final = 0.42  # share of its worth that each kind has to earn
 SEEDS: Final = (1, 2, 3)
+# As entry VMs decide, and as the owners of the product's own interface do.
+BOTH: Final = (SWITCHES, replace(SWITCHES, holding=True))
+NAMES: Final = ('raw path', 'holding')
 
 SLOTS: Final = 4
 WORKSPACES: Final = 16  # more than the runners, with a request each
@@ -62,10 +67,10 @@
 NOW: Final = 1000.0
 
 
-@pytest.fixture(scope='module')
-def plays() -> list[Play]:
+@pytest.fixture(scope='module', params=BOTH, ids=NAMES)
+def plays(request: pytest.FixtureRequest) -> list[Play]:
     """Play the load with each seed."""
-    played = [Play(seed) for seed in SEEDS]
+    played = [Play(seed, request.param) for seed in SEEDS]
     for play in played:
         play.run(KINDS, BURST, LENGTH_S)
     return played
@@ -100,10 +105,10 @@
     policy.ended(name, report, begins + seconds)
 
 
-def taught(pairs: int = 1) -> ShardPolicy:
+def taught(switches: Switches, pairs: int = 1) -> ShardPolicy:
     """Return a policy that knows full fast engines and free slow ones."""
     service = Service('lm', ServiceKind.ENGINE, slots=1)
-    policy = make_shard_policy(service, Random(1), switches=SWITCHES)
+    policy = make_shard_policy(service, Random(1), switches=switches)
     paces = [(f'fast-{number}', 0.4) for number in range(pairs)]
     paces += [(f'slow-{number}', 0.9) for number in range(pairs)]
     infos = [RunnerInfo(name, slots=SLOTS, warm=True) for name, _ in paces]
@@ -127,16 +132,22 @@
     ]
 
 
-def test_requests_of_many_workspaces_do_not_all_wait_for_one_slot() -> None:
-    policy = taught()
+@pytest.mark.parametrize('switches', BOTH, ids=NAMES)
+def test_requests_of_many_workspaces_do_not_all_wait_for_one_slot(
+    switches: Switches,
+) -> None:
+    policy = taught(switches)
     started: list[str] = []
     for number in range(WORKSPACES):
         started += granted(policy.ask(ask(f'w{number}', Tier.HIGH), NOW))
     assert len(started) == SLOTS
 
 
-def test_held_requests_do_not_hide_a_lower_one_from_free_slots() -> None:
-    policy = taught(ENOUGH)
+@pytest.mark.parametrize('switches', BOTH, ids=NAMES)
+def test_held_requests_do_not_hide_a_lower_one_from_free_slots(
+    switches: Switches,
+) -> None:
+    policy = taught(switches, ENOUGH)
     for number in range(HELD):
         policy.ask(ask(f'w{number}', Tier.HIGH), NOW)
     brief = ask('brief', Tier.NORMAL, tokens=50, answer=2)
