A request that may end too late is tried rather than refused beside free runners

What callers saw: after a wait of 4 s the longest answers were told "deadline unmet" while over half of the slots were free and nothing else waited.

Cause: a run that is expected to end after its deadline starts on an idle runner only, and under a light load every runner has something to do. The expectation is the caller's own hint of the length, which is often far off.

Change: while no more wait than runners are free, such a request starts once it is urgent. It takes a slot that nobody asks for.

--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -11,6 +11,8 @@
 serve it `HOLD_S` sooner, prefill weighed in (`places.OTHERS`), unless it is
 urgent, would start late, or there are entries enough for all runners; where
 more wait than there are runners, only for one that has its prefix cached.
+With a free runner for each entry, one that is expected to end too late is tried
+once it is urgent, rather than refused beside idle runners.
 `MOST_WEIGHED` bounds the time of one decision. The three were set by
 judgement; the ablation `holding` in docs/BENCHMARKS.md shows what holding is
 worth.
@@ -104,8 +106,16 @@
     places: list[Place],
     now: float,
 ) -> list[Choice]:
+    is_free_for_all = len(shard.queue) <= sum(one.free for one in places)
     weighed = (
-        _weigh(entry, position, places, now, shard.switches.expiry)
+        _weigh(
+            entry,
+            position,
+            places,
+            now,
+            shard.switches.expiry
+            and not (is_free_for_all and entry.urgent_from <= now),
+        )
         for position, entry in able
     )
     found = [choice for choice in weighed if choice is not None]
