A request that may run once is stopped when its caller leaves, unless it was sent

What callers saw: bookings ran up to 1.2 s after their callers had left while they waited for a slot (GONE), and took slots from others.

Cause: what may run once is shielded from its caller's leaving, as cut off at a runner it would be half done. The shield also covered the wait for a slot and the next try after a refusal, where stopping costs nothing.

A booking that is at its runner still runs to its end (test_callers.py).

Change: the task behind the shield is cancelled unless its attempt was sent, and nothing is sent again for a caller that left.

--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -5,7 +5,7 @@
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.resends import ResendBudget
-from bramleybend.direct.attempt import Failure
+from bramleybend.direct.attempt import Attempt, Failure
 from bramleybend.direct.book import Book
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.containment import Containment
@@ -37,6 +37,7 @@
     first_event_at: float | None = None  # monotonic
     last_event_at: float | None = None  # monotonic
     left_at: float | None = None  # monotonic; its caller's leaving
+    attempt: Attempt | None = None  # under way
     trail: list[str] = field(default_factory=list)  # runners it was sent to
 
     @property
@@ -45,6 +46,11 @@
         since = self.last_event_at or self.req.received_at
         return min(self.ends_at, since + self.terms.route.event_patience_s)
 
+    @property
+    def is_at_runner(self) -> bool:
+        """Whether a runner may be working on it."""
+        return self.attempt is not None and self.attempt.sent
+
 
 @dataclass(frozen=True)
 class Parts:
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -94,12 +94,18 @@
     async def _to_its_end(self, job: Job) -> Reply:
         """Run what may run once to its end, also when its caller leaves.
 
-        Cut off, it would be half done, and nobody could tell.
+        Cut off at a runner, it would be half done, and nobody could tell.
         """
         task = asyncio.create_task(self._plain(job))
         self._behind.add(task)
         task.add_done_callback(self._behind.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            job.left_at = self._tries.now()
+            if not job.is_at_runner:
+                task.cancel()
+            raise
 
     async def _plain(self, job: Job) -> Reply:
         """Send until there is an answer to pass on."""
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -71,13 +71,14 @@
 
     def attempt(self, job: Job, placed: Placement) -> Attempt:
         """Prepare to send a job to a runner."""
-        return Attempt(
+        job.attempt = Attempt(
             self._parts.channels,
             self._parts.dialect,
             self._parts.limits,
             placed.runner,
             job.facts.attempt_id,
         )
+        return job.attempt
 
     def outgoing(self, job: Job, runner: RunnerEntry) -> Outgoing:
         """Return the request as the runner gets it."""
@@ -99,6 +100,7 @@
         events: int = 0,
     ) -> None:
         """Give the slot back and tell how the run went."""
+        job.attempt = None
         failure = outcome if isinstance(outcome, Failure) else None
         if failure is None or failure.fate is Fate.MAY_HAVE_RUN:
             job.ran_on += 1
@@ -121,6 +123,8 @@
 
     def may_resend(self, job: Job, failure: Failure) -> bool:
         """Tell whether a job without an answer may go to another runner."""
+        if job.left_at is not None:
+            return False
         if failure.fate is Fate.MAY_HAVE_RUN:
             return job.terms.route.may_repeat and self.within_bounds(job)
         job.refusals += 1
