A connection that is dropped doesn't deliver its request afterwards

What callers saw: work for callers that had left (GONE): a request that was still on its way, in a full link or a runner's queue of new connections, was read whole with an orderly end, and ran.

Cause: an aborted transport drops what the process holds and closes the socket in order, so the kernel goes on sending what it was given.

Change: the connection is reset, which drops that, and which a runner can tell from the end of a request.

Evidence: tests/direct/test_left_callers.py: a listener that accepts after the caller left read the whole request before, now it gets a reset.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -9,8 +9,10 @@
 """
 
 import asyncio
+import logging
 import re
 import socket
+import struct
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
 from typing import Final, TypeAlias
@@ -20,6 +22,8 @@
 from bramleybend.clients.h11_protocol import H11Protocol
 from bramleybend.clock import Clock
 
+logger = logging.getLogger(__name__)
+
 HeaderList: TypeAlias = Sequence[tuple[bytes, bytes]]
 
 # Within a failure domain a connection stands in 1 ms, across them in 2; a
@@ -35,6 +39,7 @@
 # A stated timeout runs at the peer; ours ends sooner by a round trip and the
 # time a busy peer takes to read.
 IDLE_MARGIN: Final = 0.7
+NO_LINGER: Final = struct.pack('ii', 1, 0)  # on, for no time
 _TIMEOUT_FORM: Final = re.compile(rb'timeout\s*=\s*(\d+)')
 
 
@@ -103,6 +108,19 @@
         super().eof_received()
         return self._busy
 
+    def abort(self) -> None:
+        """Drop the connection, and what its peer has not read yet.
+
+        Closed in order, the kernel would still deliver a request that was
+        written, and the peer would run it for nobody.
+        """
+        sock = self.transport.get_extra_info('socket')
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        except OSError as exc:
+            logger.debug('a connection is closed in order: %s', exc)
+        super().abort()
+
     @property
     def usable(self) -> bool:
         """Whether another request may be sent on it."""
