Before a request is sent its VM looks once more whether anyone waits for it

Between the grant of a slot and the write to the runner a connection may have to be opened (up to 0.4 s), and a late event loop may read a grant before the close that makes it void. Nothing looked again: the request was sent with the time that was left before, and also when none was left.

Change: after the connection stands, the event loop gets the turns in which a close that has come cancels the request; then the caller's time is looked at, and only then is the request made, with the time that is left now. A connection on which nothing was sent is kept. Not sent for this reason is no failure of the runner.

tests/direct/test_attempt.py: sent 0.05 s after the caller's time before, not now.

--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -1,7 +1,7 @@
 """One request at one runner, and what is certain of it afterwards."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
@@ -16,10 +16,14 @@
 from bramleybend.direct.runner_limits import RunnerLimits
 from bramleybend.direct.sse import Event, EventSplitter
 
+TIMEOUT: Final = 'timeout'
 MAX_ANSWER: Final = 33_554_432  # bytes, 32 MiB of an answer that is no stream
 # Answers of earlier requests that are passed over before a connection is
 # given up; a runner sends one late or second answer, not a series.
 MOST_FOREIGN: Final = 2
+# Turns of the event loop: the first one polls the sockets, the second one
+# tells a task that its caller left, the third one whoever works for that task.
+TURNS_TO_HEAR: Final = 3
 # The rest of a refusal is a few bytes that came with its head.
 DISCARD_S: Final = 0.1
 BROKEN: Final = (OSError, EOFError, h11.ProtocolError)
@@ -80,17 +84,25 @@
         """Tell whether the runner has closed its end of the connection."""
         return self._channel is not None and self._channel.peer_ended
 
-    async def begin(self, outgoing: Outgoing) -> Head | Failure:
-        """Send the request and read the head of its answer."""
+    async def begin(
+        self, make_outgoing: Callable[[], Outgoing], send_by: float
+    ) -> Head | Failure:
+        """Send the request and read the head of its answer.
+
+        Nothing is sent after `send_by`, monotonic seconds.
+        """
         try:
             self._channel = await self._channels.take(self.runner)
         except OSError as exc:
             return Failure(
                 Fate.NOT_RUN, f'no connection: {exc}', unreachable=True
             )
+        await _catch_up()
         sent_at = self._limits.now()
+        if sent_at >= send_by:
+            return Failure(Fate.NOT_RUN, TIMEOUT)
         try:
-            await self._send(self._channel, outgoing)
+            await self._send(self._channel, make_outgoing())
             head = await self._own_head(self._channel)
         except BROKEN as exc:
             return self._broken(exc)
@@ -198,3 +210,13 @@
             unreachable=isinstance(exc, TimeoutError),
             broken=ended,
         )
+
+
+async def _catch_up() -> None:
+    """Let the event loop take in what has come, a caller's close among it.
+
+    Where the loop is late, a grant may be read before the close that makes
+    it void.
+    """
+    for _ in range(TURNS_TO_HEAR):
+        await asyncio.sleep(0)
--- a/bramleybend/direct/channels.py
+++ b/bramleybend/direct/channels.py
@@ -46,8 +46,14 @@
             self._open[runner.incarnation] -= 1
 
     def drop(self, runner: RunnerEntry, channel: Channel) -> None:
-        """Drop a connection in the middle of an exchange."""
-        self._drop(runner.incarnation, channel)
+        """Drop a connection in the middle of an exchange.
+
+        One on which nothing was sent is kept.
+        """
+        if channel.usable:
+            self._idle[runner.incarnation].append(channel)
+        else:
+            self._drop(runner.incarnation, channel)
 
     def keep_only(self, incarnations: set[str]) -> None:
         """Close what leads to runners that are gone."""
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -1,6 +1,7 @@
 """Serves one request of the raw path from its arrival to its answer."""
 
 import asyncio
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -131,7 +132,8 @@
         try:
             async with asyncio.timeout(self._tries.left(job)):
                 head = await attempt.begin(
-                    self._tries.outgoing(job, placed.runner)
+                    partial(self._tries.outgoing, job, placed.runner),
+                    job.event_by,
                 )
                 outcome = (
                     head
@@ -188,7 +190,8 @@
         try:
             async with asyncio.timeout(self._tries.left(job)):
                 head = await attempt.begin(
-                    self._tries.outgoing(job, placed.runner)
+                    partial(self._tries.outgoing, job, placed.runner),
+                    job.event_by,
                 )
                 outcome = (
                     head
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -7,6 +7,7 @@
 from bramleybend.clients.channel import Outgoing
 from bramleybend.decisions.actions import RunReport
 from bramleybend.direct.attempt import (
+    TIMEOUT,
     Attempt,
     Failure,
     Fate,
@@ -31,9 +32,9 @@
 RETRY_REFUSED_S: Final = 0.3
 # Of the time left for a stream: its pace falls as others join its runner.
 PACE_RESERVE: Final = 0.3
-TIMEOUT: Final = 'timeout'
 DONE: Final = 'done'
 FAILED: Final = 'failed'
+UNSENT: Final = 'unsent'
 LEFT: Final = Failure(Fate.MAY_HAVE_RUN, 'its caller left')
 
 
@@ -109,10 +110,9 @@
             self._parts.containment.finished(job.fingerprint)
         else:
             self._note_failure(job, placed, failure)
-        failed = failure is not None or _is_failure(job, outcome)
         made = events * self._parts.event_tokens(job.terms.service)
         report = RunReport(
-            FAILED if failed else DONE,
+            _outcome_of(job, outcome),
             refused=bool(failure and failure.full),
             crashed=bool(failure and failure.unreachable),
             prompt_tokens=job.facts.prompt_tokens,
@@ -265,6 +265,15 @@
         )
 
 
+def _outcome_of(job: Job, outcome: WholeAnswer | Failure | None) -> str:
+    if not isinstance(outcome, Failure):
+        return FAILED if _is_failure(job, outcome) else DONE
+    is_unsent = outcome.fate is Fate.NOT_RUN and not (
+        outcome.full or outcome.unreachable
+    )
+    return UNSENT if is_unsent else FAILED
+
+
 def _is_failure(job: Job, outcome: WholeAnswer | Failure | None) -> bool:
     """Tell whether an answer that is passed on is a runner's failure.
 
--- /dev/null
+++ b/tests/direct/test_attempt.py
@@ -0,0 +1,58 @@
+"""One try at a runner."""
+
+import asyncio
+from typing import Any, cast
+
+from bramleybend.clients.channel import Channel, Outgoing
+from bramleybend.clock import SystemClock
+from bramleybend.direct.attempt import Attempt, Failure, Fate
+from bramleybend.direct.channels import RunnerChannels
+from bramleybend.direct.models import RunnerEntry, RunnerState
+from bramleybend.direct.runner_limits import RunnerLimits
+from bramleybend.events import EventLog
+from bramleybend.platform.headers import make_dialect
+
+OPENING_S = 0.1
+RUNNER = RunnerEntry('r1', 1, 'app', '127.0.0.1', 80, 'a', 4, RunnerState.READY)
+
+
+class SlowChannels:
+    """Opens a connection after a while; notes what became of it."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.kept = False
+
+    async def take(self, runner: RunnerEntry) -> Channel:
+        """Return a connection that can't be written to."""
+        await asyncio.sleep(OPENING_S)
+        return cast(Channel, object())
+
+    def drop(self, runner: RunnerEntry, channel: Channel) -> None:
+        """Take a connection back."""
+        self.kept = True
+
+
+def unused() -> Outgoing:
+    """Fail: a request that is not sent is not made."""
+    raise AssertionError('the request was made')
+
+
+async def test_nothing_is_sent_once_the_connection_opens_too_late() -> None:
+    """A runner gets no request whose caller's time ended meanwhile."""
+    clock = SystemClock()
+    channels = SlowChannels()
+    attempt = Attempt(
+        cast(RunnerChannels, channels),
+        make_dialect(),
+        RunnerLimits(clock, cast(EventLog, cast(Any, None))),
+        RUNNER,
+        'a1',
+    )
+    send_by = clock.monotonic() + OPENING_S / 2
+    outcome = await attempt.begin(unused, send_by)
+    assert isinstance(outcome, Failure)
+    assert outcome.fate is Fate.NOT_RUN
+    assert not attempt.sent
+    attempt.cancel()
+    assert channels.kept
