An owner reads all datagrams that have come and decides once for them

An owner decided at each message: each ask, first token and end of a run weighed what waits, worked out the next wake and set a timer. The event loop hands over one datagram a turn, so in a burst asks waited behind each other's decisions; an ask that has no word within 0.12 s is said again and then ordered by each VM for itself.

A request that gets its slot in that turn gets no acknowledgement before. Decisions are those of the policy; in one turn a higher tier now goes before a lower one that was read first.

The tests of the queue's log line need an event loop now, as a queue decides in one.

--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -32,13 +32,20 @@
 
 
 class ShardPolicy:
-    """Decides for one shard; every method returns what to do now."""
+    """Decides for one shard; every method returns what to do now.
 
-    def __init__(self, shard: Shard) -> None:
+    A batched policy only takes in what happened; `tick` decides for all of it
+    at once.
+    """
+
+    def __init__(self, shard: Shard, *, batched: bool = False) -> None:
         """Take over an empty shard."""
         self._shard = shard
+        self._batched = batched
+        self._added: str | None = None
         self._now = -inf
         self._listed = False
+        self.is_undecided = False  # something happened since the last `tick`
         # Until then what waits can't start, unless something happens.
         self._settled_until = -inf
 
@@ -162,7 +169,10 @@
 
     def tick(self, now: float) -> list[Action]:
         """Do what has become due."""
-        return self._act(self._advance(now))
+        added = self._added
+        self._added = None
+        self.is_undecided = False
+        return self._decide(self._advance(now), added)
 
     def next_wake(self, now: float) -> float | None:
         """Return when `tick` has something to do, if nothing else happens."""
@@ -217,6 +227,13 @@
         return self._now
 
     def _act(self, now: float, added: str | None = None) -> list[Action]:
+        if not self._batched:
+            return self._decide(now, added)
+        self._added = None if self.is_undecided else added
+        self.is_undecided = True
+        return []
+
+    def _decide(self, now: float, added: str | None) -> list[Action]:
         shard = self._shard
         actions = expire(shard, now)
         has_moved = shard.switches.on_time_first and (
@@ -237,6 +254,8 @@
     rng: Random,
     weights: Mapping[str, float] | None = None,
     switches: Switches | None = None,
+    *,
+    batched: bool = False,
 ) -> ShardPolicy:
     """Make the policy of an empty shard; weights are the workspaces'."""
     switches = switches or Switches()
@@ -257,4 +276,4 @@
         rng=rng,
         switches=switches,
     )
-    return ShardPolicy(shard)
+    return ShardPolicy(shard, batched=batched)
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -29,6 +29,7 @@
 from bramleybend.models import Ask, Service, ServiceKind, Tier
 
 Reply: TypeAlias = Callable[[Grant | Refuse], None]
+Acknowledge: TypeAlias = Callable[[], None]
 
 # A run that its VM's heartbeats don't tell of this long after the grant has
 # ended, and the message that said so was lost. VMs tell owners of their runs
@@ -58,7 +59,7 @@
         """Start empty."""
         self._clock = clock
         self._policy: ShardPolicy = make_shard_policy(
-            service, rng, switches=SWITCHES
+            service, rng, switches=SWITCHES, batched=True
         )
         self._replies: dict[str, Reply] = {}
         self._asked_at: dict[str, float] = {}
@@ -66,36 +67,42 @@
         self._told: dict[str, frozenset[str]] = {}  # by VM, its runs here
         self._told_at: dict[str, float] = {}  # by VM
         self._timer: asyncio.TimerHandle | None = None
-        self._counts: Counter[str] = Counter()
+        self._turn: asyncio.Handle | None = None
+        self._unacknowledged: dict[str, Acknowledge] = {}
+        self.counts: Counter[str] = Counter()  # what was asked and decided
 
-    def ask(self, ask: Ask, reply: Reply) -> None:
-        """Queue a request; said again, it only stays."""
+    def ask(
+        self, ask: Ask, reply: Reply, acknowledge: Acknowledge | None = None
+    ) -> None:
+        """Queue a request; said again, it only stays.
+
+        `acknowledge` is called unless `reply` is called in the same turn of
+        the event loop.
+        """
         now = self._clock.monotonic()
         is_repeat = ask.request_id in self._replies
-        self._counts['repeated' if is_repeat else 'asked'] += 1
+        self.counts['repeated' if is_repeat else 'asked'] += 1
         self._replies[ask.request_id] = reply
         self._asked_at[ask.request_id] = now
+        if acknowledge is not None:
+            self._unacknowledged[ask.request_id] = acknowledge
         self._act(self._policy.ask(ask, now))
-
-    def waits(self, request_id: str) -> bool:
-        """Tell whether a request has neither a slot nor a refusal."""
-        return request_id in self._replies
+        if self._turn is None:
+            self._acknowledge()
 
     def is_idle(self) -> bool:
         """Tell whether nothing waits, and the slots are far from full."""
+        if self._policy.is_undecided:
+            self._decide()
         load = self._policy.load()
         return not load.waiting and load.running < load.limit * IDLE_PART
 
     def backlog(self) -> Backlog | None:
         """Return what waits here, unless nothing does."""
+        if self._policy.is_undecided:
+            self._decide()
         return self._policy.backlog(self._clock.monotonic())
 
-    def take_counts(self) -> Mapping[str, int]:
-        """Return what was asked and decided since the last call."""
-        counts = self._counts
-        self._counts = Counter()
-        return counts
-
     def withdraw(self, request_id: str) -> None:
         """Forget a request, waiting or running."""
         self._replies.pop(request_id, None)
@@ -184,10 +191,30 @@
         self._granted_at.pop(request_id, None)
 
     def _act(self, actions: Sequence[Action]) -> None:
+        self._answer_all(actions)
+        if self._policy.is_undecided and self._turn is None:
+            loop = asyncio.get_running_loop()
+            self._turn = loop.call_soon(self._decide)
+
+    def _decide(self) -> None:
+        """Decide once for all that came in this turn of the event loop."""
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
+        self._answer_all(self._policy.tick(self._clock.monotonic()))
+        self._acknowledge()
+        self._set_timer()
+
+    def _answer_all(self, actions: Sequence[Action]) -> None:
         for action in actions:
             if isinstance(action, Grant | Refuse):
                 self._answer(action)
-        self._set_timer()
+
+    def _acknowledge(self) -> None:
+        for request_id, acknowledge in self._unacknowledged.items():
+            if request_id in self._replies:
+                acknowledge()
+        self._unacknowledged.clear()
 
     def _answer(self, action: Grant | Refuse) -> None:
         request_id = action.request_id
@@ -195,9 +222,9 @@
         reply = self._replies.pop(request_id, None)
         if isinstance(action, Grant):
             self._granted_at[request_id] = self._clock.monotonic()
-            self._counts['granted'] += 1
+            self.counts['granted'] += 1
         else:
-            self._counts['refused'] += 1
+            self.counts['refused'] += 1
         if reply is not None:
             reply(action)
 
@@ -210,13 +237,9 @@
         if due is not None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(
-                max(due - now, SHORTEST_TIMER_S), self._tick
+                max(due - now, SHORTEST_TIMER_S), self._decide
             )
 
-    def _tick(self) -> None:
-        self._timer = None
-        self._act(self._policy.tick(self._clock.monotonic()))
-
 
 def ask_of(run: RunNews, now: float) -> Ask:
     """Tell what is known of a run that another VM has."""
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -8,20 +8,19 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from functools import partial
-from typing import Any, Final, Protocol, TypeAlias
+from typing import Any, Final, Protocol
 
 import msgspec
 
 from bramleybend.clock import Clock
 from bramleybend.direct.audience import Audience, Receiver
 from bramleybend.direct.beat_messages import Beat, Digest, Scope, Spent, Unknown
+from bramleybend.direct.datagrams import Datagram, Endpoint, bind, waiting
 from bramleybend.direct.digests import Digests, Heard, member_of
 from bramleybend.direct.members import ALIVE_S, BEAT_S, Member, Members
 from bramleybend.direct.messages import Message, decode, encode
 from bramleybend.events import EventLog
 
-Endpoint: TypeAlias = tuple[str, int]
-
 # Between two heartbeats; 0.2 s of a link of 5 Mbit/s.
 LARGE_BYTES: Final = 131_072
 
@@ -86,6 +85,7 @@
         self._events = events
         self._names: dict[str, str] = {}  # address to VM
         self._transport: asyncio.DatagramTransport | None = None
+        self._backlog: Callable[[], Iterable[Datagram]] = tuple
         self._beats = 0
         self._digest_at = float(0)
         self._near_at = float(0)
@@ -96,10 +96,10 @@
 
     async def start(self, address: str) -> None:
         """Bind the socket."""
+        sock = bind(address, self._port)
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(address, self._port)
-        )
+        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+        self._backlog = partial(waiting, sock)
 
     async def run(self) -> None:
         """Tell the others, until cancelled."""
@@ -133,19 +133,25 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: Endpoint) -> None:
-        """Take in one message."""
-        try:
-            message = decode(data)
-        except msgspec.MsgspecError as exc:
-            self._events.record('peer_unreadable', peer=addr[0], why=str(exc))
-            return
-        self._take(message, addr[0])
+        """Take in a message, and those that came behind it.
+
+        The event loop hands over one datagram a turn. Decided on one by one,
+        the asks of a burst would wait for each other.
+        """
+        self._take(data, addr[0])
+        for payload, sender in self._backlog():
+            self._take(payload, sender[0])
 
     def error_received(self, exc: Exception) -> None:
         """Note a refused datagram; silence tells the rest."""
         logger.debug('a datagram was refused: %s', exc)
 
-    def _take(self, message: Message, address: str) -> None:
+    def _take(self, payload: bytes, address: str) -> None:
+        try:
+            message = decode(payload)
+        except msgspec.MsgspecError as exc:
+            self._events.record('peer_unreadable', peer=address, why=str(exc))
+            return
         match message:
             case Beat():
                 self._take_beat(message, address)
--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -156,9 +156,8 @@
         queue.ask(
             ask_from(news, self._clock.monotonic()),
             lambda action: reply(told(action)),
+            lambda: reply(Queued(news.request_id)),
         )
-        if queue.waits(news.request_id):
-            reply(Queued(news.request_id))
 
     async def _ask_own(self, ask: Ask) -> Placement | NoSlot:
         loop = asyncio.get_running_loop()
--- a/bramleybend/direct/queue_log.py
+++ b/bramleybend/direct/queue_log.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -33,8 +34,9 @@
     def record(self) -> None:
         """Record the queues as they stand now."""
         for service, queue in self._queues:
-            counts = queue.take_counts()
             backlog = queue.backlog()
+            counts = Counter(queue.counts)
+            queue.counts.clear()
             if backlog is not None:
                 self._events.record(
                     'queue',
@@ -44,10 +46,10 @@
                     running=backlog.running,
                     slots=backlog.slots,
                     open_runners=backlog.open_runners,
-                    asked=counts.get('asked', 0),
-                    repeated=counts.get('repeated', 0),
-                    granted=counts.get('granted', 0),
-                    refused=counts.get('refused', 0),
+                    asked=counts['asked'],
+                    repeated=counts['repeated'],
+                    granted=counts['granted'],
+                    refused=counts['refused'],
                 )
 
 
--- a/tests/direct/test_queue_log.py
+++ b/tests/direct/test_queue_log.py
@@ -25,7 +25,7 @@
 
 
 @pytest.fixture
-def queues() -> Queues:
+async def queues() -> Queues:
     """Return the queues of a VM that knows one runner of one slot."""
     clock = SystemClock()
     events = EventLog('vm', 'i', clock, kept=0)
