A silent owner's successor is asked before a VM orders for itself

Cause: a VM that got no acknowledgement within 0.12 s, or was granted a runner that it had not heard of yet, ordered the request by its own queue. On many VMs that queue knows its own runs alone, so all start at the same engines.

Change: a runner that the VM doesn't know is given back and the same owner asked for another one; a silent owner is asked three times with 0.04, 0.08 and 0.16 s, then its successor, which hears of all runs as well. Only a VM that reaches neither orders for itself.

tests/direct/test_asking_owners.py: the first two placed by the own queue before.

--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -1,14 +1,15 @@
 """Gets a slot at a runner for one request, from whoever orders the service.
 
 The owner answers a first word at once. A VM that doesn't is gone, frozen or
-cut off: it is asked again twice, as a datagram may be lost, then the request
-is placed by this VM's own queue, which knows the same runs. So the loss of an
-owner costs a caller about `ACK_S` times `ASKS`.
+cut off: it is asked again twice, each time with twice the patience, as a
+datagram may be lost and a busy owner late. Then its successor is asked, which
+hears of the same runs; last, the request is placed by this VM's own queue. So
+the loss of an owner costs a caller about seven times `ACK_S`.
 """
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from itertools import count
 from typing import Final
@@ -23,6 +24,7 @@
     told,
 )
 from bramleybend.direct.beat_messages import RunNews
+from bramleybend.direct.audience import OWNERS
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Member, Members
 from bramleybend.direct.messages import (
@@ -36,6 +38,7 @@
     Withdrawn,
 )
 from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.owner import without
 from bramleybend.direct.queues import Queues
 from bramleybend.events import EventLog
 from bramleybend.models import Ask
@@ -100,12 +103,9 @@
 
     async def place(self, ask: Ask) -> Placement | NoSlot:
         """Wait for a slot, as long as the queue's policy lets it wait."""
-        owner = None
+        placed = None
         if self._queues.is_engine(ask.service):
-            owner = self._members.owner(
-                ask.service, self._clock.monotonic(), self.may_own()
-            )
-        placed = await self._ask_owner(ask, owner) if owner else None
+            placed = await self._ask_owners(ask)
         if placed is None:
             placed = await self._ask_own(ask)
         if isinstance(placed, Placement):
@@ -173,31 +173,62 @@
             queue.withdraw(ask.request_id)
             raise
 
+    async def _ask_owners(self, ask: Ask) -> Placement | NoSlot | None:
+        """Ask the owner, then its successor; `None`: order it ourselves.
+
+        Only these two hear of all runs. Ordered by each VM for itself, the
+        requests of all would start at the same runners.
+        """
+        for _ in range(OWNERS):
+            owner = self._members.owner(
+                ask.service, self._clock.monotonic(), self.may_own()
+            )
+            placed = await self._ask_owner(ask, owner) if owner else None
+            if owner is None or placed is not None:
+                return placed
+        return None
+
     async def _ask_owner(
         self, ask: Ask, owner: Member
     ) -> Placement | NoSlot | None:
-        """Ask another VM; `None` if it doesn't answer."""
+        """Ask another VM; `None` if it doesn't answer.
+
+        It may know runners that we have not heard of yet, or have heard to be
+        gone; then it is asked for another one.
+        """
+        for _ in range(ASKS):
+            message = await self._word_of(ask, owner)
+            if isinstance(message, Refused):
+                return NoSlot(message.reason, message.retry_after_s)
+            if not isinstance(message, Granted):
+                break
+            grant = Grant(message.request_id, message.runner)
+            placed = self._placed(ask, grant, owner)
+            if isinstance(placed, Placement):
+                return placed
+            ask = replace(
+                without(ask, message.runner), request_id=self.next_id()
+            )
+        else:
+            return None
+        now = self._clock.monotonic()
+        self._members.distrust(owner.vm, now + DISTRUST_S)
+        self._events.record('owner_silent', req=ask.request_id, owner=owner.vm)
+        return None
+
+    async def _word_of(self, ask: Ask, owner: Member) -> Message | None:
+        """Return a VM's decision, `None` if it doesn't answer."""
         inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._waiting[ask.request_id] = inbox
-        settled = False
+        message = None
         try:
             message = await self._answer_of(ask, owner, inbox)
-            settled = isinstance(message, Granted | Refused)
         finally:
             self._waiting.pop(ask.request_id, None)
-            if not settled:
+            if not isinstance(message, Granted | Refused):
                 news = Withdrawn(ask.request_id, ask.service)
                 self.send(news, owner.address)
-        if isinstance(message, Granted):
-            grant = Grant(message.request_id, message.runner)
-            placed = self._placed(ask, grant, owner)
-            return placed if isinstance(placed, Placement) else None
-        if isinstance(message, Refused):
-            return NoSlot(message.reason, message.retry_after_s)
-        now = self._clock.monotonic()
-        self._members.distrust(owner.vm, now + DISTRUST_S)
-        self._events.record('owner_silent', req=ask.request_id, owner=owner.vm)
-        return None
+        return message
 
     async def _answer_of(
         self, ask: Ask, owner: Member, inbox: 'asyncio.Queue[Message]'
@@ -205,7 +236,7 @@
         silent = 0
         while silent < ASKS:
             self.send(ask_news(ask, self._clock.monotonic()), owner.address)
-            message = await _next(inbox, ACK_S)
+            message = await _next(inbox, ACK_S * 2**silent)
             silent += 1
             while isinstance(message, Queued):
                 silent = 0
@@ -222,8 +253,6 @@
         entry = self._book.entry(action.runner)
         if entry is not None:
             return Placement(ask, entry, owner)
-        # The owner knows a runner that we have not heard of yet, or that we
-        # have heard to be gone.
         self._end_at_owner(ask, RunReport('unknown_runner'), owner)
         return NoSlot('unknown_runner', UNKNOWN_RETRY_S)
 
--- /dev/null
+++ b/tests/direct/test_asking_owners.py
@@ -0,0 +1,117 @@
+"""Whom a VM asks for a slot at an engine."""
+
+import asyncio
+from random import Random
+from typing import Final
+
+import pytest
+
+from bramleybend.clock import SystemClock
+from bramleybend.direct.book import Book
+from bramleybend.direct.members import Member, Members, Self
+from bramleybend.direct.messages import AskNews, Granted, Message
+from bramleybend.direct.models import (
+    Manifest,
+    RunnerEntry,
+    RunnerState,
+    ServiceFacts,
+)
+from bramleybend.direct.placing import Placement, Placer
+from bramleybend.direct.queues import make_queues
+from bramleybend.events import EventLog
+from bramleybend.models import Ask, Tier
+from tests.utils.waiting import wait_until
+
+SERVICE: Final = 'lm'
+RUNNER: Final = RunnerEntry(
+    'r1', 0, SERVICE, '127.0.0.1', 90, 'd', 4, RunnerState.READY
+)
+CAPACITIES: Final = {'owner': 3, 'successor': 2}
+
+
+class Asker:
+    """A VM that knows two others and one engine."""
+
+    def __init__(self) -> None:
+        """Know them for long enough to ask them."""
+        clock = SystemClock()
+        events = EventLog('vm', 'i', clock, kept=0)
+        members = Members(Self('vm', 'i', 'vm', 'vm:80'))
+        now = clock.monotonic() + 60
+        for vm, capacity in CAPACITIES.items():
+            member = Member(vm, 'i', vm, f'{vm}:80', True, False, now, 0)
+            member.capacity = capacity
+            members.heard(member)
+        book = Book(clock, events)
+        services = {SERVICE: ServiceFacts(SERVICE, 10, True, 7)}
+        book.take_manifest(Manifest(1, {}, services, {}, keyed=False))
+        book.take_runners({'r1': RUNNER})
+        queues = make_queues(book, members, clock, events, Random(1))
+        self.placer = Placer(book, members, queues, clock, events)
+        self.placer.send = self.take_sent
+        self.asks: list[tuple[AskNews, str]] = []
+
+    def take_sent(self, message: Message, address: str) -> None:
+        """Note whom an ask goes to."""
+        if isinstance(message, AskNews):
+            self.asks.append((message, address))
+
+    def place(self) -> 'asyncio.Task[object]':
+        """Ask for a slot."""
+        later = SystemClock().monotonic() + 60
+        ask = Ask(
+            'a', SERVICE, Tier.HIGH, 'w', 9, 5, (), later, cancellable=False
+        )
+        return asyncio.create_task(self.placer.place(ask))
+
+    def grant(self, runner: str) -> None:
+        """Let the VM that was asked last grant a runner."""
+        news, vm = self.asks[-1]
+        granted = Granted(news.request_id, runner)
+        self.placer.take(granted, vm, lambda message: None)
+
+
+@pytest.fixture
+async def asker() -> Asker:
+    """Return a VM that asks."""
+    return Asker()
+
+
+async def test_an_owner_that_grants_an_unknown_runner_is_asked_again(
+    asker: Asker,
+) -> None:
+    """News of runners differs for a moment; the owner still orders them."""
+    placing = asker.place()
+    await wait_until(lambda: len(asker.asks) == 1, 'an ask')
+    asker.grant('unheard-of')
+    await wait_until(lambda: len(asker.asks) == 2, 'a second ask')
+    news, vm = asker.asks[-1]
+    assert vm == 'owner'
+    assert news.excluded == ['unheard-of']
+    asker.grant('r1')
+    placed = await placing
+    assert isinstance(placed, Placement)
+    assert placed.owner is not None
+
+
+async def test_the_successor_of_a_silent_owner_is_asked(asker: Asker) -> None:
+    """Each VM for itself, all would start at the same runners."""
+    placing = asker.place()
+    await wait_until(
+        lambda: any(vm != 'owner' for _, vm in asker.asks), 'another ask'
+    )
+    assert asker.asks[-1][1] == 'successor'
+    asker.grant('r1')
+    placed = await placing
+    assert isinstance(placed, Placement)
+    assert placed.owner is not None
+    assert placed.owner.vm == 'successor'
+
+
+async def test_a_vm_that_reaches_no_owner_orders_for_itself(
+    asker: Asker,
+) -> None:
+    """A VM that is cut off from all others still serves."""
+    placed = await asker.place()
+    assert isinstance(placed, Placement)
+    assert placed.owner is None
