A VM that was cut off learns what was spent meanwhile

Change: a subscriber that was silent is told the totals that changed since it was heard. One that was heard until now is told the keys alone, as before.

--- a/bramleybend/direct/digests.py
+++ b/bramleybend/direct/digests.py
@@ -20,7 +20,12 @@
     SpendingNews,
     Spent,
 )
-from bramleybend.direct.members import RELAYED_ALIVE_S, Member, Members
+from bramleybend.direct.members import (
+    ALIVE_S,
+    RELAYED_ALIVE_S,
+    Member,
+    Members,
+)
 
 MILLISECOND: Final = timedelta(milliseconds=1).total_seconds()
 
@@ -108,12 +113,21 @@
             [news for news in spent if news.spendings or news.tells_all],
         )
 
-    def roll(self, members: Iterable[Member], now: float) -> Digest:
-        """Tell who lives, by key alone; a receiver asks for what it lacks."""
-        told = [one for one in members if one.key in self._profiles]
-        return Digest(
-            [Alive(one.key, _age_ms(one, now)) for one in told], [], []
-        )
+    def missed(
+        self, before: Member | None, profile: Profile, now: float
+    ) -> Digest:
+        """Tell a VM that subscribes what it lacks; `before`: as known until now.
+
+        One that was heard until now had another hub. Told all, the VMs of a
+        domain would fill the link of one that becomes a hub. All are told who
+        lives by key alone, and ask for the profiles that they lack.
+        """
+        alive = self._members.alive(now)
+        since = now
+        if before is not None and before.incarnation == profile.incarnation:
+            if now - before.heard_at > ALIVE_S:
+                since = before.heard_at - RELAYED_ALIVE_S
+        return self.make(alive, now, since)
 
     def of_keys(self, keys: Iterable[int], now: float) -> Digest:
         """Tell all of the VMs that a receiver doesn't know."""
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -14,10 +14,23 @@
 
 from bramleybend.clock import Clock
 from bramleybend.direct.audience import Audience, Receiver
-from bramleybend.direct.beat_messages import Beat, Digest, Scope, Spent, Unknown
+from bramleybend.direct.beat_messages import (
+    Beat,
+    Digest,
+    Profile,
+    Scope,
+    Spent,
+    Unknown,
+)
 from bramleybend.direct.datagrams import Datagram, Endpoint, bind, waiting
 from bramleybend.direct.digests import Digests, Heard, member_of
-from bramleybend.direct.members import ALIVE_S, BEAT_S, Member, Members
+from bramleybend.direct.members import (
+    ALIVE_S,
+    BEAT_S,
+    RELAYED_ALIVE_S,
+    Member,
+    Members,
+)
 from bramleybend.direct.messages import Message, decode, encode
 from bramleybend.events import EventLog
 
@@ -204,6 +217,7 @@
         self._names[address] = profile.vm
         lasts_s = ALIVE_S + (beat.every - 1) * BEAT_S
         self._direct[profile.vm] = now + lasts_s
+        before = self._members.get(profile.vm)
         key = self._digests.note(profile, now)
         is_new = self._note(member_of(profile, key, now, lasts_s))
         self._digests.note_spendings(
@@ -211,10 +225,7 @@
         )
         if self._audience.subscribed(profile.vm, address, beat.wants, now):
             is_new = True
-            # Most VMs know the others from the hub that they had before. Told
-            # all, the VMs of a domain fill the link of one that becomes a hub.
-            alive = self._members.alive(now)
-            self.send(self._digests.roll(alive, now), address)
+            self.send(self._digests.missed(before, profile, now), address)
         if is_new:
             # A VM that has just come up learns of us now, not a beat later,
             # and with us of all that workspaces still owe.
--- a/tests/direct/test_hubs.py
+++ b/tests/direct/test_hubs.py
@@ -175,3 +175,22 @@
     network.run(1)
     assert starter.debt('first') >= 29 * 1000
     assert network.all_hear_all()
+
+
+def test_a_vm_that_was_cut_off_learns_what_was_spent_meanwhile() -> None:
+    """A workspace can't use its allotment a second time on a woken VM."""
+    network = started(30)
+    network.run(2)
+    spend(network, 10)
+    network.run(2)
+    hubs = hubs_of(network)
+    vm = next(one for one in network.up() if one not in hubs)
+    vm.is_up = False
+    network.run(5)
+    spend(network, 1000)
+    network.run(5)
+    vm.is_up = True
+    vm.next_beat = network.clock.monotonic()
+    network.run(10)
+    assert network.all_hear_all()
+    assert vm.debt('first') >= 29 * 1000
