An ask follows the owner, under an id of its own at each VM

- An ask that waited at the successor stayed there after the owner answered again.
- Both VMs were asked under one id.
A late grant of the first counted as one of the second: a slot more was taken, and the end was told to the wrong VM.

Change: while an ask waits its VM looks whether the one that was asked still owns, and goes back to the one that does; each VM is asked under an id of its own, and a VM that no longer owns isn't distrusted.

--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -24,7 +24,6 @@
     told,
 )
 from bramleybend.direct.beat_messages import RunNews
-from bramleybend.direct.audience import OWNERS
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Member, Members
 from bramleybend.direct.messages import (
@@ -46,6 +45,7 @@
 # A round trip between failure domains takes 1 ms and a busy owner some more.
 ACK_S: Final = 0.04
 ASKS: Final = 3
+MOST_ASKED: Final = 4  # VMs; one that owns again is asked again
 REFRESH_S: Final = 0.3  # a waiting ask is said again, or it lapses
 UNKNOWN_RETRY_S: Final = 0.2  # news of a runner reaches all VMs by then
 DISTRUST_S: Final = 1.0  # an owner that didn't answer is not asked again
@@ -179,15 +179,26 @@
         Only these two hear of all runs. Ordered by each VM for itself, the
         requests of all would start at the same runners.
         """
-        for _ in range(OWNERS):
-            owner = self._members.owner(
-                ask.service, self._clock.monotonic(), self.may_own()
-            )
-            placed = await self._ask_owner(ask, owner) if owner else None
-            if owner is None or placed is not None:
+        for _ in range(MOST_ASKED):
+            owner = self._owner(ask)
+            if owner is None:
+                return None
+            # Each under an id of its own: a late word of the one before would
+            # else count for the next.
+            own_ask = replace(ask, request_id=self.next_id())
+            placed = await self._ask_owner(own_ask, owner)
+            if placed is not None:
                 return placed
         return None
 
+    def _owner(self, ask: Ask) -> Member | None:
+        now = self._clock.monotonic()
+        return self._members.owner(ask.service, now, self.may_own())
+
+    def _is_owner(self, ask: Ask, vm: str) -> bool:
+        owner = self._owner(ask)
+        return owner is not None and owner.vm == vm
+
     async def _ask_owner(
         self, ask: Ask, owner: Member
     ) -> Placement | NoSlot | None:
@@ -211,13 +222,16 @@
             )
         else:
             return None
-        now = self._clock.monotonic()
-        self._members.distrust(owner.vm, now + DISTRUST_S)
-        self._events.record('owner_silent', req=ask.request_id, owner=owner.vm)
+        if self._is_owner(ask, owner.vm):
+            now = self._clock.monotonic()
+            self._members.distrust(owner.vm, now + DISTRUST_S)
+            self._events.record(
+                'owner_silent', req=ask.request_id, owner=owner.vm
+            )
         return None
 
     async def _word_of(self, ask: Ask, owner: Member) -> Message | None:
-        """Return a VM's decision, `None` if it doesn't answer."""
+        """Return a VM's decision; `None` if it has none or owns no more."""
         inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._waiting[ask.request_id] = inbox
         message = None
@@ -234,11 +248,13 @@
         self, ask: Ask, owner: Member, inbox: 'asyncio.Queue[Message]'
     ) -> Message | None:
         silent = 0
-        while silent < ASKS:
+        # What waits at a VM that owns no more sees slots come free only when
+        # the owner has filled them again.
+        while silent < ASKS and self._is_owner(ask, owner.vm):
             self.send(ask_news(ask, self._clock.monotonic()), owner.address)
             message = await _next(inbox, ACK_S * 2**silent)
             silent += 1
-            while isinstance(message, Queued):
+            while isinstance(message, Queued) and self._is_owner(ask, owner.vm):
                 silent = 0
                 message = await _next(inbox, REFRESH_S)
             if message is not None:
--- a/tests/direct/test_asking_owners.py
+++ b/tests/direct/test_asking_owners.py
@@ -9,7 +9,7 @@
 from bramleybend.clock import SystemClock
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Member, Members, Self
-from bramleybend.direct.messages import AskNews, Granted, Message
+from bramleybend.direct.messages import AskNews, Granted, Message, Queued
 from bramleybend.direct.models import (
     Manifest,
     RunnerEntry,
@@ -66,9 +66,15 @@
 
     def grant(self, runner: str) -> None:
         """Let the VM that was asked last grant a runner."""
-        news, vm = self.asks[-1]
-        granted = Granted(news.request_id, runner)
-        self.placer.take(granted, vm, lambda message: None)
+        self.answer(Granted(self.asks[-1][0].request_id, runner))
+
+    def answer(self, message: Message) -> None:
+        """Take in a word about an ask."""
+        self.placer.take(message, '', lambda reply: None)
+
+    def asks_of(self, vm: str) -> int:
+        """Count what one VM was asked."""
+        return sum(one == vm for _, one in self.asks)
 
 
 @pytest.fixture
@@ -97,9 +103,7 @@
 async def test_the_successor_of_a_silent_owner_is_asked(asker: Asker) -> None:
     """Each VM for itself, all would start at the same runners."""
     placing = asker.place()
-    await wait_until(
-        lambda: any(vm != 'owner' for _, vm in asker.asks), 'another ask'
-    )
+    await wait_until(lambda: asker.asks_of('successor') > 0, 'the successor')
     assert asker.asks[-1][1] == 'successor'
     asker.grant('r1')
     placed = await placing
@@ -108,6 +112,43 @@
     assert placed.owner.vm == 'successor'
 
 
+async def test_a_late_grant_of_a_silent_owner_is_not_its_successors(
+    asker: Asker,
+) -> None:
+    """A slot is given back where it was granted."""
+    placing = asker.place()
+    await wait_until(lambda: asker.asks_of('successor') > 0, 'the successor')
+    asker.answer(Queued(asker.asks[-1][0].request_id))
+    asker.answer(Granted(asker.asks[0][0].request_id, 'r1'))
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.05):
+            await asyncio.shield(placing)
+    asker.grant('r1')
+    placed = await placing
+    assert isinstance(placed, Placement)
+    assert placed.ask.request_id == asker.asks[-1][0].request_id
+
+
+async def test_an_ask_goes_back_to_an_owner_that_answers_again(
+    asker: Asker,
+) -> None:
+    """It would wait for slots that the owner fills with lower tiers."""
+    placing = asker.place()
+    await wait_until(lambda: asker.asks_of('successor') > 0, 'the successor')
+    asked = asker.asks_of('owner')
+
+    def is_back() -> bool:
+        asker.answer(Queued(asker.asks[-1][0].request_id))
+        return asker.asks_of('owner') > asked
+
+    await wait_until(is_back, 'the owner', 3)
+    asker.grant('r1')
+    placed = await placing
+    assert isinstance(placed, Placement)
+    assert placed.owner is not None
+    assert placed.owner.vm == 'owner'
+
+
 async def test_a_vm_that_reaches_no_owner_orders_for_itself(
     asker: Asker,
 ) -> None:
