An ask that is read late ends no run of it

Found in review: an owner that heard of a run kept the ask of it, or noted a grant of it again, where the ask was said once more or its withdrawal was lost. A second later it swept the ask away, and the run with it: the slot was given to another while the run held it, and the engine was overcommitted.

Change: a run that its VM tells of ends all that is known of its ask, each time.

--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -160,10 +160,12 @@
         for request_id in before - current.keys():
             self._forget(request_id)
             self._act(self._policy.withdraw(request_id, now))
-        for request_id in current.keys() - before:
-            run = current[request_id]
-            self._granted_at.pop(request_id, None)
-            self._act(self._policy.adopt(ask_of(run, now), run.runner, now))
+        for request_id, run in current.items():
+            # An ask of a run that is read late would lapse, and end the run.
+            self._replies.pop(request_id, None)
+            self._forget(request_id)
+            if request_id not in before:
+                self._act(self._policy.adopt(ask_of(run, now), run.runner, now))
         self._told[vm] = frozenset(current)
         self._told_at[vm] = now
 
