A burst is not refused beside free slots

Found in review: since an owner decides once a turn, the asks of that turn counted as a queue before each other, and the estimate of the wait refused 39 of 64 with 55 slots free.

Change: what has not been weighed for the free slots is no queue yet; the estimate is asked only where no slot is free or all has been decided.

--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -42,13 +42,18 @@
     )
 
 
-def refusal(shard: Shard, ask: Ask, now: float) -> str | None:
-    """Return why a request can't be queued, `None` if it can."""
+def refusal(
+    shard: Shard, ask: Ask, now: float, *, is_open: bool = False
+) -> str | None:
+    """Return why a request can't be queued, `None` if it can.
+
+    `is_open`: what is queued has not been weighed for the free slots yet.
+    """
     if all(_is_out(runner, ask) for runner in shard.pool):
         return 'no_live_runner'
     if len(shard.queue) >= MOST_WAITING:
         return 'queue_full'
-    if _waits_too_long(shard, ask, now):
+    if not is_open and _waits_too_long(shard, ask, now):
         return 'wait_exceeds_deadline'
     return None
 
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -60,7 +60,7 @@
         ask = cleaned(ask)
         if min(ask.begin_by, ask.deadline) <= moment:
             return [self._refuse(ask, 'deadline_past', shed=False)]
-        reason = refusal(self._shard, ask, moment) if self._listed else None
+        reason = self._refusal(ask, moment) if self._listed else None
         if reason is not None:
             return [self._refuse(ask, reason, shed=True)]
         least = self._shard.pool.least_time(ask)
@@ -219,6 +219,11 @@
             len(shard.pool.free(moment)),
         )
 
+    def _refusal(self, ask: Ask, now: float) -> str | None:
+        # What came just now isn't a queue yet while there is a free slot.
+        is_open = self.is_undecided and self._shard.pool.has_room(now)
+        return refusal(self._shard, ask, now, is_open=is_open)
+
     def _refuse(self, ask: Ask, reason: str, *, shed: bool) -> Action:
         return refuse(self._shard, ask, reason, self._now, shed=shed)
 
--- a/tests/direct/test_owner_batches.py
+++ b/tests/direct/test_owner_batches.py
@@ -6,24 +6,34 @@
 
 import pytest
 
-from bramleybend.clock import SystemClock
-from bramleybend.decisions.actions import Action, Grant, Refuse
-from bramleybend.decisions.owner import ShardPolicy
+from bramleybend.clock import Clock, ManualClock, SystemClock
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+)
+from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
+from bramleybend.direct.beat_messages import RunNews
 from bramleybend.direct.models import RunnerEntry, RunnerState
-from bramleybend.direct.owner import ServiceQueue, make_queue
-from bramleybend.models import Ask, Tier
+from bramleybend.direct.owner import SWITCHES, ServiceQueue, make_queue
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+from tests.utils.instants import START
 
 SERVICE = 'lm'
 SLOTS = 2
 
 
-def make_service_queue() -> ServiceQueue:
-    """Make a queue with one engine of two slots."""
+def make_service_queue(
+    clock: Clock | None = None, slots: int = SLOTS
+) -> ServiceQueue:
+    """Make a queue with one engine."""
     queue = make_queue(
-        SERVICE, is_engine=True, clock=SystemClock(), rng=Random(1)
+        SERVICE, is_engine=True, clock=clock or SystemClock(), rng=Random(1)
     )
     entry = RunnerEntry(
-        'r1', 0, SERVICE, '127.0.0.1', 90, 'd', SLOTS, RunnerState.READY
+        'r1', 0, SERVICE, '127.0.0.1', 90, 'd', slots, RunnerState.READY
     )
     queue.take_runners([entry], warm=True)
     return queue
@@ -83,3 +93,87 @@
         )
     await asyncio.sleep(0)
     assert acknowledged == ['c']
+
+
+@pytest.mark.parametrize('batched', [False, True])
+def test_a_burst_on_free_slots_is_not_refused(batched: bool) -> None:
+    """Asks that come together don't count as a queue before each other."""
+    service = Service('s', ServiceKind.ENGINE, slots=8)
+    policy = make_shard_policy(
+        service, Random(1), switches=SWITCHES, batched=batched
+    )
+    infos = [
+        RunnerInfo(f'r{number}', slots=8, warm=True) for number in range(10)
+    ]
+    policy.runners(infos, 0)
+    for number in range(20):
+        policy.ask(costing(f'l{number}', 100, 0), 0)
+    policy.tick(0)
+    report = RunReport('done', prompt_tokens=1, completion_tokens=6, seconds=1)
+    for number in range(20):
+        policy.ended(f'l{number}', report, 1)
+    policy.tick(1)
+    actions: list[Action] = []
+    for number in range(64):
+        actions += policy.ask(costing(f'b{number}', 1000, 1), 1)
+    actions += policy.tick(1)
+    assert [type(action) for action in actions] == [Grant] * 64
+
+
+def costing(name: str, cost: float, now: float) -> Ask:
+    """Return a request of some cost that has to begin within two seconds."""
+    return Ask(
+        name,
+        's',
+        Tier.NORMAL,
+        'w',
+        cost,
+        1,
+        (),
+        now + 600,
+        begin_by=now + 2,
+        cancellable=False,
+    )
+
+
+async def test_a_run_that_its_vm_tells_of_keeps_its_slot() -> None:
+    """An ask that is read late takes no slot from its own run."""
+    clock = ManualClock(START)
+    queue = make_service_queue(clock, slots=1)
+    queue.ask(ask('a'), lambda action: None)
+    await asyncio.sleep(0)
+    await tell_of_a(queue, clock)
+    queue.ask(ask('a'), lambda action: None)
+    await tell_of_a(queue, clock)
+    assert not await is_granted(queue)
+
+
+async def test_a_run_outlives_an_ask_of_it_that_lapses() -> None:
+    """An ask that its VM withdrew in vain ends no run of it."""
+    clock = ManualClock(START)
+    queue = make_service_queue(clock, slots=1)
+    queue.ask(ask('other'), lambda action: None)
+    queue.ask(ask('a'), lambda action: None)
+    await asyncio.sleep(0)
+    queue.began('other')
+    await tell_of_a(queue, clock)
+    queue.ended('other', RunReport('done'))
+    assert not await is_granted(queue)
+
+
+async def tell_of_a(queue: ServiceQueue, clock: ManualClock) -> None:
+    """Let a VM tell of its run for longer than an ask or a grant lasts."""
+    news = RunNews('a', SERVICE, 'r1', 2, 'w', 100, 50)
+    for _ in range(6):
+        clock.advance(0.3)
+        queue.heard_runs('vm', [news])
+        queue.sweep()
+        await asyncio.sleep(0)
+
+
+async def is_granted(queue: ServiceQueue) -> bool:
+    """Ask for one more slot."""
+    granted: list[Grant | Refuse] = []
+    queue.ask(ask('next'), granted.append)
+    await asyncio.sleep(0)
+    return bool(granted)
