A connection that its runner has closed meanwhile isn't sent on

Found in review: the look before the write let the event loop take in what had come, but not what that said of the connection itself. A kept connection whose runner had just closed it was written to: a booking was told 502, "may have run", and its content was counted as crashing the runner, though nothing was sent.

Change: a connection that is no longer usable after that look is replaced once.

tests/direct/test_attempt.py: failed on.

--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -92,18 +92,17 @@
         Nothing is sent after `send_by`, monotonic seconds.
         """
         try:
-            self._channel = await self._channels.take(self.runner)
+            channel = await self._open()
         except OSError as exc:
             return Failure(
                 Fate.NOT_RUN, f'no connection: {exc}', unreachable=True
             )
-        await _catch_up()
         sent_at = self._limits.now()
         if sent_at >= send_by:
             return Failure(Fate.NOT_RUN, TIMEOUT)
         try:
-            await self._send(self._channel, make_outgoing())
-            head = await self._own_head(self._channel)
+            await self._send(channel, make_outgoing())
+            head = await self._own_head(channel)
         except BROKEN as exc:
             return self._broken(exc)
         self._note_limit(head, sent_at)
@@ -144,6 +143,15 @@
             self._channels.drop(self.runner, self._channel)
             self._channel = None
 
+    async def _open(self) -> Channel:
+        """Return a connection that stands, and the news of the meantime."""
+        self._channel = await self._channels.take(self.runner)
+        await _catch_up()
+        if not self._channel.usable:
+            self.cancel()
+            self._channel = await self._channels.take(self.runner)
+        return self._channel
+
     async def _send(self, channel: Channel, outgoing: Outgoing) -> None:
         self.sent = True
         await channel.send(outgoing)
--- a/tests/direct/test_attempt.py
+++ b/tests/direct/test_attempt.py
@@ -1,7 +1,10 @@
 """One try at a runner."""
 
 import asyncio
+import socket
+from dataclasses import replace
 from typing import Any, cast
+from unittest.mock import Mock
 
 from bramleybend.clients.channel import Channel, Outgoing
 from bramleybend.clock import SystemClock
@@ -24,9 +27,9 @@
         self.kept = False
 
     async def take(self, runner: RunnerEntry) -> Channel:
-        """Return a connection that can't be written to."""
+        """Return a connection that is not written to."""
         await asyncio.sleep(OPENING_S)
-        return cast(Channel, object())
+        return cast(Channel, Mock(usable=True))
 
     def drop(self, runner: RunnerEntry, channel: Channel) -> None:
         """Take a connection back."""
@@ -56,3 +59,32 @@
     assert not attempt.sent
     attempt.cancel()
     assert channels.kept
+
+
+async def test_a_connection_that_its_runner_has_closed_is_not_used() -> None:
+    """A booking isn't told that it may have run where nothing was sent."""
+    clock = SystemClock()
+    channels = RunnerChannels(clock)
+    limits = RunnerLimits(clock, cast(EventLog, cast(Any, None)))
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        runner = replace(RUNNER, port=listener.getsockname()[1])
+        channel = await channels.take(runner)
+        closing, _ = listener.accept()
+        channels.drop(runner, channel)
+        closing.close()
+        attempt = Attempt(channels, make_dialect(), limits, runner, 'a1')
+        begun = asyncio.create_task(
+            attempt.begin(request, clock.monotonic() + OPENING_S)
+        )
+        await asyncio.sleep(OPENING_S)
+        conn, _ = listener.accept()
+        conn.settimeout(1)
+        assert conn.recv(4) == b'POST'
+        begun.cancel()
+        attempt.cancel()
+        conn.close()
+
+
+def request() -> Outgoing:
+    """Return a booking."""
+    return Outgoing(b'POST', b'/book/x', [(b'Host', b'h')], b'{}')
