--- a/tests/direct/test_hubs.py
+++ b/tests/direct/test_hubs.py
@@ -1,5 +1,7 @@
 """Heartbeats among many VMs: who hears of whom, how soon, at what cost."""
 
+from random import Random
+
 import pytest
 
 from bramleybend.direct.members import (
@@ -8,11 +10,13 @@
     RELAYED_ALIVE_S,
     SETTLE_S,
 )
-from tests.utils.peer_network import Network, Vm, started
+from tests.utils.peer_network import STEP_S, Network, Vm, started
 
 # A VM's word to its hub, the hub's to the others, theirs to their VMs: each
 # waits for a heartbeat, and one of them may be lost.
 NEWS_S = 4 * BEAT_S
+# Hubs compare whom they know each second, and VMs ask again after 0.7 s.
+HEALED_S = 3.0
 
 
 def hubs_of(network: Network) -> list[Vm]:
@@ -49,6 +53,40 @@
     assert network.until_all_hear_all() < 2
 
 
+@pytest.mark.parametrize('count', [6, 9, 12])
+def test_a_datagram_lost_at_the_start_hides_no_vm(count: int) -> None:
+    """Two hubs whose introduction was lost still find each other."""
+    hidden = []
+    for seed in range(40):
+        network = Network(loss=0.3, rng=Random(seed))
+        for number in range(count):
+            network.add(number)
+        network.run(1)
+        network.loss = 0
+        network.run(HEALED_S)
+        if not network.all_hear_all():
+            hidden.append(seed)
+    assert not hidden
+
+
+def test_a_vm_that_gets_ready_while_it_is_introduced_is_known_to_all() -> None:
+    """A lookup of a profile that has just changed is repeated."""
+    network = started(1)
+    first = network.up()[0]
+    second = network.add(3)
+    second.is_ready = False
+    network.run(1)
+    second.is_ready = True
+    third = network.add(6)
+    # The first VM names the second's old state to the third, and hears of the
+    # new one before it is asked for the old.
+    third.next_beat = network.clock.monotonic() + STEP_S
+    first.next_beat = third.next_beat + STEP_S
+    second.next_beat = third.next_beat + STEP_S
+    network.run(HEALED_S)
+    assert network.all_hear_all()
+
+
 def test_up_to_three_vms_a_domain_all_are_hubs() -> None:
     """Small deployments keep direct heartbeats, each to each, of one hop."""
     network = started(9)
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -63,13 +63,13 @@
 
     clock: ManualClock = field(default_factory=lambda: ManualClock(START))
     loss: float = 0
+    rng: Random = field(default_factory=lambda: Random(7))  # of losses
     vms: dict[str, Vm] = field(default_factory=dict)  # by address
     cut: set[frozenset[str]] = field(default_factory=set)  # domains
     messages: int = 0
     size: int = 0  # bytes
     crossing: int = 0  # bytes between domains
     seconds: float = 0  # of processor time
-    _rng: Random = field(default_factory=lambda: Random(7))
     _queue: deque[tuple[float, bytes, str, str]] = field(default_factory=deque)
 
     def add(self, number: int, incarnation: str = '1', capacity: int = 1) -> Vm:
@@ -119,7 +119,7 @@
         ends = frozenset((_domain(sender), _domain(receiver)))
         if len(ends) > 1:
             self.crossing += len(payload)
-        if ends in self.cut or self._rng.random() < self.loss:
+        if ends in self.cut or self.rng.random() < self.loss:
             return
         at = self.clock.monotonic() + DELAY_S
         self._queue.append((at, payload, sender, receiver))
