Hubs compare whom they know, so none stays hidden from another

Cause: hubs leave hubs out of their digests. Two hubs learn of each other from one digest and one lookup, each sent once.

Fix: each second a hub sends the keys of all VMs that it knows to one other hub, in turn, which answers with what is missing and asks for what it lacks. Known VMs that are silent are named too, so a third hub doesn't make two look alive to each other that have no path between them (new test, which also passes before: it guards this change).

Ruled out: asking the seeds for all during the first five seconds, as the comment of FIRST_BEATS says. It would end with those five seconds, and each VM would be sent whole digests by the seeds on thin links.

--- a/bramleybend/direct/audience.py
+++ b/bramleybend/direct/audience.py
@@ -21,6 +21,7 @@
 # Addresses that are silent are tried less often than members are told: a
 # seed may be stale, and a VM that was replaced never answers.
 STRANGER_EVERY: Final = 5  # heartbeats
+COMPARE_EVERY: Final = 5  # heartbeats, between two hubs' lists of VMs
 # Between two digests to the same VM, and two words to one that is no hub of
 # ours. Each of a domain's hubs has its turn, so a VM hears one each beat.
 TURNS: Final = 3
@@ -108,6 +109,13 @@
             and self._subscribers[one.vm].until >= now
         ]
 
+    def next_to_compare(self, beat: int) -> Member | None:
+        """Return the hub to compare lists with, if we are one, in turn."""
+        if beat % COMPARE_EVERY or not self._is_hub():
+            return None
+        hubs = self._members.hubs()
+        return hubs[beat // COMPARE_EVERY % len(hubs)] if hubs else None
+
     def is_turn(self, beat: int) -> bool:
         """Tell whether it is our turn to send digests."""
         own = self._members.own
@@ -135,9 +143,12 @@
             for owner in self._members.owners(service, now, OWNERS):
                 yield Receiver(owner.address, every=TURNS)
 
+    def _is_hub(self) -> bool:
+        return self._members.is_hub(self._members.own.vm)
+
     def _hubs(self) -> Iterable[Receiver]:
         own = self._members.own
-        if self._members.is_hub(own.vm):
+        if self._is_hub():
             for hub in self._members.hubs():
                 yield Receiver(hub.address, Scope.NEAR)
         else:
@@ -151,7 +162,7 @@
         finds its own domain.
         """
         own = self._members.own
-        is_hub = self._members.is_hub(own.vm)
+        is_hub = self._is_hub()
         heard = {one.address for one in self._members.alive(now)}
         yield from (one for one in self._seeds if one not in heard)
         for one in self._members.silent(now):
--- a/bramleybend/direct/beat_messages.py
+++ b/bramleybend/direct/beat_messages.py
@@ -120,6 +120,12 @@
     spent: list[Spent]  # that changed lately
 
 
+class Known(msgspec.Struct, tag='known', array_like=True):
+    """Keys of the VMs that a hub knows; the receiver answers with others."""
+
+    keys: list[int]
+
+
 class Unknown(msgspec.Struct, tag='unknown', array_like=True):
     """Keys of a digest whose profiles the sender lacks."""
 
--- a/bramleybend/direct/digests.py
+++ b/bramleybend/direct/digests.py
@@ -3,7 +3,9 @@
 A digest names each VM that is alive by the key of its profile, and carries
 only the profiles and totals that changed lately. A receiver that lacks a
 profile (a lost datagram, a VM that has just started) asks for it by its key,
-so no digest has to arrive.
+so no digest has to arrive. Digests leave out hubs, which tell each other of
+themselves; so hubs compare whom they know, and two of them whose introduction
+was lost learn of each other from a third.
 """
 
 from collections import defaultdict
@@ -16,9 +18,11 @@
 from bramleybend.direct.beat_messages import (
     Alive,
     Digest,
+    Known,
     Profile,
     SpendingNews,
     Spent,
+    Unknown,
 )
 from bramleybend.direct.members import (
     ALIVE_S,
@@ -143,6 +147,30 @@
                 (one for one in self._members if one.key in wanted), now
             )
 
+    def known(self) -> Known:
+        """Name all VMs that we know, silent ones included."""
+        return Known([one.key for one in self._members])
+
+    def compare(
+        self, known: Known, sender: str, now: float
+    ) -> Iterator[Unknown | Digest]:
+        """Ask a hub for VMs that we lack, and tell it of some that it lacks.
+
+        What it names and doesn't hear is not told again: passed on by us, a
+        VM that it has no path to would look alive to it.
+        """
+        lacked = self._to_ask(filter(self._lacks, known.keys), now)
+        if lacked:
+            yield Unknown(lacked)
+        named = set(known.keys)
+        missed = [
+            one
+            for one in self._members.alive(now)
+            if one.key not in named and one.vm != sender
+        ]
+        if missed:
+            yield self.make(missed[:MOST_TOLD], now)
+
     def take(self, digest: Digest, now: float) -> tuple[list[Heard], list[int]]:
         """Read a digest; returns what it says, and the keys not known."""
         for profile in digest.profiles:
@@ -170,6 +198,15 @@
         self._asked_at.update(dict.fromkeys(asked, now))
         return asked
 
+    def _lacks(self, key: int) -> bool:
+        profile = self._profiles.get(key)
+        if profile is None:
+            return True
+        if profile.vm == self._members.own.vm:
+            return False
+        member = self._members.get(profile.vm)
+        return member is None or member.incarnation != profile.incarnation
+
     def _spent(self, member: Member, since: float) -> Spent:
         """Return what a VM spent; all of it with a profile that is new."""
         is_new = self._noted_at[member.key] > since
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from bramleybend.direct.beat_messages import Beat, Digest, Unknown
+from bramleybend.direct.beat_messages import Beat, Digest, Known, Unknown
 
 MOST_BYTES: Final = 60_000  # UDP's own limit is 65,507
 
@@ -85,6 +85,7 @@
 Message: TypeAlias = (
     Beat
     | Digest
+    | Known
     | Unknown
     | AskNews
     | Queued
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -6,24 +6,28 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
 from functools import partial
-from typing import Any, Final, Protocol
+from typing import Any, Protocol
 
 import msgspec
 
 from bramleybend.clock import Clock
 from bramleybend.direct.audience import Audience, Receiver
-from bramleybend.direct.beat_messages import Beat, Digest, Scope, Spent, Unknown
+from bramleybend.direct.beat_messages import (
+    Beat,
+    Digest,
+    Known,
+    Scope,
+    Spent,
+    Unknown,
+)
 from bramleybend.direct.datagrams import Datagram, Endpoint, bind, waiting
 from bramleybend.direct.digests import Digests, Heard, member_of
 from bramleybend.direct.members import ALIVE_S, BEAT_S, Member, Members
 from bramleybend.direct.messages import Message, decode, encode
+from bramleybend.direct.traffic import Traffic
 from bramleybend.events import EventLog
 
-# Between two heartbeats; 0.2 s of a link of 5 Mbit/s.
-LARGE_BYTES: Final = 131_072
-
 logger = logging.getLogger(__name__)
 
 
@@ -54,14 +58,6 @@
         """Hear that a VM is taken for gone."""
 
 
-@dataclass
-class Traffic:
-    """What was sent, for the metrics."""
-
-    messages: int = 0
-    size: int = 0  # bytes
-
-
 class Peers(asyncio.DatagramProtocol):
     """The socket between entry VMs."""
 
@@ -91,8 +87,7 @@
         self._near_at = float(0)
         self._alive: set[str] = set()
         self._direct: dict[str, float] = {}  # VM to when its word is overdue
-        self.sent = Traffic()
-        self._told = Traffic()
+        self.sent = Traffic(events)
 
     async def start(self, address: str) -> None:
         """Bind the socket."""
@@ -116,8 +111,9 @@
         self._members.choose_hubs(now)
         self._send_beats(now)
         self._send_digests(now)
+        self._send_known()
         self._beats += 1
-        self._note_large()
+        self.sent.note_beat(is_hub=self._members.is_hub(self._members.own.vm))
 
     def send(self, message: Message, address: str) -> None:
         """Send one message; it may be lost."""
@@ -161,6 +157,11 @@
                 now = self._clock.monotonic()
                 for digest in self._digests.of_keys(message.keys, now):
                     self.send(digest, address)
+            case Known():
+                now = self._clock.monotonic()
+                sender = self._names.get(address, address)
+                for reply in self._digests.compare(message, sender, now):
+                    self.send(reply, address)
             case _:
                 vm = self._names.get(address, address)
                 self._listener.take(
@@ -197,6 +198,11 @@
                 self._write(payload, address)
         self._digest_at = now
 
+    def _send_known(self) -> None:
+        hub = self._audience.next_to_compare(self._beats)
+        if hub is not None:
+            self.send(self._digests.known(), hub.address)
+
     def _take_beat(self, beat: Beat, address: str) -> None:
         profile = beat.profile
         if profile.vm == self._members.own.vm:
@@ -273,19 +279,7 @@
             self._listener.silent(vm)
         self._alive &= alive
 
-    def _note_large(self) -> None:
-        size = self.sent.size - self._told.size
-        if size >= LARGE_BYTES:
-            self._events.record(
-                'peer_burst',
-                bytes=size,
-                messages=self.sent.messages - self._told.messages,
-                is_hub=self._members.is_hub(self._members.own.vm),
-            )
-        self._told = replace(self.sent)
-
     def _write(self, payload: bytes, address: str) -> None:
         if self._transport is not None:
-            self.sent.messages += 1
-            self.sent.size += len(payload)
+            self.sent.count(payload)
             self._transport.sendto(payload, (address, self._port))
--- a/tests/direct/test_hubs.py
+++ b/tests/direct/test_hubs.py
@@ -167,6 +167,23 @@
     assert network.until_all_hear_all() <= 3
 
 
+@pytest.mark.parametrize('count', [3, 9])
+def test_hubs_without_a_path_between_them_stay_silent_to_each_other(
+    count: int,
+) -> None:
+    """A third hub that hears both does not make them look alive."""
+    beyond = {'0': '1', '1': '0'}  # the domain that one has no path to
+    network = started(count)
+    network.cut = {frozenset('01')}
+    network.run(RELAYED_ALIVE_S + BEAT_S)
+    for _ in range(100):
+        network.run(0.1)
+        now = network.clock.monotonic()
+        for vm in network.up():
+            heard = {one.domain for one in vm.members.alive(now)}
+            assert beyond.get(vm.members.own.domain) not in heard
+
+
 def test_a_vm_that_stops_being_ready_is_soon_told_of() -> None:
     """Callers are not sent to a VM that said that it stops."""
     network = started(84)
--- a/tests/direct/test_own_records.py
+++ b/tests/direct/test_own_records.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from bramleybend.direct.peers import LARGE_BYTES
 from bramleybend.direct.process import SWEEP_S
+from bramleybend.direct.traffic import LARGE_BYTES
 from bramleybend.loop_watch import TOLD_FROM_S
 from tests.direct.world import PLAIN, playing
 from tests.utils.peer_network import started
