--- a/bramleybend/decisions/cache_view.py
+++ b/bramleybend/decisions/cache_view.py
@@ -9,8 +9,6 @@
 again within `EVENT_LAG_S`, since the event may be older than that send. A run
 that found much less cached than expected empties the view for its prefixes,
 which makes up for events that never came.
-Trials with 128, 512 and 2,048 kept prefixes (steady and skew, seed 11) differ
-by 0.1 points of total goodput at most.
 """
 
 from collections import OrderedDict
--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -13,9 +13,7 @@
 more wait than there are runners, only for one that has its prefix cached.
 With a free runner for each entry, one that is expected to end too late is tried
 once it is urgent, rather than refused beside idle runners.
-`MOST_WEIGHED` bounds the time of one decision. The three were set by
-judgement; the ablation `holding` in docs/BENCHMARKS.md shows what holding is
-worth.
+`MOST_WEIGHED` bounds the time of one decision.
 """
 
 from dataclasses import dataclass
--- a/bramleybend/decisions/failing.py
+++ b/bramleybend/decisions/failing.py
@@ -10,9 +10,6 @@
 `HALF_LIFE_S`, as a runner that gets no work can't show that it has recovered.
 A place's cost grows by `FAILED_S` for a share of one: as much as a request's
 patience, so a healthy runner with a queue goes before one that fails half.
-The values are judgement. With three runners of which one fails half at once,
-at half of their capacity, it got 111 of 209 requests without the share and 8
-of 204 with it (tests/decisions/test_failing.py, seed 11).
 """
 
 SMOOTHING = 0.25
--- a/bramleybend/decisions/limits.py
+++ b/bramleybend/decisions/limits.py
@@ -11,7 +11,6 @@
 the engine is busy, so one run more than the peak is enough. A round in which
 the peak reached the limit raises it by one; a lower peak lowers it. A runner
 that sends no first tokens keeps the declared limit, lowered by refusals.
-`ROUND` and the steps are judgement; the ablation is `limits`.
 """
 
 from math import ceil
--- a/bramleybend/decisions/pacing.py
+++ b/bramleybend/decisions/pacing.py
@@ -7,9 +7,7 @@
 
 The share of the limit that may be used grows in a line from `FIRST_SHARE` to
 the whole over `RAMP_S`. After a crash nothing is sent for `FIRST_HOLD_S`, doubled
-at each crash in a row, since the VM list shows a dead runner for seconds. The
-values are judgement; the ablation `pacing` plays engines that return six
-times slower for four seconds.
+at each crash in a row, since the VM list shows a dead runner for seconds.
 """
 
 from math import inf
--- a/bramleybend/decisions/places.py
+++ b/bramleybend/decisions/places.py
@@ -7,8 +7,7 @@
 
 A runner takes a prompt while what it still has to fill lasts less than
 `FILL_S`, or if the prompt is so short (`SHORT_TOKENS`) that it hardly delays
-the others; both by judgement, the ablation is `filling`. `OTHERS` was chosen
-by trials at 0 to 7, see docs/design/decisions.md.
+the others.
 """
 
 from collections.abc import Callable, Sequence
--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -5,8 +5,8 @@
 
 Load pattern: many VMs on links of a few Mbit/s, of which each has to know
 which others live.
-Without it: each tells each, and the bytes grow with the cube of the VMs. 84
-VMs, most on links of 5 Mbit/s, so earned 0.42 of a quiet load's worth.
+Without it: each tells each, and the bytes grow with the cube of the VMs, more
+than thin links carry.
 
 The `HUBS` VMs of each failure domain that can carry most are its hubs, or
 `LEAST_HUBS` where the third can carry less. Hubs tell each other of themselves
