--- a/tests/decisions/engine_play.py
+++ b/tests/decisions/engine_play.py
@@ -97,6 +97,7 @@
     answer: int
     made: int = 0
     granted_at: float = 0
+    is_counted: bool = True
     is_told: bool = False  # of its first event
 
 
@@ -113,9 +114,12 @@
 class Play:
     """One play; ask it for its tallies."""
 
-    def __init__(self, seed: int, switches: Switches) -> None:
-        """Start with idle engines."""
+    def __init__(
+        self, seed: int, switches: Switches, counts_from: float = 0
+    ) -> None:
+        """Start with idle engines; requests sent earlier are not counted."""
         self._rng = Random(seed)
+        self._counts_from = counts_from
         self._now = float(0)
         self._numbers = count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -173,8 +177,10 @@
             on_time_until=self._now + kind.objective_s,
             begin_by=self._now + min(PATIENCE_S, kind.deadline_s),
         )
-        self.tallies[kind].sent += 1
-        self._runs[ask.request_id] = Run(kind, ask, prompt, answer)
+        run = Run(kind, ask, prompt, answer)
+        run.is_counted = self._now >= self._counts_from
+        self.tallies[kind].sent += run.is_counted
+        self._runs[ask.request_id] = run
         self._act(self._policy.ask(ask, self._now))
 
     def _act(self, actions: list[Action]) -> None:
@@ -241,9 +247,9 @@
         run.is_told = True
         tally = self.tallies[run.kind]
         if self._now <= run.ask.on_time_until:
-            tally.on_time += 1
+            tally.on_time += run.is_counted
         else:
-            tally.late += 1
+            tally.late += run.is_counted
         name, tokens = run.ask.request_id, run.ask.prompt_tokens
         self._act(self._policy.first_token(name, tokens, 0, self._now))
 
