Refusals beyond an allotment tell what is owed, and of what burst

It now also tells owed (what this VM knows to be taken), rate_per_s and burst, so that a burst let in anew, news that came late, and accounts that count too little can be told apart.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -74,6 +74,7 @@
     is_let_in: bool
     is_beyond: bool = False  # let in, as the runners are idle
     retry_after_s: float = 0  # until the allotment has room again
+    owed: float = 0  # units of the burst that are taken, if refused
 
 
 @dataclass
@@ -135,7 +136,11 @@
                 account.beyond += units
                 return Verdict(is_let_in=True, is_beyond=True)
         rate = max(allowance.rate_per_s * share, 1)
-        return Verdict(is_let_in=False, retry_after_s=(needed - left) / rate)
+        return Verdict(
+            is_let_in=False,
+            retry_after_s=(needed - left) / rate,
+            owed=account.debt,
+        )
 
     def give_back(
         self, workspace: str, units: float, *, is_beyond: bool = False
--- a/bramleybend/direct/intake.py
+++ b/bramleybend/direct/intake.py
@@ -128,6 +128,9 @@
             inputs={
                 'workspace': holder.name,
                 'units': f'{units:.0f}',
+                'owed': f'{verdict.owed:.0f}',
+                'rate_per_s': f'{holder.allotment.rate_per_s:.0f}',
+                'burst': f'{holder.allotment.burst:.0f}',
                 'vms_heard': f'{self._share():.2f}',
                 'retry_after_s': f'{verdict.retry_after_s:.2f}',
             },
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -174,6 +174,15 @@
     assert is_let_in(book, 500, 0.601)
 
 
+def test_a_refusal_tells_what_the_vm_knows_to_be_owed() -> None:
+    """VMs whose accounts differ can't be told apart by their refusals."""
+    book = AllotmentBook()
+    assert is_let_in(book, 2500, 0)
+    book.heard('vm2/a', {'w': Spending()}, 0)
+    book.heard('vm2/a', {'w': Spending(used=1000)}, 0)
+    assert book.admit('w', TERMS, 500, 0.5).owed == 3000
+
+
 def test_large_requests_of_a_busy_workspace_are_let_in_like_small_ones() -> (
     None
 ):
