Bursts count as spent after a start, until a VM that knows tells otherwise

What callers saw: after a restart of all 69 VMs one workspace had some 1.89M tokens run in 8 s where 1,816,986 are tolerated, at the cost of the others' slots. Cause, shown in a network in memory with the real accounts and heartbeats: accounts are in memory alone, so each VM that starts has a whole burst, and sees it until it hears what the others let in; with 69 VMs that came to three bursts. First words of two starters were merged by the maximum, which counts too little when both had let something in.

A VM that starts while the system has run before (--first-start false, from the platform's firstStart) takes each burst, and what idle runners may take beyond, for spent, and lets the rate pay it back. Heartbeats tell for how long a VM's accounts are complete. A starter takes over all accounts that go back further than its own and drops what it assumed; of a peer whose accounts are younger only that peer's own admissions are counted, so an assumption does not spread to VMs that know. For two heartbeats, unless told, a starter lets nothing in: VMs that have yet to find each other would each use the whole rate. All are told to come back after the same 0.4 s, so they are spread as they came.

Existing tests: their VMs, made by tests/direct/world.py and tests/utils/peer_network.py, now say that it is the first start, as it is; nothing else of them is changed. The restart test gives VMs their capacity again; its bounds stand.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -19,12 +19,18 @@
 workspaces: worth 0.763 to 0.787 and 0.833 to 0.840. The workspace goes beyond
 its allotment by one request at most, and pays it back.
 
+A VM that starts again has lost its accounts, and so may have all others. Until
+a VM with older accounts tells it what is owed, it takes every burst for spent.
+It lets nothing in while VMs that start with it have yet to find each other:
+each would let in what the rate has paid back, as if it were the only one.
+
 The contracts tolerate more than the allotment. What lies beyond it is let in
 while runners stand idle: refused, it would have helped nobody.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from math import inf, isinf
 
 LEAST_SHARE = 0.05  # of the burst; any small part does
 # Of the burst, for VMs that hear few others. Six VMs that hear nobody then
@@ -34,6 +40,11 @@
 # what VMs admit at once without knowing of each other: the arrivals between
 # two heartbeats (0.2 s), and a cut between VMs that begins just then.
 IDLE_SHARE = 0.5
+# Two heartbeats, in which most VMs that start together hear of each other.
+SETTLE_S = 0.4
+# Accounts that are complete from about the same time on: the same accounts,
+# told with the delay of the network and of a busy VM.
+SAME_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -104,6 +115,9 @@
     """All accounts of one VM."""
 
     tolerance: Tolerance = field(default_factory=Tolerance)
+    # From when on they hold all that was admitted; before, bursts are taken
+    # for spent. Minus infinity: nothing was admitted before.
+    since: float = -inf
     _accounts: dict[str, _Account] = field(default_factory=dict)
     _heard: dict[str, _Heard] = field(default_factory=dict)
 
@@ -125,6 +139,11 @@
         self._pay_back(account, allowance, now, share)
         needed = min(units, allowance.burst * LEAST_SHARE)
         left = allowance.burst - account.debt
+        if now < self._settled_at():
+            # The same for all, or they would come back in the same moment.
+            return Verdict(
+                is_let_in=False, retry_after_s=SETTLE_S, owed=account.debt
+            )
         if left >= needed:
             account.debt += units
             account.used += units
@@ -168,6 +187,29 @@
             for workspace, account in self._accounts.items()
         }
 
+    def age_s(self, now: float) -> float:
+        """Return for how long the accounts are complete."""
+        return now - self.since
+
+    def adopt(
+        self, told: Mapping[str, Spending], now: float, age_s: float
+    ) -> None:
+        """Take over all accounts of a peer, if they go back further.
+
+        What is only assumed to be owed gives way to what the peer knows.
+        """
+        since = now - age_s
+        if since >= self.since - SAME_S:
+            return
+        self.since = since
+        for workspace, account in self._accounts.items():
+            owed = told.get(workspace, Spending())
+            ours = min(account.used, account.debt)
+            beyond = min(account.beyond, account.beyond_debt)
+            account.at = max(account.at, now)
+            account.debt = max(owed.debt, ours)
+            account.beyond_debt = max(owed.beyond_debt, beyond)
+
     def heard(
         self,
         peer: str,
@@ -175,20 +217,30 @@
         now: float,
         *,
         tells_all: bool = True,
+        age_s: float = inf,
     ) -> None:
         """Take over what a peer has admitted since it last said so.
 
         With `tells_all`, workspaces that are not named have spent nothing.
+        `age_s` is for how long the peer's accounts are complete.
 
         A VM that has just started knows nothing of what was admitted before;
         with a full burst from each restart, a rolling restart of six VMs
-        would let in six. So it begins with the debts that its peers know.
+        would let in six. So it begins with the debts that its peers know. Of
+        a peer whose accounts are younger than ours it takes what that peer
+        itself admitted: the rest of its debts may be only assumed.
         """
         heard = self._heard.setdefault(peer, _Heard())
+        is_younger = now - age_s > self.since + SAME_S
         for workspace, spending in told.items():
             account = self._account(workspace, now)
             known = heard.known(workspace)
-            if known is None:
+            if known is None and is_younger:
+                account.debt += min(spending.used, spending.debt)
+                account.beyond_debt += min(
+                    spending.beyond, spending.beyond_debt
+                )
+            elif known is None:
                 account.debt = max(account.debt, spending.debt)
                 account.beyond_debt = max(
                     account.beyond_debt, spending.beyond_debt
@@ -222,10 +274,25 @@
         unheard = 1 - max(share, LEAST_BURST)
         account.debt = max(
             account.debt - passed * allowance.rate_per_s * share,
+            self._assumed(allowance.burst, allowance.rate_per_s, now),
             allowance.burst * unheard,
         )
-        paid = passed * self._held(allowance) / self.tolerance.window_s
-        account.beyond_debt = max(account.beyond_debt - paid, 0)
+        held = self._held(allowance)
+        held_per_s = held / self.tolerance.window_s
+        account.beyond_debt = max(
+            account.beyond_debt - passed * held_per_s,
+            self._assumed(held, held_per_s, now),
+        )
+
+    def _settled_at(self) -> float:
+        return self.since + SETTLE_S
+
+    def _assumed(self, units: float, paid_per_s: float, now: float) -> float:
+        """Return what is left of units that were spent before our accounts."""
+        if isinf(self.since):
+            return 0
+        left = units - paid_per_s * max(now - self._settled_at(), 0)
+        return max(left, 0)
 
     def _held(self, allowance: Allowance) -> float:
         """Return the most that is let in beyond an allotment at once.
@@ -234,3 +301,13 @@
         """
         units = self.tolerance.units(allowance.rate_per_s, allowance.burst)
         return units * IDLE_SHARE / 2
+
+
+def make_allotment_book(
+    tolerance: Tolerance, now: float, *, is_first_start: bool
+) -> AllotmentBook:
+    """Return the accounts of a VM that starts.
+
+    `is_first_start`: of the whole system, so no workspace owes anything.
+    """
+    return AllotmentBook(tolerance, -inf if is_first_start else now)
--- a/bramleybend/direct/beat_messages.py
+++ b/bramleybend/direct/beat_messages.py
@@ -1,6 +1,7 @@
 """What VMs tell each other of themselves and, if they are hubs, of others."""
 
 from enum import IntEnum
+from math import inf
 
 import msgspec
 from xxhash import xxh32_intdigest
@@ -94,7 +95,9 @@
     tells_all: bool  # all of its totals are among them
     runs: list[RunNews] | None  # all of them; none: not told here
     crashes: list[CrashNews]
-    limits: list[LimitNews] = []  # not told by earlier versions
+    # Not told by earlier versions:
+    limits: list[LimitNews] = []
+    accounts_s: float = inf  # for how long its accounts are complete
 
 
 class Alive(msgspec.Struct, array_like=True):
@@ -110,6 +113,7 @@
     key: int
     spendings: list[SpendingNews]
     tells_all: bool  # what isn't among them was not spent
+    accounts_s: float = inf  # as in its heartbeat, now
 
 
 class Digest(msgspec.Struct, tag='digest', array_like=True):
--- a/bramleybend/direct/digests.py
+++ b/bramleybend/direct/digests.py
@@ -15,6 +15,7 @@
 
 from bramleybend.direct.beat_messages import (
     Alive,
+    Beat,
     Digest,
     Profile,
     SpendingNews,
@@ -58,6 +59,8 @@
         self._noted_at: dict[int, float] = {}
         self._totals: dict[str, dict[str, _Total]] = defaultdict(dict)
         self._whole: set[str] = set()  # VMs of which we know all totals
+        # By VM, from when on its accounts are complete.
+        self._complete_since: dict[str, float] = {}
         self._asked_at: dict[int, float] = {}  # by key that we lack
 
     def note(self, profile: Profile, now: float) -> int:
@@ -72,16 +75,15 @@
     def note_spendings(
         self,
         vm: str,
-        spendings: Iterable[SpendingNews],
+        told: Beat | Spent,
         now: float,
-        *,
-        tells_all: bool,
     ) -> None:
         """Keep a VM's totals; debts alone are no change."""
-        if tells_all:
+        if told.tells_all:
             self._whole.add(vm)
+        self._complete_since[vm] = now - told.accounts_s
         totals = self._totals[vm]
-        for news in spendings:
+        for news in told.spendings:
             known = totals.get(news.workspace)
             if known is None or (known.news.used, known.news.beyond) != (
                 news.used,
@@ -93,6 +95,7 @@
         """Drop a VM that is gone or began anew."""
         self._totals.pop(member.vm, None)
         self._whole.discard(member.vm)
+        self._complete_since.pop(member.vm, None)
         gone = [
             key
             for key, profile in self._profiles.items()
@@ -112,7 +115,7 @@
         """Tell of VMs that are alive, and what changed after a time."""
         told = [one for one in members if one.key in self._profiles]
         fresh = [one for one in told if self._noted_at[one.key] > since]
-        spent = [self._spent(one, since) for one in told]
+        spent = [self._spent(one, now, since) for one in told]
         return Digest(
             [Alive(one.key, _age_ms(one, now)) for one in told],
             [self._profiles[one.key] for one in fresh],
@@ -170,7 +173,7 @@
         self._asked_at.update(dict.fromkeys(asked, now))
         return asked
 
-    def _spent(self, member: Member, since: float) -> Spent:
+    def _spent(self, member: Member, now: float, since: float) -> Spent:
         """Return what a VM spent; all of it with a profile that is new."""
         is_new = self._noted_at[member.key] > since
         totals = self._totals.get(member.vm, {})
@@ -179,7 +182,12 @@
             for total in totals.values()
             if is_new or total.at > since
         ]
-        return Spent(member.key, told, is_new and member.vm in self._whole)
+        return Spent(
+            member.key,
+            told,
+            is_new and member.vm in self._whole,
+            now - self._complete_since.get(member.vm, -inf),
+        )
 
 
 def member_of(
--- a/bramleybend/direct/intake.py
+++ b/bramleybend/direct/intake.py
@@ -131,6 +131,7 @@
                 'owed': f'{verdict.owed:.0f}',
                 'rate_per_s': f'{holder.allotment.rate_per_s:.0f}',
                 'burst': f'{holder.allotment.burst:.0f}',
+                'accounts_s': f'{self._accounts_s():.2f}',
                 'vms_heard': f'{self._share():.2f}',
                 'retry_after_s': f'{verdict.retry_after_s:.2f}',
             },
@@ -148,6 +149,9 @@
             are_runners_idle=self._queues.of(service).is_idle(),
         )
 
+    def _accounts_s(self) -> float:
+        return self._allotments.age_s(self._clock.monotonic())
+
     def _share(self) -> float:
         return self._members.share(self._clock.monotonic())
 
--- a/bramleybend/direct/listener.py
+++ b/bramleybend/direct/listener.py
@@ -76,6 +76,7 @@
             self._placer.runs() if receiver.tells_runs else None,
             self._containment.news(),
             self._limits.news(),
+            self._allotments.age_s(now),
         )
 
     def take_beat(self, beat: Beat, address: str) -> None:
@@ -85,9 +86,11 @@
             for feed in self.feeds:
                 if feed.terms.name == news.name:
                     feed.heard(vm, address, news)
-        self._take_spendings(
-            _peer(vm, incarnation), beat.spendings, tells_all=beat.tells_all
-        )
+        if beat.tells_all:
+            self._allotments.adopt(
+                _told(beat.spendings), self._clock.monotonic(), beat.accounts_s
+            )
+        self._take_spendings(_peer(vm, incarnation), beat)
         self._containment.heard(beat.crashes)
         self._limits.heard(beat.limits)
         if beat.runs is not None:
@@ -95,11 +98,7 @@
 
     def take_spent(self, member: Member, spent: Spent) -> None:
         """Take in what a VM told of workspaces' spending."""
-        self._take_spendings(
-            _peer(member.vm, member.incarnation),
-            spent.spendings,
-            tells_all=spent.tells_all,
-        )
+        self._take_spendings(_peer(member.vm, member.incarnation), spent)
 
     def take(
         self,
@@ -141,14 +140,13 @@
             leaving,
         )
 
-    def _take_spendings(
-        self, peer: str, spendings: Iterable[SpendingNews], *, tells_all: bool
-    ) -> None:
+    def _take_spendings(self, peer: str, news: Beat | Spent) -> None:
         self._allotments.heard(
             peer,
-            {one.workspace: _spending(one) for one in spendings},
+            _told(news.spendings),
             self._clock.monotonic(),
-            tells_all=tells_all,
+            tells_all=news.tells_all,
+            age_s=news.accounts_s,
         )
 
     def _take_runs(self, vm: str, runs: Iterable[RunNews]) -> None:
@@ -223,5 +221,10 @@
     return f'{vm}/{incarnation}'
 
 
-def _spending(news: SpendingNews) -> Spending:
-    return Spending(news.used, news.beyond, news.debt, news.beyond_debt)
+def _told(spendings: Iterable[SpendingNews]) -> dict[str, Spending]:
+    return {
+        news.workspace: Spending(
+            news.used, news.beyond, news.debt, news.beyond_debt
+        )
+        for news in spendings
+    }
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -208,9 +208,7 @@
         before = self._members.get(profile.vm)
         key = self._digests.note(profile, now)
         is_new = self._note(member_of(profile, key, now, lasts_s))
-        self._digests.note_spendings(
-            profile.vm, beat.spendings, now, tells_all=beat.tells_all
-        )
+        self._digests.note_spendings(profile.vm, beat, now)
         if self._audience.subscribed(profile.vm, address, beat.wants, now):
             is_new = True
             self.send(self._digests.missed(before, profile, now), address)
@@ -238,9 +236,7 @@
             self._note(member)
         spent = heard.spent
         if spent is not None:
-            self._digests.note_spendings(
-                member.vm, spent.spendings, now, tells_all=spent.tells_all
-            )
+            self._digests.note_spendings(member.vm, spent, now)
             self._listener.take_spent(member, spent)
 
     def _note(self, member: Member) -> bool:
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.allotments import AllotmentBook
+from bramleybend.decisions.allotments import make_allotment_book
 from bramleybend.decisions.resends import ResendBudget, ResendTerms
 from bramleybend.direct.book import Book
 from bramleybend.direct.channels import RunnerChannels
@@ -76,7 +76,11 @@
                 cfg.capacity(),
             )
         )
-        self._allotments = AllotmentBook(cfg.allotment_tolerance())
+        self._allotments = make_allotment_book(
+            cfg.allotment_tolerance(),
+            clock.monotonic(),
+            is_first_start=cfg.first_start,
+        )
         self._containment = Containment(clock, self.events)
         self._queues = make_queues(
             self.book, self.members, clock, self.events, rng
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -31,6 +31,12 @@
 CAPACITY_MBPS: Final = 2.5
 
 
+def _yes_no(given: str) -> bool:
+    if given not in {'true', 'false'}:
+        raise ValueError("write 'true' or 'false'")
+    return given == 'true'
+
+
 @dataclass(frozen=True, kw_only=True)
 class EntrySettings:
     """What one process is told at its start."""
@@ -150,6 +156,16 @@
             '190000',
         ),
     )
+    first_start: bool = field(
+        default=False,
+        metadata=about(
+            _yes_no,
+            'whether the whole system starts for the first time; else '
+            'workspaces may owe what was let in before, and their bursts '
+            'are taken for spent until another VM tells',
+            'false',
+        ),
+    )
     core_share: float = field(
         default=1,
         metadata=about(
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -7,6 +7,7 @@
     Allowance,
     Spending,
     Tolerance,
+    make_allotment_book,
 )
 
 TERMS = Allowance(rate_per_s=1000, burst=2000)
@@ -224,3 +225,45 @@
     # 2,000 less 1 of its own, 500 and 100 of the peer's.
     assert is_let_in(book, 1350, 0)
     assert not is_let_in(book, 100, 0)
+
+
+def test_what_a_starter_assumes_is_not_taken_over_by_those_who_know() -> None:
+    """One VM that starts alone has its workspaces refused by all others."""
+    informed = AllotmentBook()
+    assert is_let_in(informed, 10, 100)
+    starter = make_allotment_book(TOLERANCE, 100, is_first_start=False)
+    assert not is_let_in(starter, 2000, 100.45)
+    informed.heard('vm2/b', starter.spendings(), 101, age_s=starter.age_s(101))
+    assert informed.spendings()['w'].debt == 10
+    assert is_let_in(informed, 1990, 101)
+
+
+def test_a_starter_drops_what_it_assumed_when_it_is_told() -> None:
+    """A workspace within its allotment is refused until its burst is paid."""
+    informed = AllotmentBook()
+    assert is_let_in(informed, 500, 100)
+    starter = make_allotment_book(TOLERANCE, 100, is_first_start=False)
+    assert not is_let_in(starter, 10, 100.1)
+    starter.adopt(informed.spendings(), 100.1, informed.age_s(100.1))
+    assert is_let_in(starter, 1450, 100.1)
+    assert not is_let_in(starter, 500, 100.1)
+
+
+def test_of_vms_that_start_together_all_take_over_the_oldest_accounts() -> None:
+    """Those that come last refuse what the rate has paid back since."""
+    first = make_allotment_book(TOLERANCE, 100, is_first_start=False)
+    last = make_allotment_book(TOLERANCE, 101, is_first_start=False)
+    assert is_let_in(first, 0, 101)
+    last.adopt(first.spendings(), 101, first.age_s(101))
+    assert last.age_s(101) == first.age_s(101)
+    assert is_let_in(last, 500, 101)
+
+
+def test_a_starter_that_is_told_nothing_lets_in_what_the_rate_pays_back() -> (
+    None
+):
+    """A system of one VM refuses its workspaces for good after a restart."""
+    book = make_allotment_book(TOLERANCE, 100, is_first_start=False)
+    assert not is_let_in(book, 10, 100)
+    assert not is_let_in(book, 2000, 100.4)
+    assert is_let_in(book, 2000, 102.5)
--- a/tests/direct/test_allotments_after_restart.py
+++ b/tests/direct/test_allotments_after_restart.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bramleybend.decisions.allotments import Allowance, Tolerance
+from bramleybend.decisions.allotments import SETTLE_S, Allowance, Tolerance
+from bramleybend.direct.members import BEAT_S
 from tests.utils.allotment_demand import Demand
 from tests.utils.peer_network import Network
 
@@ -52,3 +53,147 @@
     demand.restart(range(count), down_s=1, within_s=within_s)
     demand.run(5)
     assert demand.most_in_window() <= demand.tolerated()
+
+
+@pytest.mark.parametrize('count', [6, 9])
+def test_a_restart_of_all_vms_keeps_the_contracts_on_idle_runners(
+    count: int,
+) -> None:
+    """What idle runners took before an outage is let in again after it."""
+    demand = demand_on(count, burst_s=6, times=5, are_idle=True)
+    demand.run(3)
+    demand.restart(range(count), down_s=1, within_s=0.3)
+    demand.run(5)
+    assert demand.most_in_window() <= demand.tolerated()
+
+
+def test_the_first_start_of_a_system_has_its_whole_burst() -> None:
+    """Callers are refused though their workspace has used nothing yet."""
+    demand = demand_on(69, burst_s=6, times=5)
+    began = demand.network.clock.monotonic()
+    demand.run(3)
+    first_refused, _ = demand.refused[0]
+    assert first_refused - began >= demand.allowance.burst / demand.per_s
+
+
+@pytest.mark.parametrize('count', [6, 9, 69])
+def test_a_vm_that_starts_beside_others_serves_at_once(count: int) -> None:
+    """Callers of a VM that was restarted are refused what is allotted.
+
+    The workspace asks for half its rate. The other VMs know what it owes and
+    tell the VM with the answer to its first heartbeat.
+    """
+    demand = demand_on(count, burst_s=6, times=0.5)
+    demand.run(2)
+    demand.restart([count - 1], down_s=0.5, within_s=0)
+    demand.run(2 * BEAT_S)
+    demand.refused.clear()
+    starter = demand.network.up()[-1]
+    assert starter.name == f'entry-{count - 1}'
+    assert demand.is_let_in_by(starter)
+    demand.run(3)
+    assert not demand.refused
+
+
+def test_vms_that_are_added_serve_at_once() -> None:
+    """Callers of added VMs are refused what is allotted."""
+    demand = demand_on(30, burst_s=6, times=0.5)
+    demand.run(1)
+    added = [demand.network.add(number, 'added') for number in range(30, 42)]
+    began = demand.network.clock.monotonic()
+    demand.run(3)
+    assert all(moment - began <= 2 * BEAT_S for moment, _ in demand.refused)
+    assert {name for _, name in demand.refused} <= {vm.name for vm in added}
+
+
+@pytest.mark.parametrize('are_all_restarted', [False, True])
+def test_a_rolling_restart_refuses_nothing_that_is_allotted(
+    are_all_restarted: bool,
+) -> None:
+    """Callers are refused on each VM in turn, for as long as it knows nothing.
+
+    Also while all accounts are young, a few seconds after all VMs started
+    again.
+    """
+    demand = demand_on(9, burst_s=2, times=0.5)
+    demand.run(1)
+    if are_all_restarted:
+        demand.restart(range(9), down_s=1, within_s=0.3)
+        demand.run(SETTLE_S + 3)
+    demand.refused.clear()
+    for number in range(9):
+        before = len(demand.refused)
+        demand.restart([number], down_s=0.3, within_s=0)
+        started = demand.network.clock.monotonic()
+        demand.run(1)
+        late = [moment - started for moment, _ in demand.refused[before:]]
+        assert all(since <= 2 * BEAT_S for since in late)
+
+
+@pytest.mark.parametrize('count', [9, 69])
+def test_a_rolling_restart_lets_in_no_burst_for_each_vm(count: int) -> None:
+    """A busy workspace gets a burst from each VM that starts again."""
+    demand = demand_on(count, burst_s=6, times=5)
+    demand.run(2)
+    for number in range(9):
+        demand.restart([number], down_s=0.3, within_s=0)
+        demand.run(0.5)
+    assert demand.most_in_window() <= demand.tolerated()
+
+
+def test_what_vms_assume_after_a_start_is_not_taken_for_known() -> None:
+    """VMs that ran on refuse a workspace that owes nothing.
+
+    The VMs of one domain start again while they hear only each other, and take
+    the workspace's burst for spent. Then they and the others hear each other.
+    """
+    demand = demand_on(9, burst_s=6, times=0.5)
+    demand.run(2)
+    demand.network.cut = {frozenset('01'), frozenset('12')}
+    numbers = [1, 4, 7]
+    demand.restart(numbers, down_s=0.5, within_s=0)
+    demand.run(SETTLE_S + 0.2)
+    starters = {f'entry-{number}' for number in numbers}
+    assert {name for _, name in demand.refused} <= starters
+    demand.network.cut = set()
+    demand.network.until_all_hear_all()
+    demand.run(2 * BEAT_S)
+    demand.refused.clear()
+    assert all(demand.is_let_in_by(vm) for vm in demand.network.up())
+    demand.run(3)
+    assert not demand.refused
+
+
+def test_vms_that_start_again_with_all_seeds_soon_hear_what_is_owed() -> None:
+    """Callers of half the VMs are refused until their bursts are paid back.
+
+    All seeds are among the VMs that start again, so these find the others
+    only when the others try those that went silent.
+    """
+    demand = demand_on(30, burst_s=6, times=0.5)
+    demand.run(2)
+    restarted = range(15)
+    demand.restart(restarted, down_s=1, within_s=0.3)
+    demand.network.until_all_hear_all(2)
+    demand.run(2 * BEAT_S)
+    names = {f'entry-{number}' for number in restarted}
+    assert {name for _, name in demand.refused} <= names
+    demand.refused.clear()
+    assert all(demand.is_let_in_by(vm) for vm in demand.network.up())
+    demand.run(3)
+    assert not demand.refused
+
+
+def test_after_a_restart_of_all_the_rate_pays_the_burst_back() -> None:
+    """A workspace that owed nothing is refused long after the restart."""
+    demand = demand_on(9, burst_s=2, times=0.5)
+    demand.run(1)
+    demand.restart(range(9), down_s=1, within_s=0.3)
+    started = demand.network.clock.monotonic()
+    demand.run(10)
+    late = [moment - started for moment, _ in demand.refused]
+    assert all(since <= SETTLE_S + 2 for since in late)
+    now = demand.network.clock.monotonic()
+    for vm in demand.network.up():
+        vm.allotments.admit('busy', demand.allowance, 0, now)
+        assert vm.debt('busy') <= demand.allowance.burst * 0.1
--- a/tests/direct/test_callers.py
+++ b/tests/direct/test_callers.py
@@ -227,6 +227,26 @@
         assert 2 < float(refused.headers['retry-after']) <= 2.5
 
 
+async def test_a_vm_that_starts_again_lets_in_no_burst_by_itself() -> None:
+    """A workspace that used its burst before a restart gets another one."""
+    tenant = {
+        'name': 'school',
+        'apiKeys': [KEY],
+        'ratePerS': 1,
+        'burst': 1000,
+        'unit': 'tokens',
+        'plainTokens': 100,
+    }
+    async with playing(first_start=False) as world:
+        await world.add_runner('r1', PLAIN)
+        await world.knows(PLAIN)
+        world.publish(manifest(2, tenants=[tenant]))
+        await _in_force(world, 2)
+        refused = await world.call('/read/x')
+        assert refused.status == 429
+        assert float(refused.headers['retry-after']) >= 1
+
+
 async def test_idle_runners_serve_a_workspace_beyond_its_allotment() -> None:
     """The caller is served while runners are idle, and sees 429 when busy.
 
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -156,7 +156,7 @@
             store=HostPort(
                 host=self.store.server.host, port=self.store.server.port
             ),
-            **self.more,
+            **{'first_start': True, **self.more},
         )
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,13 +4,14 @@
 
 import pytest
 
+from bramleybend.entry_settings import ENTRY
 from bramleybend.errors import ErrorKind
 from bramleybend.settings import (
     ProcessKind,
     settings_of,
     parse_settings,
 )
-from bramleybend.settings_parsing import env_of, flag_of
+from bramleybend.settings_parsing import env_of, flag_of, parse_program
 from bramleybend.settings_page import settings_page
 from bramleybend.settings_types import HostPort
 
@@ -69,6 +70,21 @@
     assert remedy in problem.remedy
 
 
+@pytest.mark.parametrize('given', ['yes', '1', 'True'])
+def test_whether_a_system_starts_first_is_told_in_one_way(given: str) -> None:
+    """A restart that is taken for a first start gives out bursts again."""
+    required = {
+        env_of(setting.name): setting.about.example
+        for setting in ENTRY.offered()
+        if setting.is_required
+    }
+    assert parse_program(ENTRY, [], required).is_ok()
+    args = ['--first-start', given]
+    problem = parse_program(ENTRY, args, required).unwrap_err()
+    assert f'--first-start {given}' in problem.detail
+    assert "'true' or 'false'" in problem.detail
+
+
 def test_the_scheduler_opens_no_port_to_callers() -> None:
     """Its flags leave the callers' port out; a shared variable is taken."""
     args = ['--http-port', '80']
--- a/tests/utils/allotment_demand.py
+++ b/tests/utils/allotment_demand.py
@@ -22,7 +22,7 @@
     units: float  # of one request
     are_runners_idle: bool = False
     let_in: list[tuple[float, float]] = field(default_factory=list)
-    refused: list[float] = field(default_factory=list)  # when
+    refused: list[tuple[float, str]] = field(default_factory=list)  # by VM
     _unsent: float = 0
     _rng: Random = field(default_factory=lambda: Random(3))
 
@@ -39,7 +39,8 @@
     ) -> None:
         """End some VMs at once; they start again at random within a span."""
         began = self.network.clock.monotonic()
-        for vm in self._named(numbers):
+        ended = {vm.name: vm for vm in self._named(numbers)}
+        for vm in ended.values():
             vm.is_up = False
         starts = sorted(
             (down_s + self._rng.uniform(0, within_s), number)
@@ -48,7 +49,14 @@
         for after_s, number in starts:
             passed = self.network.clock.monotonic() - began
             self.run(max(after_s - passed, 0))
-            self.network.add(number, f'after-{began:.2f}')
+            capacity = ended[f'entry-{number}'].members.own.capacity
+            self.network.add(number, f'after-{began:.2f}', capacity)
+
+    def is_let_in_by(self, vm: Vm) -> bool:
+        """Send one more request to a VM."""
+        before = len(self.refused)
+        self._ask(vm)
+        return len(self.refused) == before
 
     def most_in_window(self) -> float:
         """Return the most that was let in within any window of the contract."""
@@ -67,12 +75,6 @@
         allotted = rate * self.tolerance.window_s + burst
         return allotted + self.tolerance.units(rate, burst)
 
-    def units_between(self, begin: float, end: float) -> float:
-        """Return what was let in within a span."""
-        return sum(
-            units for moment, units in self.let_in if begin <= moment < end
-        )
-
     def _send(self) -> None:
         up = self.network.up()
         if not up:
@@ -96,7 +98,7 @@
         if verdict.is_let_in:
             self.let_in.append((now, self.units))
         else:
-            self.refused.append(now)
+            self.refused.append((now, vm.name))
 
     def _named(self, numbers: Iterable[int]) -> list[Vm]:
         names = {f'entry-{number}' for number in numbers}
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -11,7 +11,12 @@
 from typing import Any
 
 from bramleybend.clock import Clock, ManualClock
-from bramleybend.decisions.allotments import AllotmentBook, Allowance
+from bramleybend.decisions.allotments import (
+    AllotmentBook,
+    Allowance,
+    Tolerance,
+    make_allotment_book,
+)
 from bramleybend.direct.book import Book
 from bramleybend.direct.containment import Containment
 from bramleybend.direct.listener import PeerListener, Tables
@@ -27,6 +32,7 @@
 STEP_S = 0.01
 DOMAINS = 3
 SEEDS = 3
+FIRST = '1'  # the incarnation of VMs of the system's first start
 ALLOWANCE = Allowance(rate_per_s=50_000, burst=100_000)
 
 
@@ -72,7 +78,9 @@
     _rng: Random = field(default_factory=lambda: Random(7))
     _queue: deque[tuple[float, bytes, str, str]] = field(default_factory=deque)
 
-    def add(self, number: int, incarnation: str = '1', capacity: int = 1) -> Vm:
+    def add(
+        self, number: int, incarnation: str = FIRST, capacity: int = 1
+    ) -> Vm:
         """Start a VM; the first `SEEDS` are the seeds of all."""
         vm = _make_vm(self, number, incarnation, capacity)
         self.vms[vm.address] = vm
@@ -194,7 +202,9 @@
     book = Book(clock, events)
     queues = make_queues(book, members, clock, events, Random(number))
     placer = Placer(book, members, queues, clock, events)
-    allotments = AllotmentBook()
+    allotments = make_allotment_book(
+        Tolerance(), clock.monotonic(), is_first_start=incarnation == FIRST
+    )
     vm: Vm
     containment = Containment(clock, events)
     listener = PeerListener(
