--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -164,7 +164,7 @@
     def _problem(self, kind: ErrorKind, exc: Exception) -> Problem:
         return Problem(
             kind,
-            f'{self._host}:{self._port} failed: {exc or type(exc).__name__}',
+            f'{self._host}:{self._port} failed: {str(exc) or type(exc).__name__}',
             'check that it runs and that the address is right',
         )
 
--- a/bramleybend/gateway/journal.py
+++ b/bramleybend/gateway/journal.py
@@ -13,7 +13,7 @@
 
 from result import Err, Ok
 
-from bramleybend.clients.log_service import LogService
+from bramleybend.clients.log_service import LogBatch, LogService
 from bramleybend.errors import ErrorKind
 from bramleybend.events import EventLog
 from bramleybend.metrics import Metric, Metrics
@@ -178,9 +178,7 @@
         rights: frozenset[str] = frozenset()
         at_tail = False
         while not at_tail:
-            read = (
-                await self._log.read(self._stream, self.journal.next_offset)
-            ).ok()
+            read = await self._read()
             if read is None:
                 return rights
             rights |= self.journal.read(read.records)
@@ -188,3 +186,17 @@
                 not read.records or self.journal.next_offset >= read.next_offset
             )
         return rights
+
+    async def _read(self) -> LogBatch | None:
+        """Read on from what is known; None if the log gave nothing."""
+        match await self._log.read(self._stream, self.journal.next_offset):
+            case Ok(batch):
+                return batch
+            case Err(problem):
+                self._metrics.count(Metric.LOG_ERRORS, kind='read')
+                self._events.record(
+                    'journal_read_failed',
+                    detail=problem.detail,
+                )
+                return None
+        return None
