--- a/bramleybend/gateway/journal.py
+++ b/bramleybend/gateway/journal.py
@@ -141,7 +141,7 @@
         failed = await self._append([each.record for each in batch])
         rights: frozenset[str] = frozenset()
         if failed in MAY_HAVE_LANDED:
-            rights = await self._read_back()
+            rights = await self._read_back(may_repeat=failed is None)
         for each in batch:
             if not each.right.done():
                 each.right.set_result(each.request_id in rights)
@@ -170,8 +170,11 @@
                 return problem.kind
         return None
 
-    async def _read_back(self) -> frozenset[str]:
-        """Return the rights that stand; no word means no right."""
+    async def _read_back(self, *, may_repeat: bool) -> frozenset[str]:
+        """Return the rights that stand; no word means no right.
+
+        With `may_repeat`, a read that failed is made once more.
+        """
         # Without this read, a home that was paused over its append would
         # dispatch after another VM had sealed the stream and answered
         # `not_run`. A right counts only from before the first seal.
@@ -179,6 +182,12 @@
         at_tail = False
         while not at_tail:
             read = await self._read()
+            if read is None and may_repeat:
+                # The log took the append a moment ago. A read that fails now
+                # tells rather of a pause of this process than of an outage,
+                # and its reply, if there is one, is too old to count.
+                may_repeat = False
+                continue
             if read is None:
                 return rights
             rights |= self.journal.read(read.records)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -98,6 +98,19 @@
         assert await _right(writer, _id('a'))
 
 
+async def test_a_read_that_failed_after_the_append_is_made_again() -> None:
+    """Guards against taking an own pause during a read for a log outage."""
+    async with _writing(FakeLog(CLOCK, down_reads=1)) as writer:
+        assert await _right(writer, _id('a'))
+
+
+async def test_a_log_that_fails_after_the_append_gives_no_right() -> None:
+    """Guards against asking a log that is down until the deadline."""
+    async with _writing(FakeLog(CLOCK, down_reads=2)) as writer:
+        assert not await _right(writer, _id('a'))
+        assert await _right(writer, _id('b'))
+
+
 async def test_an_append_that_vanished_gives_no_right() -> None:
     """No reply and no record: the request must not run on a guess."""
     async with _writing(FakeLog(CLOCK, lose_records=1)) as writer:
