--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -10,7 +10,7 @@
 import pytest
 from result import Ok
 
-from bramleybend.clients.http import HttpApi
+from bramleybend.clients.http import CONNECT_TIMEOUT_S, HttpApi, connect
 from bramleybend.patience import within
 
 LIMIT_S = 0.5
@@ -58,6 +58,18 @@
     assert not await _call_over_a_stall(is_patient=False)
 
 
+async def test_a_connection_made_while_the_process_stood_still_is_used() -> (
+    None
+):
+    """Guards against taking an own pause for a peer that is gone."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        host, port = listener.getsockname()
+        connecting = asyncio.create_task(connect(host, port))
+        await asyncio.sleep(0)
+        time.sleep(2 * CONNECT_TIMEOUT_S)
+        (await connecting).close()
+
+
 async def test_a_silent_peer_is_given_up_in_time() -> None:
     began = time.monotonic()
     with pytest.raises(TimeoutError):
