Count a connect's limit in steps, as that of an append

Callers saw slot claims told that the log is down, within 20 ms after their gateway had stood still. Cause: a connect had 1 s by the clock; on waking, its timeout was handled before the connection that the kernel had made meanwhile, and the log was taken for unreachable. A runner is connected to by the same function, also by the probe that tells a crash from a broken connection.

The limit is now counted in ten steps that count once however long they took (patience.patience).

--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -17,7 +17,7 @@
 from result import Err, Ok, Result
 
 from bramleybend.errors import ErrorKind, Problem, ProblemError
-from bramleybend.patience import within
+from bramleybend.patience import patience, within
 
 READ_SIZE: Final = 65536
 DEFAULT_PORT: Final = 80
@@ -115,7 +115,7 @@
 async def connect(host: str, port: int) -> Exchange:
     """Open a connection; an `OSError` here means nothing was sent."""
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with patience(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(host, port)
     except TimeoutError:
         raise ConnectionError(f'{host}:{port} did not answer') from None
--- a/bramleybend/patience.py
+++ b/bramleybend/patience.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager
 from typing import Any, Final, TypeVar
 
 STEPS: Final = 10
@@ -30,3 +31,24 @@
         raise TimeoutError(f'not within {limit_s} s')
     finally:
         task.cancel()
+
+
+@asynccontextmanager
+async def patience(limit_s: float) -> AsyncIterator[None]:
+    """Raise `TimeoutError` from a body that takes over `limit_s` seconds.
+
+    The limit is counted as in `within`. The body runs in the caller's own
+    task, so what it opens is not lost if that task is cancelled.
+    """
+    async with asyncio.timeout(None) as limit:
+        counting = asyncio.create_task(_count(limit, limit_s))
+        try:
+            yield
+        finally:
+            counting.cancel()
+
+
+async def _count(limit: asyncio.Timeout, limit_s: float) -> None:
+    for _ in range(STEPS):
+        await asyncio.sleep(limit_s / STEPS)
+    limit.reschedule(asyncio.get_running_loop().time())
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -11,7 +11,7 @@
 from result import Ok
 
 from bramleybend.clients.http import CONNECT_TIMEOUT_S, HttpApi, connect
-from bramleybend.patience import within
+from bramleybend.patience import patience, within
 
 LIMIT_S = 0.5
 STALL_S = 1.0
@@ -77,6 +77,36 @@
     assert LIMIT_S <= time.monotonic() - began < 4 * LIMIT_S
 
 
+async def test_a_body_that_takes_too_long_is_ended_in_time() -> None:
+    """Guards against a connect to a dead host that takes for ever."""
+    began = time.monotonic()
+    with pytest.raises(TimeoutError):
+        async with patience(LIMIT_S):
+            await asyncio.sleep(30)
+    assert LIMIT_S <= time.monotonic() - began < 4 * LIMIT_S
+
+
+async def test_a_body_that_ends_in_time_is_left_alone() -> None:
+    """Guards against a limit that goes on counting behind its body."""
+    async with patience(0.1):
+        await asyncio.sleep(0)
+    await asyncio.sleep(0.2)
+
+
+async def test_a_cancelled_body_is_cancelled_not_late() -> None:
+    """Guards against a caller's leaving being taken for a silent peer."""
+
+    async def _wait() -> None:
+        async with patience(LIMIT_S):
+            await asyncio.sleep(30)
+
+    waiting = asyncio.create_task(_wait())
+    await asyncio.sleep(0.05)
+    waiting.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await waiting
+
+
 async def test_work_that_is_given_up_is_cancelled() -> None:
     cancelled = asyncio.Event()
 
