--- a/bramleybend/gateway/journal.py
+++ b/bramleybend/gateway/journal.py
@@ -13,7 +13,7 @@
 
 from result import Err, Ok
 
-from bramleybend.clients.log_service import LogService
+from bramleybend.clients.log_service import LogBatch, LogService
 from bramleybend.errors import ErrorKind
 from bramleybend.events import EventLog
 from bramleybend.metrics import Metric, Metrics
@@ -141,7 +141,7 @@
         failed = await self._append([each.record for each in batch])
         rights: frozenset[str] = frozenset()
         if failed in MAY_HAVE_LANDED:
-            rights = await self._read_back()
+            rights = await self._read_back(may_repeat=failed is None)
         for each in batch:
             if not each.right.done():
                 each.right.set_result(each.request_id in rights)
@@ -170,17 +170,24 @@
                 return problem.kind
         return None
 
-    async def _read_back(self) -> frozenset[str]:
-        """Return the rights that stand; no word means no right."""
+    async def _read_back(self, *, may_repeat: bool) -> frozenset[str]:
+        """Return the rights that stand; no word means no right.
+
+        With `may_repeat`, a read that failed is made once more.
+        """
         # Without this read, a home that was paused over its append would
         # dispatch after another VM had sealed the stream and answered
         # `not_run`. A right counts only from before the first seal.
         rights: frozenset[str] = frozenset()
         at_tail = False
         while not at_tail:
-            read = (
-                await self._log.read(self._stream, self.journal.next_offset)
-            ).ok()
+            read = await self._read()
+            if read is None and may_repeat:
+                # The log took the append a moment ago. A read that fails now
+                # tells rather of a pause of this process than of an outage,
+                # and its reply, if there is one, is too old to count.
+                may_repeat = False
+                continue
             if read is None:
                 return rights
             rights |= self.journal.read(read.records)
@@ -188,3 +195,17 @@
                 not read.records or self.journal.next_offset >= read.next_offset
             )
         return rights
+
+    async def _read(self) -> LogBatch | None:
+        """Read on from what is known; None if the log gave nothing."""
+        match await self._log.read(self._stream, self.journal.next_offset):
+            case Ok(batch):
+                return batch
+            case Err(problem):
+                self._metrics.count(Metric.LOG_ERRORS, kind='read')
+                self._events.record(
+                    'journal_read_failed',
+                    detail=problem.detail,
+                )
+                return None
+        return None
