--- a/bramleybend/gateway/lost_home.py
+++ b/bramleybend/gateway/lost_home.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from bramleybend.answers import Answer, Outcome, not_run, unknown
-from bramleybend.clients.log_service import LogService
+from bramleybend.clients.log_service import LogBatch, LogService
 from bramleybend.clock import Clock
 from bramleybend.events import EventLog
 from bramleybend.gateway.run import Run
@@ -30,6 +30,7 @@
 from bramleybend.state.tickets import RequestId
 
 MAX_VIEWS: Final = 32
+READ_TRIES: Final = 2
 SETTLE_S: Final = 4.0
 # Of what is left to the deadline, so that the answer arrives before it.
 ANSWER_MARGIN_S: Final = 0.2
@@ -122,13 +123,23 @@
         """Read the journal to its tail."""
         stream = stream_of(request_id.ticket.incarnation)
         while True:
-            batch = (await self._log.read(stream, view.next_offset)).ok()
+            batch = await self._batch(stream, view.next_offset)
             if batch is None:
                 return False
             view.add(batch.records)
             if not batch.records:
                 return view.next_offset >= batch.next_offset
 
+    async def _batch(self, stream: str, start: int) -> LogBatch | None:
+        """Read once; a read that failed is made once more."""
+        # If this process stands still over a read, its reply is too old to
+        # count, and the log looks down.
+        for _ in range(READ_TRIES):
+            batch = (await self._log.read(stream, start)).ok()
+            if batch is not None:
+                return batch
+        return None
+
     async def _seal(self, request_id: RequestId) -> None:
         stream = stream_of(request_id.ticket.incarnation)
         # Whether the reply came does not matter: the next read tells if the
