Hubs introduce VMs to each other instead of telling of them

What was wrong since: a hub that lacked a VM asked for it and was told its totals, also of a VM that was dead. Debts that were paid back came back, and VMs without a path looked alive once they had been forgotten.

Now a hub sends its roster, is told the addresses of VMs that it lacks, and greets them; they are alive by their own word alone, which carries their own totals. Nothing is asked for by key, and nothing of dead VMs is told.

--- a/bramleybend/direct/beat_messages.py
+++ b/bramleybend/direct/beat_messages.py
@@ -124,12 +124,18 @@
     spent: list[Spent]  # that changed lately
 
 
-class Known(msgspec.Struct, tag='known', array_like=True):
-    """Keys of the VMs that a hub knows; the receiver answers with others."""
+class Roster(msgspec.Struct, tag='roster', array_like=True):
+    """The keys of all VMs that a hub knows, silent ones included."""
 
     keys: list[int]
 
 
+class Introduced(msgspec.Struct, tag='introduced', array_like=True):
+    """VMs that the sender hears and the receiver's roster lacks."""
+
+    profiles: list[Profile]
+
+
 class Unknown(msgspec.Struct, tag='unknown', array_like=True):
     """Keys of a digest whose profiles the sender lacks."""
 
--- a/bramleybend/direct/digests.py
+++ b/bramleybend/direct/digests.py
@@ -3,9 +3,12 @@
 A digest names each VM that is alive by the key of its profile, and carries
 only the profiles and totals that changed lately. A receiver that lacks a
 profile (a lost datagram, a VM that has just started) asks for it by its key,
-so no digest has to arrive. Digests leave out hubs, which tell each other of
-themselves; so hubs compare whom they know, and two of them whose introduction
-was lost learn of each other from a third.
+so no digest has to arrive.
+
+Digests leave out hubs, which tell each other of themselves. So hubs compare
+rosters, and two of them whose first datagrams were lost are introduced by a
+third: each is told where the other is, and takes it for alive by its own word
+alone.
 """
 
 from collections import defaultdict
@@ -19,8 +22,9 @@
     Alive,
     Beat,
     Digest,
-    Known,
+    Introduced,
     Profile,
+    Roster,
     SpendingNews,
     Spent,
     Unknown,
@@ -142,37 +146,30 @@
                 since = before.heard_at - RELAYED_ALIVE_S
         return self.make(alive, now, since)
 
-    def of_keys(self, keys: Sequence[int], now: float) -> Iterator[Digest]:
-        """Tell all of the VMs that a receiver doesn't know, some at a time."""
-        for first in range(0, len(keys), MOST_TOLD):
-            wanted = set(keys[first : first + MOST_TOLD])
-            yield self.make(
-                (one for one in self._members if one.key in wanted), now
-            )
-
-    def known(self) -> Known:
-        """Name all VMs that we know, silent ones included."""
-        return Known([one.key for one in self._members])
+    def roster(self) -> Roster:
+        """Name all VMs that we know."""
+        return Roster([one.key for one in self._members])
 
-    def compare(
-        self, known: Known, sender: str, now: float
-    ) -> Iterator[Unknown | Digest]:
-        """Ask a hub for VMs that we lack, and tell it of some that it lacks.
+    def answer(
+        self, message: Unknown | Roster, sender: str, now: float
+    ) -> Iterator[Digest | Introduced]:
+        """Tell a VM what it asks for, or whom its roster lacks."""
+        match message:
+            case Unknown():
+                yield from self._of_keys(message.keys, now)
+            case Roster():
+                missing = self._not_among(message, sender, now)
+                if missing:
+                    yield Introduced(missing[:MOST_TOLD])
 
-        What it names and doesn't hear is not told again: passed on by us, a
-        VM that it has no path to would look alive to it.
-        """
-        lacked = self._to_ask(filter(self._lacks, known.keys), now)
-        if lacked:
-            yield Unknown(lacked)
-        named = set(known.keys)
-        missed = [
-            one
-            for one in self._members.alive(now)
-            if one.key not in named and one.vm != sender
+    def strangers(self, introduced: Introduced) -> list[Profile]:
+        """Return those of the introduced VMs that we don't know."""
+        return [
+            profile
+            for profile in introduced.profiles
+            if profile.vm != self._members.own.vm
+            and not self._is_known(profile)
         ]
-        if missed:
-            yield self.make(missed[:MOST_TOLD], now)
 
     def take(self, digest: Digest, now: float) -> tuple[list[Heard], list[int]]:
         """Read a digest; returns what it says, and the keys not known."""
@@ -201,14 +198,36 @@
         self._asked_at.update(dict.fromkeys(asked, now))
         return asked
 
-    def _lacks(self, key: int) -> bool:
-        profile = self._profiles.get(key)
-        if profile is None:
-            return True
-        if profile.vm == self._members.own.vm:
-            return False
+    def _of_keys(self, keys: Sequence[int], now: float) -> Iterator[Digest]:
+        """Tell all of the VMs that a receiver doesn't know, some at a time."""
+        for first in range(0, len(keys), MOST_TOLD):
+            wanted = set(keys[first : first + MOST_TOLD])
+            yield self.make(
+                (one for one in self._members if one.key in wanted), now
+            )
+
+    def _not_among(
+        self, roster: Roster, sender: str, now: float
+    ) -> list[Profile]:
+        """Return the VMs that we hear and a hub's roster lacks.
+
+        Silent VMs are on a roster, too: the hub knows them and tries them
+        itself, as we may have a path to them that it has not.
+        """
+        named = set(roster.keys)
+        return [
+            self._profiles[one.key]
+            for one in self._members.alive(now)
+            if one.key not in named
+            and one.vm != sender
+            and one.key in self._profiles
+        ]
+
+    def _is_known(self, profile: Profile) -> bool:
         member = self._members.get(profile.vm)
-        return member is None or member.incarnation != profile.incarnation
+        return member is not None and (
+            member.incarnation == profile.incarnation
+        )
 
     def _spent(self, member: Member, now: float, since: float) -> Spent:
         """Return what a VM spent; all of it with a profile that is new."""
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -11,7 +11,13 @@
 
 import msgspec
 
-from bramleybend.direct.beat_messages import Beat, Digest, Known, Unknown
+from bramleybend.direct.beat_messages import (
+    Beat,
+    Digest,
+    Introduced,
+    Roster,
+    Unknown,
+)
 
 MOST_BYTES: Final = 60_000  # UDP's own limit is 65,507
 
@@ -85,7 +91,8 @@
 Message: TypeAlias = (
     Beat
     | Digest
-    | Known
+    | Introduced
+    | Roster
     | Unknown
     | AskNews
     | Queued
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -16,7 +16,8 @@
 from bramleybend.direct.beat_messages import (
     Beat,
     Digest,
-    Known,
+    Introduced,
+    Roster,
     Scope,
     Spent,
     Unknown,
@@ -111,7 +112,9 @@
         self._members.choose_hubs(now)
         self._send_beats(now)
         self._send_digests(now)
-        self._send_known()
+        hub = self._audience.next_to_compare(self._beats)
+        if hub is not None:
+            self.send(self._digests.roster(), hub.address)
         self._beats += 1
         self.sent.note_beat(is_hub=self._members.is_hub(self._members.own.vm))
 
@@ -148,22 +151,20 @@
         except msgspec.MsgspecError as exc:
             self._events.record('peer_unreadable', peer=address, why=str(exc))
             return
+        now = self._clock.monotonic()
+        vm = self._names.get(address, address)
         match message:
             case Beat():
                 self._take_beat(message, address)
             case Digest():
                 self._take_digest(message, address)
-            case Unknown():
-                now = self._clock.monotonic()
-                for digest in self._digests.of_keys(message.keys, now):
-                    self.send(digest, address)
-            case Known():
-                now = self._clock.monotonic()
-                sender = self._names.get(address, address)
-                for reply in self._digests.compare(message, sender, now):
+            case Unknown() | Roster():
+                for reply in self._digests.answer(message, vm, now):
                     self.send(reply, address)
+            case Introduced():
+                for profile in self._digests.strangers(message):
+                    self._greet(profile.address)
             case _:
-                vm = self._names.get(address, address)
                 self._listener.take(
                     message, vm, partial(self.send, address=address)
                 )
@@ -198,11 +199,6 @@
                 self._write(payload, address)
         self._digest_at = now
 
-    def _send_known(self) -> None:
-        hub = self._audience.next_to_compare(self._beats)
-        if hub is not None:
-            self.send(self._digests.known(), hub.address)
-
     def _take_beat(self, beat: Beat, address: str) -> None:
         profile = beat.profile
         if profile.vm == self._members.own.vm:
@@ -221,8 +217,7 @@
         if is_new:
             # A VM that has just come up learns of us now, not a beat later,
             # and with us of all that workspaces still owe.
-            greeting = Receiver(address, is_new=True)
-            self.send(self._listener.make_beat(greeting), address)
+            self._greet(address)
         self._listener.take_beat(beat, address)
 
     def _take_digest(self, digest: Digest, address: str) -> None:
@@ -245,6 +240,10 @@
             self._digests.note_spendings(member.vm, spent, now)
             self._listener.take_spent(member, spent)
 
+    def _greet(self, address: str) -> None:
+        greeting = Receiver(address, is_new=True)
+        self.send(self._listener.make_beat(greeting), address)
+
     def _note(self, member: Member) -> bool:
         """Take a VM for alive; tells whether it was not."""
         before = self._members.heard(member)
--- a/tests/direct/test_hubs.py
+++ b/tests/direct/test_hubs.py
@@ -70,7 +70,7 @@
 
 
 def test_a_vm_that_gets_ready_while_it_is_introduced_is_known_to_all() -> None:
-    """A lookup of a profile that has just changed is repeated."""
+    """A VM whose key changes while it is looked up is found all the same."""
     network = started(1)
     first = network.up()[0]
     second = network.add(3)
