Tell the limits of all runners, not of the newest 32 alone

Where more than 32 runners name limits at once, a VM told the others of the newest 32 in each heartbeat; of 40 limits that each reached one VM once, another VM knew 32 however long it waited, and sent the other eight what it liked. The comment said that they are told in turn. Now half of what is told is drawn from the others.

test_limits_of_many_runners_all_reach_another_vm fails before (32 of 40) and passes now. test_attempt.py and the fixture pass the new argument; nothing else of them is changed.

--- a/bramleybend/direct/queues.py
+++ b/bramleybend/direct/queues.py
@@ -104,7 +104,7 @@
     book: Book, members: Members, clock: Clock, events: EventLog, rng: Random
 ) -> Queues:
     """Make the queues of a VM, which keep to what runners say they take."""
-    limits = RunnerLimits(clock, events)
+    limits = RunnerLimits(clock, events, rng)
     queues = Queues(book, members, limits, clock, rng)
     limits.changed = queues.take_limits
     queues.log = QueueLog(queues, events)
--- a/bramleybend/direct/runner_limits.py
+++ b/bramleybend/direct/runner_limits.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from math import isfinite
+from random import Random
 from typing import Final
 
 from bramleybend.clock import Clock
@@ -20,8 +21,10 @@
 LEAST_PER_S: Final = 0.25
 # The end of a limit is told for longer than a VM is likely to hear nobody.
 END_TOLD_S: Final = 30.0
-# Of 50 bytes each; more runners in need at once are told in turn.
+# Of 50 bytes each. Where more runners name limits, half of what is told are
+# the newest and half drawn from the others, so that all are told in time.
 MOST_TOLD: Final = 32
+NEWEST_TOLD: Final = 16
 
 
 @dataclass(frozen=True)
@@ -33,10 +36,11 @@
 class RunnerLimits:
     """The limits that runners named, by their incarnation."""
 
-    def __init__(self, clock: Clock, events: EventLog) -> None:
+    def __init__(self, clock: Clock, events: EventLog, rng: Random) -> None:
         """Know of no limit."""
         self._clock = clock
         self._events = events
+        self._rng = rng
         self._said: dict[str, _Said] = {}
         self.changed: Callable[[], None] = _nothing
 
@@ -82,12 +86,15 @@
     def news(self) -> list[LimitNews]:
         """Return what to tell the other VMs, the newest first."""
         now = self.now()
-        newest = sorted(self._said.items(), key=_latest)
-        return [
+        told = [
             LimitNews(runner, said.per_s, now - said.at)
-            for runner, said in newest[:MOST_TOLD]
+            for runner, said in sorted(self._said.items(), key=_latest)
             if said.per_s is not None or now - said.at < END_TOLD_S
         ]
+        if len(told) <= MOST_TOLD:
+            return told
+        drawn = self._rng.sample(told[NEWEST_TOLD:], MOST_TOLD - NEWEST_TOLD)
+        return told[:NEWEST_TOLD] + drawn
 
     def keep_only(self, runners: Collection[str]) -> None:
         """Forget what runners said that are gone."""
--- a/tests/direct/test_attempt.py
+++ b/tests/direct/test_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from dataclasses import replace
+from random import Random
 from typing import Any, cast
 from unittest.mock import Mock
 
@@ -48,7 +49,7 @@
     attempt = Attempt(
         cast(RunnerChannels, channels),
         make_dialect(),
-        RunnerLimits(clock, cast(EventLog, cast(Any, None))),
+        RunnerLimits(clock, cast(EventLog, cast(Any, None)), Random(1)),
         RUNNER,
         'a1',
     )
@@ -65,7 +66,7 @@
     """A booking isn't told that it may have run where nothing was sent."""
     clock = SystemClock()
     channels = RunnerChannels(clock)
-    limits = RunnerLimits(clock, cast(EventLog, cast(Any, None)))
+    limits = RunnerLimits(clock, cast(EventLog, cast(Any, None)), Random(1))
     with socket.create_server(('127.0.0.1', 0)) as listener:
         runner = replace(RUNNER, port=listener.getsockname()[1])
         channel = await channels.take(runner)
--- a/tests/direct/test_limit_news.py
+++ b/tests/direct/test_limit_news.py
@@ -1,12 +1,16 @@
 """What VMs make of the limits that runners name."""
 
+from random import Random
+
 import pytest
 
 from bramleybend.clock import ManualClock
 from bramleybend.direct.beat_messages import LimitNews
+from bramleybend.direct.members import BEAT_S
 from bramleybend.direct.runner_limits import (
     END_TOLD_S,
     LEAST_PER_S,
+    MOST_TOLD,
     RunnerLimits,
 )
 from bramleybend.events import EventLog
@@ -22,7 +26,7 @@
 @pytest.fixture
 def limits(clock: ManualClock) -> RunnerLimits:
     """Return a VM's limits."""
-    return RunnerLimits(clock, EventLog('vm', 'i', clock))
+    return RunnerLimits(clock, EventLog('vm', 'i', clock), Random(1))
 
 
 def test_the_newest_limit_is_in_force(
@@ -101,3 +105,17 @@
     limits.answered('r', '3', clock.monotonic())
     limits.keep_only({'successor'})
     assert not limits.in_force()
+
+
+def test_limits_of_many_runners_all_reach_another_vm(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """Limits that are not among the newest are told, too."""
+    other = RunnerLimits(clock, EventLog('other', 'i', clock), Random(2))
+    for number in range(MOST_TOLD + 8):
+        clock.advance(0.01)
+        limits.answered(f'runner-{number}', '2', 0)
+    for _ in range(25):
+        clock.advance(BEAT_S)
+        other.heard(limits.news())
+    assert len(other.in_force()) == MOST_TOLD + 8
