--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -27,9 +27,9 @@
     places_of,
     time_left,
 )
+from bramleybend.decisions.queueing import WINDOW, Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
-from bramleybend.decisions.tier_queue import WINDOW, Waiting
 from bramleybend.models import Tier
 
 PLACE_S = 0.05
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -4,10 +4,9 @@
 from random import Random
 
 from bramleybend.decisions.pool import RunnerPool
-from bramleybend.decisions.queueing import WaitingQueue
+from bramleybend.decisions.queueing import Waiting, WaitingQueue
 from bramleybend.decisions.runs import Run, Runner
 from bramleybend.decisions.switches import Switches
-from bramleybend.decisions.tier_queue import Waiting
 from bramleybend.decisions.turnaway import DrainRate
 from bramleybend.models import Ask, Tier
 
--- a/tests/decisions/test_standing_queue.py
+++ b/tests/decisions/test_standing_queue.py
@@ -5,8 +5,11 @@
 
 import pytest
 
-from bramleybend.decisions.queueing import LeastTime, WaitingQueue
-from bramleybend.decisions.tier_queue import LATE_EVERY
+from bramleybend.decisions.queueing import (
+    LATE_EVERY,
+    LeastTime,
+    WaitingQueue,
+)
 from bramleybend.direct.owner import SWITCHES
 from bramleybend.models import Ask, Tier
 from tests.decisions.engine_play import PATIENCE_S, Burst, Play, Tally
