Log how a runner's answer was framed and what came after its last event

event=answered had status=200 alike for a whole stream and for one whose runner crashed and closed in order, so the log could not tell apart an answer without a length, a cut chunked one and our own end of a broken one. Sight only, no logic.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -15,6 +15,7 @@
 import struct
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Final, TypeAlias
 
 import h11
@@ -43,6 +44,14 @@
 _TIMEOUT_FORM: Final = re.compile(rb'timeout\s*=\s*(\d+)')
 
 
+class Framing(StrEnum):
+    """What tells where a body ends."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CONNECTION = 'connection'  # it ends when its connection does
+
+
 @dataclass(frozen=True)
 class Head:
     """Status and headers of an answer, names in lower case."""
@@ -50,6 +59,15 @@
     status: int
     headers: HeaderList
 
+    @property
+    def framing(self) -> Framing:
+        """Tell what marks the end of the body."""
+        if self.get('transfer-encoding') is not None:
+            return Framing.CHUNKED
+        if self.get('content-length') is not None:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
     def get(self, name: str) -> str | None:
         """Return a header's first value."""
         wanted = name.encode()
--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -78,6 +78,7 @@
         self._channel: Channel | None = None
         self.runner = runner
         self.sent = False
+        self.cut_bytes = 0  # of an event whose end did not come
 
     @property
     def is_ended(self) -> bool:
@@ -128,6 +129,8 @@
                     yield event
         except BROKEN as exc:
             raise BrokenStreamError(str(exc) or type(exc).__name__) from exc
+        finally:
+            self.cut_bytes = len(splitter.rest)
         if splitter.rest:
             yield Event('', splitter.rest)
 
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -38,6 +38,8 @@
     last_event_at: float | None = None  # monotonic
     left_at: float | None = None  # monotonic; its caller's leaving
     attempt: Attempt | None = None  # under way
+    framing: str = ''  # of the newest answer; empty before the first
+    cut_bytes: int = 0  # after the last whole event of that answer
     is_counted: bool = True  # against its workspace's allotment
     trail: list[str] = field(default_factory=list)  # runners it was sent to
 
--- a/bramleybend/direct/relay.py
+++ b/bramleybend/direct/relay.py
@@ -42,6 +42,7 @@
 
     async def run(self, attempt: Attempt, head: Head) -> Failure | None:
         """Relay to the end; `None` once the caller has its final answer."""
+        self._job.framing = head.framing
         if head.status >= HTTPStatus.MULTIPLE_CHOICES:
             return await self._pass_failure(attempt, head)
         try:
@@ -52,6 +53,8 @@
             reason = f'the stream broke: {exc}'
             ended = attempt.is_ended
             return Failure(Fate.MAY_HAVE_RUN, reason, broken=ended)
+        finally:
+            self._job.cut_bytes = attempt.cut_bytes
         attempt.finish()
         if not self._responder.begun:
             await self._begin(head)
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -135,11 +135,11 @@
                     partial(self._tries.outgoing, job, placed.runner),
                     job.event_by,
                 )
-                outcome = (
-                    head
-                    if isinstance(head, Failure)
-                    else await attempt.whole(head)
-                )
+                if isinstance(head, Failure):
+                    outcome = head
+                else:
+                    job.framing = head.framing
+                    outcome = await attempt.whole(head)
         except TimeoutError:
             outcome = timed_out(attempt)
         finally:
@@ -247,6 +247,8 @@
             status=int(status),
             runners=','.join(job.trail),
             why=failure.reason if failure else reason,
+            framing=job.framing,
+            cut_bytes=job.cut_bytes,
             first_event_ms=''
             if first_at is None
             else int((first_at - job.req.received_at) * MILLISECONDS),
