--- a/tests/test_dispatch_truth.py
+++ b/tests/test_dispatch_truth.py
@@ -1,6 +1,7 @@
 """What may be told of a request whose tries met different ends."""
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 from typing import cast
 
@@ -85,3 +86,38 @@
     await server.wait_closed()
     assert (end.end, bytes(got)) == (End.NOT_SENT, b'')
     assert not run.dispatched
+
+
+@pytest.mark.parametrize('kind', list(ServiceKind))
+@pytest.mark.parametrize(
+    ('head', 'body', 'told'),
+    [
+        ('', b'{"text": "whole"}', End.WHOLE),
+        ('', b'{"text": "cut', End.TORN),
+        ('', b'', End.TORN),
+        ('Content-Length: 0\r\n', b'', End.WHOLE),
+        ('Content-Length: 5\r\n', b'plain', End.WHOLE),
+    ],
+    ids=['whole', 'cut', 'nothing', 'empty', 'framed'],
+)
+async def test_an_answer_that_ends_with_its_connection_proves_itself_whole(
+    kind: ServiceKind, head: str, body: bytes, told: End
+) -> None:
+    """A runner that crashes and closes in order looks like one that is done."""
+
+    async def _cut(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b'{}')
+        writer.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode() + body)
+        writer.close()
+
+    server = await asyncio.start_server(_cut, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    run = Run(RequestBody('id', 'w', 's', 'p', 1, b'{}', 'f', stream=False))
+    slot = cast('Slot', SimpleNamespace(endpoint=f'127.0.0.1:{port}'))
+    attempt = Attempt(run, slot, kind, 'run', 1)
+    end = await attempt.proceed()
+    server.close()
+    assert end.end is told
