A stream that ends inside an event is broken off, whatever ended it

Callers saw a 200 that was framed as whole and lacked its last events, with a part of an event at its end. Cause: the end of a runner's answer was taken as proof that it is whole. An answer with neither a length nor chunks ends with its connection, and a runner that crashes may close it in order, so h11 tells no error; what the splitter had left was then passed on as a last event.

Now a stream is whole only between two events, and one that ends with its connection only after one event at least. It is told as broken: resumed where the route allows, else torn, and it counts as a crash of the runner that ran this content (it counted as a run that went well, which forgave earlier crashes). Blank lines and comments after the last event are no event. An answer of another content type is passed on as one document, as its framing proves it.

Setting the linger option moved from Channel to H11Protocol, unchanged.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -9,22 +9,18 @@
 """
 
 import asyncio
-import logging
 import re
 import socket
-import struct
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import Final, TypeAlias
 
 import h11
 
+from bramleybend.clients.framing import Framing, framing_of
 from bramleybend.clients.h11_protocol import H11Protocol
 from bramleybend.clock import Clock
 
-logger = logging.getLogger(__name__)
-
 HeaderList: TypeAlias = Sequence[tuple[bytes, bytes]]
 
 # Within a failure domain a connection stands in 1 ms, across them in 2; a
@@ -40,18 +36,9 @@
 # A stated timeout runs at the peer; ours ends sooner by a round trip and the
 # time a busy peer takes to read.
 IDLE_MARGIN: Final = 0.7
-NO_LINGER: Final = struct.pack('ii', 1, 0)  # on, for no time
 _TIMEOUT_FORM: Final = re.compile(rb'timeout\s*=\s*(\d+)')
 
 
-class Framing(StrEnum):
-    """What tells where a body ends."""
-
-    LENGTH = 'length'
-    CHUNKED = 'chunked'
-    CONNECTION = 'connection'  # it ends when its connection does
-
-
 @dataclass(frozen=True)
 class Head:
     """Status and headers of an answer, names in lower case."""
@@ -62,11 +49,7 @@
     @property
     def framing(self) -> Framing:
         """Tell what marks the end of the body."""
-        if self.get('transfer-encoding') is not None:
-            return Framing.CHUNKED
-        if self.get('content-length') is not None:
-            return Framing.LENGTH
-        return Framing.CONNECTION
+        return framing_of({key.decode('latin-1') for key, _ in self.headers})
 
     def get(self, name: str) -> str | None:
         """Return a header's first value."""
@@ -126,19 +109,6 @@
         super().eof_received()
         return self._busy
 
-    def abort(self) -> None:
-        """Drop the connection, and what its peer has not read yet.
-
-        Closed in order, the kernel would still deliver a request that was
-        written, and the peer would run it for nobody.
-        """
-        sock = self.transport.get_extra_info('socket')
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-        except OSError as exc:
-            logger.debug('a connection is closed in order: %s', exc)
-        super().abort()
-
     @property
     def usable(self) -> bool:
         """Whether another request may be sent on it."""
@@ -184,7 +154,7 @@
         return head
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises unless framing proves it whole."""
+        """Yield the body; raises if its framing shows that it was cut."""
         event = await self.next_event()
         while isinstance(event, h11.Data):
             yield bytes(event.data)
--- a/bramleybend/clients/h11_protocol.py
+++ b/bramleybend/clients/h11_protocol.py
@@ -6,6 +6,9 @@
 """
 
 import asyncio
+import logging
+import socket
+import struct
 from typing import Final, cast
 
 import h11
@@ -13,6 +16,9 @@
 # Unread bytes at which reading stops, so that a fast sender before a slow
 # reader costs no memory; far over one event or request of usual size.
 HIGH_WATER: Final = 262_144
+NO_LINGER: Final = struct.pack('ii', 1, 0)  # on, for no time
+
+logger = logging.getLogger(__name__)
 
 
 class H11Protocol(asyncio.Protocol):
@@ -100,6 +106,17 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Drop the connection and what is still unsent."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Reset the connection; what its peer has not read yet is dropped.
+
+        Closed in order, the kernel would still deliver a request that was
+        written, and the peer would run it for nobody; and a peer that reads
+        to the end of the connection would take half an answer for a whole one.
+        """
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info('socket')
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        except OSError as exc:
+            logger.debug('a connection is closed in order: %s', exc)
+        self._transport.abort()
--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -10,6 +10,7 @@
 import h11
 
 from bramleybend.clients.channel import Channel, Head, Outgoing
+from bramleybend.clients.framing import Framing
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.dialect import Dialect
 from bramleybend.direct.models import RunnerEntry
@@ -119,18 +120,29 @@
         self.finish()
         return WholeAnswer(head, body)
 
-    async def events(self) -> AsyncGenerator[Event, None]:
-        """Yield whole events; raises unless the stream came to its end."""
+    async def events(self, head: Head) -> AsyncGenerator[Event, None]:
+        """Yield whole events; raises unless the stream came to its end.
+
+        A runner that crashes may close its connection in order, which looks
+        like the end of an answer that has neither a length nor chunks.
+        """
         assert self._channel is not None
         splitter = EventSplitter()
+        is_empty = True
         try:
             async for chunk in self._channel.chunks():
                 for event in splitter.feed(chunk):
+                    is_empty = False
                     yield event
         except BROKEN as exc:
             raise BrokenStreamError(str(exc) or type(exc).__name__) from exc
         finally:
-            self.cut_bytes = len(splitter.rest)
+            if splitter.is_inside_event:
+                self.cut_bytes = len(splitter.rest)
+        if self.cut_bytes:
+            raise BrokenStreamError('it ended inside an event')
+        if is_empty and head.framing is Framing.CONNECTION:
+            raise BrokenStreamError('its connection ended before an event')
         if splitter.rest:
             yield Event('', splitter.rest)
 
--- a/bramleybend/direct/relay.py
+++ b/bramleybend/direct/relay.py
@@ -2,6 +2,7 @@
 
 from contextlib import aclosing
 from http import HTTPStatus
+from typing import Final
 
 from bramleybend.clients.channel import Head
 from bramleybend.clock import Clock
@@ -18,6 +19,8 @@
 from bramleybend.direct.responder import Responder
 from bramleybend.direct.sse import Event
 
+EVENT_STREAM: Final = 'text/event-stream'
+
 
 class StreamRelay:
     """Relays one run; a job whose run broke off gets another relay."""
@@ -43,10 +46,10 @@
     async def run(self, attempt: Attempt, head: Head) -> Failure | None:
         """Relay to the end; `None` once the caller has its final answer."""
         self._job.framing = head.framing
-        if head.status >= HTTPStatus.MULTIPLE_CHOICES:
-            return await self._pass_failure(attempt, head)
+        if _is_failure(head) or not _is_event_stream(head):
+            return await self._pass_whole(attempt, head)
         try:
-            async with aclosing(attempt.events()) as events:
+            async with aclosing(attempt.events(head)) as events:
                 async for event in events:
                     await self._pass(head, event)
         except BrokenStreamError as exc:
@@ -61,10 +64,8 @@
         await self._responder.end()
         return None
 
-    async def _pass_failure(
-        self, attempt: Attempt, head: Head
-    ) -> Failure | None:
-        """Pass on a failure of the runner's own, as it is."""
+    async def _pass_whole(self, attempt: Attempt, head: Head) -> Failure | None:
+        """Pass on a failure of the runner's own, or one document, as it is."""
         answer = await attempt.whole(head)
         if isinstance(answer, Failure):
             return answer
@@ -72,7 +73,8 @@
             return Failure(
                 Fate.MAY_HAVE_RUN, f'the runner answered {head.status}'
             )
-        self._job.failure_status = head.status
+        if _is_failure(head):
+            self._job.failure_status = head.status
         headers = self._dialect.caller_headers(head)
         await self._responder.reply(Reply(head.status, headers, answer.body))
         return None
@@ -98,6 +100,15 @@
         await self._responder.stream(head.status, headers)
 
 
+def _is_failure(head: Head) -> bool:
+    return head.status >= HTTPStatus.MULTIPLE_CHOICES
+
+
+def _is_event_stream(head: Head) -> bool:
+    stated = head.get('content-type')
+    return stated is None or stated.lower().startswith(EVENT_STREAM)
+
+
 def is_repeat(number: str, last: str) -> bool:
     """Tell whether the caller has an event already."""
     if not (number.isdecimal() and last.isdecimal()):
--- a/bramleybend/direct/sse.py
+++ b/bramleybend/direct/sse.py
@@ -32,6 +32,12 @@
         """What came of an event that is not whole."""
         return self._rest
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Tell whether a part of an event has come, and not its end."""
+        lines = self._rest.splitlines(keepends=True)
+        return not all(_is_blank_or_comment(line) for line in lines)
+
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that are whole now."""
         text = self._rest + chunk
@@ -44,6 +50,10 @@
         return events
 
 
+def _is_blank_or_comment(line: bytes) -> bool:
+    return line[:1] in b':\r\n' and line.endswith((b'\r', b'\n'))
+
+
 def _event(raw: bytes) -> Event:
     found = _ID.search(raw)
     return Event(found.group(1).decode('latin-1') if found else '', raw)
