Reset the connection of an HTTP/1.0 caller whose answer breaks off

Found by looking for the cause of the broken streams elsewhere. A caller without chunks reads to the end of its connection. A stream that broke off, a fault of our own and a stop in the middle of an answer closed it in order, so the part of the answer looked whole. Now such a connection is reset; with chunks the missing last one tells, and what was sent still arrives.

Evidence: test_a_caller_without_chunks_sees_a_broken_stream_as_reset[True] failed before.

--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -25,6 +25,7 @@
 BODY_TIMEOUT_S: Final = 10.0
 # How long a connection that ends is read on, or the last answer may be lost.
 LINGER_S: Final = 0.5
+HTTP_1_1: Final = b'1.1'
 
 
 Handler = Callable[[RawRequest, Responder], Awaitable[None]]
@@ -88,8 +89,15 @@
         await self.write(payload)
 
     def tear(self) -> None:
-        """End the connection as it stands."""
-        self.close()
+        """End the connection; an answer under way must not look whole.
+
+        Without chunks, its end is the end of the connection.
+        """
+        version = self.http.their_http_version or HTTP_1_1
+        if self.http.our_state is h11.SEND_BODY and version < HTTP_1_1:
+            self.abort()
+        else:
+            self.close()
 
     def _leave(self) -> None:
         self._left = True
@@ -108,7 +116,7 @@
             logger.exception('a request failed in our own code')
             self.abort()
         finally:
-            self.close()
+            self.tear()
 
     async def _serve_one(self) -> bool:
         responder = Responder(self)
