An unframed answer on our own interface is whole only if its JSON is

Found by looking for the cause of the broken streams elsewhere: the gateway reads runners' answers by its own code, and told done for JSON that a crash had cut at an orderly end. Streams there end with [DONE] and were never concerned.

--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -16,6 +16,7 @@
 import h11
 from result import Err, Ok, Result
 
+from bramleybend.clients.framing import Framing, framing_of
 from bramleybend.errors import ErrorKind, Problem, ProblemError
 from bramleybend.patience import patience, within
 
@@ -38,6 +39,11 @@
     headers: Mapping[str, str]
     body: bytes
 
+    @property
+    def framing(self) -> Framing:
+        """Tell what marks the end of the body."""
+        return framing_of(self.headers)
+
 
 class Exchange:
     """Sends one request and reads its answer; owns its connection."""
@@ -92,7 +98,7 @@
         return HttpResponse(event.status_code, headers, b'')
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises unless framing proves it whole."""
+        """Yield the body; raises if its framing shows that it was cut."""
         event = await self._next_event()
         while isinstance(event, h11.Data):
             yield bytes(event.data)
--- a/bramleybend/clients/runner.py
+++ b/bramleybend/clients/runner.py
@@ -120,6 +120,15 @@
             yield event
 
 
+def is_json(body: bytes) -> bool:
+    """Tell whether a body is one whole JSON text."""
+    try:
+        json.loads(body)
+    except ValueError:
+        return False
+    return True
+
+
 def usage_in(payload: bytes) -> Usage | None:
     """Return the usage that an event or a body carries, if any."""
     if b'"usage"' not in payload:
--- a/bramleybend/gateway/attempt.py
+++ b/bramleybend/gateway/attempt.py
@@ -11,7 +11,8 @@
 from http import HTTPStatus
 from typing import Final
 
-from bramleybend.clients.http import BROKEN, Exchange, connect
+from bramleybend.clients.framing import Framing
+from bramleybend.clients.http import BROKEN, Exchange, HttpResponse, connect
 from bramleybend.clients.runner import (
     DONE_EVENT,
     EVENT_END,
@@ -20,6 +21,7 @@
     Usage,
     cancel_run,
     events_of,
+    is_json,
     resume_run,
     send_run,
     usage_in,
@@ -121,7 +123,7 @@
         self._run.content_type = head.headers.get('content-type', '')
         if self._streams and head.status == HTTPStatus.OK:
             return await self._stream(exchange)
-        return await self._body(exchange, head.status)
+        return await self._body(exchange, head)
 
     @property
     def _streams(self) -> bool:
@@ -129,7 +131,7 @@
             self._address.kind is ServiceKind.ENGINE
         )
 
-    async def _body(self, exchange: Exchange, status: int) -> AttemptEnd:
+    async def _body(self, exchange: Exchange, head: HttpResponse) -> AttemptEnd:
         parts: list[bytes] = []
         try:
             async for chunk in exchange.chunks():
@@ -138,8 +140,11 @@
             return await self._broken(End.TORN)
         body = b''.join(parts)
         self._usage = usage_in(body) or Usage()
-        if status >= HTTPStatus.BAD_REQUEST:
-            return AttemptEnd(End.ANSWERED, self._usage, status)
+        if head.status >= HTTPStatus.BAD_REQUEST:
+            return AttemptEnd(End.ANSWERED, self._usage, head.status)
+        if head.framing is Framing.CONNECTION and not is_json(body):
+            # A runner that crashes may close its connection in order.
+            return await self._broken(End.TORN)
         if self._run.has_begun:
             return AttemptEnd(End.OVERTAKEN, self._usage)
         if not self._run.add(body):
