--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -128,21 +128,15 @@
         """
         assert self._channel is not None
         splitter = EventSplitter()
-        is_empty = True
         try:
             async for chunk in self._channel.chunks():
                 for event in splitter.feed(chunk):
-                    is_empty = False
                     yield event
         except BROKEN as exc:
             raise BrokenStreamError(str(exc) or type(exc).__name__) from exc
         finally:
-            if splitter.is_inside_event:
-                self.cut_bytes = len(splitter.rest)
-        if self.cut_bytes:
-            raise BrokenStreamError('it ended inside an event')
-        if is_empty and head.framing is Framing.CONNECTION:
-            raise BrokenStreamError('its connection ended before an event')
+            self.cut_bytes = splitter.cut_bytes
+        _check_end(head, splitter)
         if splitter.rest:
             yield Event('', splitter.rest)
 
@@ -235,6 +229,14 @@
         )
 
 
+def _check_end(head: Head, splitter: EventSplitter) -> None:
+    """Raise if a stream whose bytes have ended is not whole."""
+    if splitter.cut_bytes:
+        raise BrokenStreamError('it ended inside an event')
+    if head.framing is Framing.CONNECTION and not splitter.count:
+        raise BrokenStreamError('its connection ended before an event')
+
+
 async def _catch_up() -> None:
     """Let the event loop take in what has come, a caller's close among it.
 
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -25,7 +25,7 @@
 BODY_TIMEOUT_S: Final = 10.0
 # How long a connection that ends is read on, or the last answer may be lost.
 LINGER_S: Final = 0.5
-HTTP_1_1: Final = b'1.1'
+CHUNKS_SINCE: Final = b'1.1'  # the HTTP version
 
 
 Handler = Callable[[RawRequest, Responder], Awaitable[None]]
@@ -93,8 +93,8 @@
 
         Without chunks, its end is the end of the connection.
         """
-        version = self.http.their_http_version or HTTP_1_1
-        if self.http.our_state is h11.SEND_BODY and version < HTTP_1_1:
+        version = self.http.their_http_version or CHUNKS_SINCE
+        if self.http.our_state is h11.SEND_BODY and version < CHUNKS_SINCE:
             self.abort()
         else:
             self.close()
--- a/bramleybend/direct/sse.py
+++ b/bramleybend/direct/sse.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         """Start between two events."""
         self._rest = b''
+        self.count = 0  # events that were whole
 
     @property
     def rest(self) -> bytes:
@@ -33,10 +34,15 @@
         return self._rest
 
     @property
-    def is_inside_event(self) -> bool:
-        """Tell whether a part of an event has come, and not its end."""
+    def cut_bytes(self) -> int:
+        """Count what came of an event that is not whole.
+
+        Blank lines and comments after an event are part of none.
+        """
         lines = self._rest.splitlines(keepends=True)
-        return not all(_is_blank_or_comment(line) for line in lines)
+        if all(_is_blank_or_comment(line) for line in lines):
+            return 0
+        return len(self._rest)
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that are whole now."""
@@ -47,6 +53,7 @@
             events.append(_event(text[at : end.end()]))
             at = end.end()
         self._rest = text[at:]
+        self.count += len(events)
         return events
 
 
