--- a/tests/decisions/test_failing.py
+++ b/tests/decisions/test_failing.py
@@ -27,8 +27,11 @@
     )
 
 
-def play(requests_per_s: float) -> dict[str, int]:
-    """Return what each of three runners got; `grey` fails half at once."""
+def play(requests_per_s: float, *, refuses: bool = False) -> dict[str, int]:
+    """Return what each of three runners got; `grey` fails half at once.
+
+    With `refuses`, it turns them away unrun instead.
+    """
     rng = Random(11)
     policy = make_shard_policy(
         Service('s', ServiceKind.ENGINE, 4),
@@ -47,6 +50,7 @@
             ends.remove(end)
             report = RunReport(
                 'failed' if end[2] else 'done',
+                refused=end[2] and refuses,
                 prompt_tokens=1000,
                 completion_tokens=125,
                 seconds=RUN_S,
@@ -74,6 +78,12 @@
     assert got['grey'] < 0.12 * sum(got.values())
 
 
+def test_a_runner_that_turns_half_away_gets_little_work() -> None:
+    """A refusal in a millisecond leaves it free, so it would get the most."""
+    got = play(requests_per_s=18, refuses=True)
+    assert got['grey'] < 0.12 * sum(got.values())
+
+
 def test_a_runner_that_recovers_gets_work_again() -> None:
     """The share fades, as only runs can show that it is well."""
     share = FailureShare()
