Send nothing more to a runner that has left its address

Callers got 503 "the runner answered 421" by the dozen while runners had room. Cause: after a crash a runner is back at its address under a new name, and its old entry stands for three heartbeats. All that names the old one is refused (421) within 3 ms. That refusal counted as one of a full runner, which gives its slot back at once: the one runner that is always free, so it drew the whole queue until the retry budget or the three refusals of each request were spent.

Two signs tell it before the entry lapses. A 421 proves that the named start is not at its address: that VM no longer uses it, and tells the owner with the run's end. A listed start that is later than another one at the same address replaces it; only one of a declared service does, as other entries may be another writer's. A 421 is no refusal of a full service, and no longer counts as one of three.

What a failed try shows of its runner is now one value (none, full, moved, unreachable, broke off) that each failure has to name, in place of three flags that could all be left out.

--- a/bramleybend/decisions/actions.py
+++ b/bramleybend/decisions/actions.py
@@ -47,6 +47,7 @@
     outcome: str
     refused: bool = False  # the runner did not admit it
     crashed: bool = False  # the runner died under it
+    moved: bool = False  # another process answers at the runner's address
     prompt_tokens: int = 0
     cached_tokens: int = 0
     completion_tokens: int = 0
--- a/bramleybend/direct/ask_messages.py
+++ b/bramleybend/direct/ask_messages.py
@@ -55,8 +55,8 @@
     )
 
 
-def ended_news(ask: Ask, report: RunReport) -> Ended:
-    """Tell an owner of a run's end."""
+def ended_news(ask: Ask, report: RunReport, runner: str = '') -> Ended:
+    """Tell an owner of a run's end; `runner` is who had it."""
     return Ended(
         ask.request_id,
         ask.service,
@@ -66,6 +66,7 @@
         report.prompt_tokens,
         report.completion_tokens,
         report.seconds,
+        runner if report.moved else '',
     )
 
 
@@ -75,6 +76,7 @@
         news.outcome,
         news.refused,
         news.crashed,
+        bool(news.moved_runner),
         news.prompt_tokens,
         0,
         news.completion_tokens,
--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -37,15 +37,23 @@
     MAY_HAVE_RUN = 'may_have_run'
 
 
+class Sign(StrEnum):
+    """What a try without an answer shows of its runner."""
+
+    NONE = 'none'
+    FULL = 'full'  # it turned the request away
+    MOVED = 'moved'  # another process answers at its address
+    UNREACHABLE = 'unreachable'
+    BROKE_OFF = 'broke_off'  # the connection ended before the answer did
+
+
 @dataclass(frozen=True)
 class Failure:
     """Why there is no answer that could be passed on."""
 
     fate: Fate
     reason: str
-    unreachable: bool = False  # the runner, not this request, is at fault
-    full: bool = False  # the runner turned it away
-    broken: bool = False  # the connection ended before the answer did
+    sign: Sign
 
 
 @dataclass(frozen=True)
@@ -82,9 +90,10 @@
         self.cut_bytes = 0  # of an event whose end did not come
 
     @property
-    def is_ended(self) -> bool:
-        """Tell whether the runner has closed its end of the connection."""
-        return self._channel is not None and self._channel.peer_ended
+    def sign_of_end(self) -> Sign:
+        """Tell what an answer that ends now shows of its runner."""
+        has_ended = self._channel is not None and self._channel.peer_ended
+        return Sign.BROKE_OFF if has_ended else Sign.NONE
 
     async def begin(
         self, make_outgoing: Callable[[], Outgoing], send_by: float
@@ -96,12 +105,11 @@
         try:
             channel = await self._open()
         except OSError as exc:
-            return Failure(
-                Fate.NOT_RUN, f'no connection: {exc}', unreachable=True
-            )
+            reason = f'no connection: {exc}'
+            return Failure(Fate.NOT_RUN, reason, Sign.UNREACHABLE)
         sent_at = self._limits.now()
         if sent_at >= send_by:
-            return Failure(Fate.NOT_RUN, TIMEOUT)
+            return Failure(Fate.NOT_RUN, TIMEOUT, Sign.NONE)
         try:
             await self._send(channel, make_outgoing())
             head = await self._own_head(channel)
@@ -191,16 +199,17 @@
         facts = self._dialect.answer_facts(head)
         if facts.not_run:
             await self._discard()
-            return Failure(
-                Fate.NOT_RUN, f'the runner answered {head.status}', full=True
-            )
+            reason = f'the runner answered {head.status}'
+            sign = Sign.MOVED if facts.misdirected else Sign.FULL
+            return Failure(Fate.NOT_RUN, reason, sign)
         is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
         owned = facts.attempt_id == self._attempt_id
         if is_success and not (
             facts.proven and owned and self._dialect.is_whole(head)
         ):
             self.cancel()
-            return Failure(Fate.MAY_HAVE_RUN, 'the answer bears no proof')
+            reason = 'the answer bears no proof'
+            return Failure(Fate.MAY_HAVE_RUN, reason, Sign.NONE)
         return head
 
     async def _discard(self) -> None:
@@ -216,17 +225,14 @@
         self.finish()
 
     def _broken(self, exc: Exception) -> Failure:
-        ended = self.is_ended
-        self.cancel()
-        reason = str(exc) or type(exc).__name__
-        return Failure(
-            Fate.MAY_HAVE_RUN,
-            reason,
+        sign = self.sign_of_end
+        if isinstance(exc, TimeoutError):
             # A reset may concern one connection; bytes that nobody
             # acknowledges tell that the runner itself is cut off.
-            unreachable=isinstance(exc, TimeoutError),
-            broken=ended,
-        )
+            sign = Sign.UNREACHABLE
+        self.cancel()
+        reason = str(exc) or type(exc).__name__
+        return Failure(Fate.MAY_HAVE_RUN, reason, sign)
 
 
 def _check_end(head: Head, splitter: EventSplitter) -> None:
--- a/bramleybend/direct/book.py
+++ b/bramleybend/direct/book.py
@@ -2,17 +2,22 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 from math import inf
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from bramleybend.clock import Clock
+from bramleybend.direct.addresses import newest_at_address
 from bramleybend.direct.models import Manifest, RunnerEntry
 from bramleybend.events import EventLog
 
 Runners: TypeAlias = Mapping[str, Sequence[RunnerEntry]]  # by service
 Listener: TypeAlias = Callable[[], None]
 
+# An entry lapses after three silent heartbeats. Not for good: a runner that
+# says so once in error would be lost.
+MOVED_S: Final = 5.0
+
 
 class Book:
     """One process's knowledge; listeners hear of each change."""
@@ -23,7 +28,9 @@
         self._events = events
         self._listeners: list[Listener] = []
         self._confirmed_at = -inf
-        self._entries: dict[str, RunnerEntry] = {}
+        self._listed: Mapping[str, RunnerEntry] = {}  # by incarnation
+        self._moved: dict[str, float] = {}  # by incarnation, until when
+        self._entries: dict[str, RunnerEntry] = {}  # those that are used
         self.manifest: Manifest | None = None
         self.runners: Runners = {}
         self.runners_known = False
@@ -82,21 +89,53 @@
             routes=sum(len(routes) for routes in manifest.routes.values()),
             keys=len(manifest.key_holders),
         )
+        self._use_listed()
         self._tell()
 
     def take_runners(self, known: Mapping[str, RunnerEntry]) -> None:
         """Take in the whole list of runners."""
-        entries = {entry.incarnation: entry for entry in known.values()}
-        if self.runners_known and entries == self._entries:
-            return
+        self._listed = {entry.incarnation: entry for entry in known.values()}
+        is_first = not self.runners_known
+        self.runners_known = True
+        if self._use_listed() or is_first:
+            self._tell()
+
+    def note_moved(self, incarnation: str) -> None:
+        """Use a runner no more: another process answers at its address.
+
+        Its entry stands until it lapses. To the queue a runner that refuses
+        at once is always free, so it would draw everything that waits.
+        """
+        self._moved[incarnation] = self.now() + MOVED_S
+        self._events.record('runner_moved', runner=incarnation)
+        if self._use_listed():
+            self._tell()
+
+    def _use_listed(self) -> bool:
+        """Choose the listed runners to use; tells whether they changed."""
+        now = self.now()
+        self._moved = {
+            name: until for name, until in self._moved.items() if until > now
+        }
+        entries = {
+            entry.incarnation: entry
+            for entry in newest_at_address(
+                self._listed.values(), self._services()
+            )
+            if entry.incarnation not in self._moved
+        }
+        if entries == self._entries:
+            return False
         self._log_changes(entries)
         self._entries = entries
-        self.runners_known = True
         by_service: dict[str, list[RunnerEntry]] = defaultdict(list)
         for entry in entries.values():
             by_service[entry.service].append(entry)
         self.runners = by_service
-        self._tell()
+        return True
+
+    def _services(self) -> Container[str]:
+        return self.manifest.services if self.manifest else ()
 
     def _log_changes(self, entries: Mapping[str, RunnerEntry]) -> None:
         for name in self._entries.keys() - entries.keys():
--- a/bramleybend/direct/dialect.py
+++ b/bramleybend/direct/dialect.py
@@ -14,6 +14,7 @@
     attempt_id: str  # of the request that it answers
     proven: bool  # it bears the runner's proof
     not_run: bool  # the runner says that it did not run the request
+    misdirected: bool  # because another one was meant
     limit: str | None  # requests a second it takes; '': all; none: not told
 
 
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -86,6 +86,9 @@
     prompt_tokens: int
     completion_tokens: int
     seconds: float
+    # The runner, if another process answers at its address. Not told by
+    # earlier versions.
+    moved_runner: str = ''
 
 
 Message: TypeAlias = (
--- a/bramleybend/direct/placing.py
+++ b/bramleybend/direct/placing.py
@@ -124,10 +124,14 @@
     def ended(self, placement: Placement, report: RunReport) -> None:
         """Give the slot back."""
         ask = placement.ask
+        runner = placement.runner.incarnation
+        if report.moved:
+            self._book.note_moved(runner)
         self._runs.pop(ask.request_id, None)
         self._queues.of(ask.service).ended(ask.request_id, report)
         if placement.owner is not None:
-            self.send(ended_news(ask, report), placement.owner.address)
+            news = ended_news(ask, report, runner)
+            self.send(news, placement.owner.address)
 
     def take(
         self, message: Message, vm: str, reply: Callable[[Message], None]
@@ -142,6 +146,8 @@
                 queue = self._queues.of(message.service)
                 queue.filled(message.request_id, message.prompt_tokens)
             case Ended():
+                if message.moved_runner:
+                    self._book.note_moved(message.moved_runner)
                 queue = self._queues.of(message.service)
                 queue.ended(message.request_id, report_from(message))
             case Queued() | Granted() | Refused():
--- a/bramleybend/direct/relay.py
+++ b/bramleybend/direct/relay.py
@@ -11,6 +11,7 @@
     BrokenStreamError,
     Failure,
     Fate,
+    Sign,
 )
 from bramleybend.direct.dialect import Dialect
 from bramleybend.direct.job import Job
@@ -54,8 +55,7 @@
                     await self._pass(head, event)
         except BrokenStreamError as exc:
             reason = f'the stream broke: {exc}'
-            ended = attempt.is_ended
-            return Failure(Fate.MAY_HAVE_RUN, reason, broken=ended)
+            return Failure(Fate.MAY_HAVE_RUN, reason, attempt.sign_of_end)
         finally:
             self._job.cut_bytes = attempt.cut_bytes
         attempt.finish()
@@ -70,9 +70,8 @@
         if isinstance(answer, Failure):
             return answer
         if self._responder.begun:
-            return Failure(
-                Fate.MAY_HAVE_RUN, f'the runner answered {head.status}'
-            )
+            reason = f'the runner answered {head.status}'
+            return Failure(Fate.MAY_HAVE_RUN, reason, Sign.NONE)
         if _is_failure(head):
             self._job.failure_status = head.status
         headers = self._dialect.caller_headers(head)
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -11,6 +11,7 @@
     Attempt,
     Failure,
     Fate,
+    Sign,
     WholeAnswer,
 )
 from bramleybend.direct.dialect import Onward
@@ -35,8 +36,8 @@
 DONE: Final = 'done'
 FAILED: Final = 'failed'
 UNSENT: Final = 'unsent'
-LEFT: Final = Failure(Fate.MAY_HAVE_RUN, 'its caller left')
-LEFT_UNSENT: Final = Failure(Fate.NOT_RUN, 'its caller left')
+LEFT: Final = Failure(Fate.MAY_HAVE_RUN, 'its caller left', Sign.NONE)
+LEFT_UNSENT: Final = Failure(Fate.NOT_RUN, 'its caller left', Sign.NONE)
 
 
 class Tries:
@@ -112,11 +113,13 @@
             self._parts.containment.finished(job.fingerprint)
         else:
             self._note_failure(job, placed, failure)
+        sign = failure.sign if failure else Sign.NONE
         made = events * self._parts.event_tokens(job.terms.service)
         report = RunReport(
             _outcome_of(job, outcome),
-            refused=bool(failure and failure.full),
-            crashed=bool(failure and failure.unreachable),
+            refused=sign is Sign.FULL,
+            crashed=sign is Sign.UNREACHABLE,
+            moved=sign is Sign.MOVED,
             prompt_tokens=job.facts.prompt_tokens,
             completion_tokens=made or 1,
             seconds=self.now() - started,
@@ -129,11 +132,12 @@
             return False
         if failure.fate is Fate.MAY_HAVE_RUN:
             return job.terms.route.may_repeat and self.within_bounds(job)
-        job.refusals += 1
+        # A runner that has moved tells nothing of how full its service is.
+        job.refusals += failure.sign is not Sign.MOVED
         if job.refusals >= MOST_REFUSALS or self.left(job) <= 0:
             return False
         # What reached no runner counts as no arrival anywhere.
-        return failure.unreachable or self._spend(job)
+        return failure.sign is Sign.UNREACHABLE or self._spend(job)
 
     def within_bounds(self, job: Job) -> bool:
         """Tell whether one more run is allowed, and count it."""
@@ -254,7 +258,7 @@
     def _note_failure(
         self, job: Job, placed: Placement, failure: Failure
     ) -> None:
-        if failure.broken:
+        if failure.sign is Sign.BROKE_OFF:
             self._parts.containment.crashed(job.fingerprint, placed.runner)
         self._parts.meters.count(
             'tries_failed', job.terms.service, failure.fate
@@ -271,9 +275,7 @@
 def _outcome_of(job: Job, outcome: WholeAnswer | Failure | None) -> str:
     if not isinstance(outcome, Failure):
         return FAILED if _is_failure(job, outcome) else DONE
-    is_unsent = outcome.fate is Fate.NOT_RUN and not (
-        outcome.full or outcome.unreachable
-    )
+    is_unsent = outcome.fate is Fate.NOT_RUN and outcome.sign is Sign.NONE
     return UNSENT if is_unsent else FAILED
 
 
@@ -291,4 +293,4 @@
 def timed_out(attempt: Attempt) -> Failure:
     """Tell what is certain of a try whose time is up."""
     fate = Fate.MAY_HAVE_RUN if attempt.sent else Fate.NOT_RUN
-    return Failure(fate, TIMEOUT)
+    return Failure(fate, TIMEOUT, Sign.NONE)
--- a/bramleybend/platform/headers.py
+++ b/bramleybend/platform/headers.py
@@ -81,6 +81,7 @@
             head.get(ATTEMPT_ID) or '',
             bool(head.get(STAMP)),
             said or is_misdirected,
+            is_misdirected,
             None if is_misdirected else head.get(RUNNER_LIMIT) or '',
         )
 
--- a/tests/decisions/test_turnaway.py
+++ b/tests/decisions/test_turnaway.py
@@ -20,7 +20,7 @@
 RUN_S = 0.1
 FILLED_S = 0.03  # until the first token
 COST = 2000.0
-REPORT = RunReport(DONE, False, False, 1800, 0, 25, RUN_S)
+REPORT = RunReport(DONE, False, False, False, 1800, 0, 25, RUN_S)
 
 
 def play(
