A runner that turns requests away counts as one that fails them

Found by looking for the cause of the moved runner elsewhere: a refusal in a millisecond gives the slot back, and was left out of the share of failed runs. On the raw path limits are declared and not learned, so it taught nothing at all, and the runner drew the most.

--- a/bramleybend/decisions/failing.py
+++ b/bramleybend/decisions/failing.py
@@ -1,7 +1,7 @@
 """Which runners fail part of what they are given.
 
-Load pattern: a runner fails some of its requests, often within a millisecond,
-while its status check is good.
+Load pattern: a runner fails some of its requests, or turns them away, often
+within a millisecond, while its status check is good.
 Without it: a run that failed at once looks like a fast one, or like nothing,
 so the runner is always free and gets more work than any other. Work that may
 run once is lost there.
--- a/bramleybend/decisions/learning.py
+++ b/bramleybend/decisions/learning.py
@@ -22,7 +22,7 @@
     if report.outcome == DONE and report.prompt_tokens > 0:
         expected = run.ask.prompt_tokens - run.prefill_tokens
         runner.cache.found(run.ask.prefixes, expected, report.cached_tokens)
-    if report.outcome in ENDS_OF_RUNS and not report.refused:
+    if report.outcome in ENDS_OF_RUNS:
         runner.failing.note(now, failed=report.outcome == FAILED)
     if report.refused:
         runner.limit.refused()
