Requests on time go before late ones of all workspaces of their tier, again

It is the base of what follows: a queue that stands is bounded by how long its entries have been late.

The four listed cases of test_standing_queue pass.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -15,9 +15,8 @@
 A request is let in while `LEAST_SHARE` of the burst is left, and may take
 more than is left. Asked to hold a whole request, an account that a busy
 workspace keeps near empty lets small ones through and no large one ever.
-Trials without processor time counted, one run each of a day with two busy
-workspaces: worth 0.763 to 0.787 and 0.833 to 0.840. The workspace goes beyond
-its allotment by one request at most, and pays it back.
+The workspace goes beyond its allotment by one request at most, and pays it
+back.
 
 A VM that starts again has lost its accounts, and so may have all others. Until
 a VM with older accounts tells it what is owed, it takes every burst for spent.
--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -27,9 +27,9 @@
     places_of,
     time_left,
 )
-from bramleybend.decisions.queueing import WINDOW, Waiting
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
+from bramleybend.decisions.tier_queue import WINDOW, Waiting
 from bramleybend.models import Tier
 
 PLACE_S = 0.05
@@ -77,7 +77,7 @@
     places = places_of(shard, now)
     longest = max(place.most_prefill() for place in places)
     weighed = 0
-    for window in shard.queue.windows(shard.lowest_tier(now)):
+    for window in shard.queue.windows(shard.lowest_tier(now), now):
         able = [
             (position, entry)
             for position, entry in enumerate(window)
--- a/bramleybend/decisions/expiry.py
+++ b/bramleybend/decisions/expiry.py
@@ -13,8 +13,9 @@
 
 from bramleybend.decisions.actions import Action, Refuse
 from bramleybend.decisions.floor import HOLD_S
-from bramleybend.decisions.queueing import Waiting, WaitingQueue
+from bramleybend.decisions.queueing import WaitingQueue
 from bramleybend.decisions.shard import Shard
+from bramleybend.decisions.tier_queue import Waiting
 from bramleybend.decisions.turnaway import retry_after
 from bramleybend.models import Ask, Tier
 
--- a/bramleybend/decisions/preemption.py
+++ b/bramleybend/decisions/preemption.py
@@ -15,9 +15,9 @@
 
 from bramleybend.decisions.actions import Action, Preempt
 from bramleybend.decisions.places import Place, places_of
-from bramleybend.decisions.queueing import Waiting
 from bramleybend.decisions.runs import Run
 from bramleybend.decisions.shard import Shard
+from bramleybend.decisions.tier_queue import Waiting
 from bramleybend.models import Ask, Tier
 
 MOST_AT_ONCE = 8  # victims ordered in one step; bounds its time
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -4,9 +4,10 @@
 from random import Random
 
 from bramleybend.decisions.pool import RunnerPool
-from bramleybend.decisions.queueing import Waiting, WaitingQueue
+from bramleybend.decisions.queueing import WaitingQueue
 from bramleybend.decisions.runs import Run, Runner
 from bramleybend.decisions.switches import Switches
+from bramleybend.decisions.tier_queue import Waiting
 from bramleybend.decisions.turnaway import DrainRate
 from bramleybend.models import Ask, Tier
 
@@ -54,7 +55,9 @@
 
     def start(self, ask: Ask, runner: Runner, now: float) -> None:
         """Note a request as running on a runner."""
-        self.leave_queue(ask.request_id)
+        entry = self.leave_queue(ask.request_id)
+        if entry is not None:
+            self.queue.count_start(entry)
         cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
         prefill = max(ask.prompt_tokens - cached, 0)
         filling = len(runner.in_flight) - len(runner.streams) + 1
--- /dev/null
+++ b/bramleybend/decisions/tier_queue.py
@@ -0,0 +1,185 @@
+"""The waiting requests of one tier.
+
+Load pattern: saturation, where some can still be on time and some can't.
+Without it: a late request of one workspace makes another's late, too.
+
+The workspace with the least cost served per weight is next (start-time fair
+queueing). Entries that can no longer be on time start after those of all
+workspaces that can: in a queue longer than the objective, order of arrival
+alone makes everybody late, whoever has just come included. Every
+`LATE_EVERY`th start goes to a late entry at risk, so that late ones are
+served, too. The ablation is `on_time_first`.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from math import inf
+
+from sortedcontainers import SortedKeyList, SortedList
+
+from bramleybend.decisions.prefixes import prefix_tokens
+from bramleybend.models import Ask
+
+LATE_EVERY = 6  # starts, of which one is left to late entries
+FIRST_LATE = (True, -inf, '')  # sorts before every late entry
+WINDOW = 12  # entries a free runner may choose its best prefix match from
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """One queued request."""
+
+    ask: Ask
+    arrived: float
+    latest_start: float  # later it is surely too late
+    urgent_from: float  # later it is at risk
+    rank: float
+    on_time_until: float = inf
+    is_late: bool = False
+
+    @property
+    def least_prefill(self) -> int:
+        """Return the prompt tokens that no prefix covers."""
+        count = len(self.ask.prefixes)
+        covered = prefix_tokens(count - 1) if count else 0
+        return max(self.ask.prompt_tokens - covered, 0)
+
+    @property
+    def order(self) -> tuple[bool, float, str]:
+        """Sort late ones last, then by rank; the id makes it total."""
+        return (self.is_late, self.rank, self.ask.request_id)
+
+    @property
+    def due(self) -> tuple[float, str]:
+        """Sort by latest start."""
+        return (self.latest_start, self.ask.request_id)
+
+    @property
+    def urgency(self) -> tuple[float, str]:
+        """Sort by the time from which it is at risk."""
+        return (self.urgent_from, self.ask.request_id)
+
+    @property
+    def objective(self) -> tuple[float, str]:
+        """Sort by the time until which it can be on time."""
+        return (self.on_time_until, self.ask.request_id)
+
+
+class TierQueue:
+    """The entries of one tier, fair between workspaces."""
+
+    def __init__(self, weights: Mapping[str, float], fair: bool) -> None:
+        """Start empty."""
+        self._weights = weights
+        self._fair = fair
+        self._lanes: dict[str, SortedKeyList] = {}
+        self._served: dict[str, float] = {}
+        self._order = SortedList()
+        self._floor = float(0)
+        self._costs: defaultdict[str, float] = defaultdict(float)
+        self._since_late = 0  # starts since one of a late entry
+        self.cost = float(0)
+        self.expiry = SortedList()
+        self.urgent = SortedList()
+        self.objectives = SortedList()
+
+    def __len__(self) -> int:
+        """Count the entries."""
+        return sum(len(lane) for lane in self._lanes.values())
+
+    def add(self, entry: Waiting) -> None:
+        """Queue an entry in its workspace's lane."""
+        name = self._lane_name(entry.ask)
+        if name not in self._lanes:
+            self._lanes[name] = SortedKeyList(key=_order_of)
+            # An idle workspace saves up no claim: it rejoins at the floor.
+            served = max(self._served.get(name, self._floor), self._floor)
+            self._served[name] = served
+            self._order.add((served, name))
+        self._lanes[name].add(entry)
+        self.expiry.add(entry.due)
+        self.urgent.add(entry.urgency)
+        self.objectives.add(entry.objective)
+        self._costs[name] += entry.ask.cost
+        self.cost += entry.ask.cost
+
+    def remove(self, entry: Waiting) -> None:
+        """Take an entry out; its lane goes with the last one."""
+        name = self._lane_name(entry.ask)
+        lane = self._lanes[name]
+        lane.remove(entry)
+        self.expiry.remove(entry.due)
+        self.urgent.remove(entry.urgency)
+        self.objectives.remove(entry.objective)
+        self._costs[name] -= entry.ask.cost
+        self.cost -= entry.ask.cost
+        if not lane:
+            self._costs.pop(name)
+            self._lanes.pop(name)
+            self._order.remove((self._served[name], name))
+
+    def charge(self, ask: Ask, cost: float) -> None:
+        """Count cost as served to the request's workspace."""
+        name = self._lane_name(ask)
+        before = self._served.get(name, self._floor)
+        after = max(before + cost / self._weight(name), 0)
+        if name in self._lanes:
+            self._order.remove((before, name))
+            self._order.add((after, name))
+            self._served[name] = after
+        elif after > self._floor:
+            self._served[name] = after
+        else:
+            self._served.pop(name, None)
+        if self._order:
+            self._floor = max(self._floor, self._order[0][0])
+
+    def count_start(self, entry: Waiting) -> None:
+        """Count a start towards the next turn of late entries."""
+        self._since_late = 0 if entry.is_late else self._since_late + 1
+
+    def windows(self, now: float) -> Iterator[list[Waiting]]:
+        """Go over the next entries of each workspace, in turn.
+
+        Late ones come last, unless some are at risk and it is their turn.
+        """
+        if self._since_late < LATE_EVERY - 1:
+            yield from self._on_time_windows()
+            yield from self._late_windows()
+            return
+        late = list(self._late_windows())
+        yield from (window for window in late if window[0].urgent_from <= now)
+        yield from self._on_time_windows()
+        yield from (window for window in late if window[0].urgent_from > now)
+
+    def cost_ahead(self, ask: Ask) -> float:
+        """Return the workspace's own cost times those it takes turns with."""
+        name = self._lane_name(ask)
+        turns = max(len(self._lanes), 1)
+        return min(self._costs.get(name, 0) * turns, self.cost)
+
+    def _on_time_windows(self) -> Iterator[list[Waiting]]:
+        for _, name in self._order:
+            window = self._lanes[name].islice(0, WINDOW)
+            on_time = [entry for entry in window if not entry.is_late]
+            if on_time:
+                yield on_time
+
+    def _late_windows(self) -> Iterator[list[Waiting]]:
+        for _, name in self._order:
+            lane = self._lanes[name]
+            first = lane.bisect_key_left(FIRST_LATE)
+            if first < len(lane):
+                yield list(lane.islice(first, first + WINDOW))
+
+    def _lane_name(self, ask: Ask) -> str:
+        return ask.workspace if self._fair else ''
+
+    def _weight(self, name: str) -> float:
+        weight = self._weights.get(name, 1)
+        return weight if weight > 0 else 1
+
+
+def _order_of(entry: Waiting) -> tuple[bool, float, str]:
+    return entry.order
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -27,15 +27,11 @@
     places_of,
 )
 from bramleybend.decisions.pool import RunnerPool
-from bramleybend.decisions.queueing import (
-    WINDOW,
-    LeastTime,
-    Waiting,
-    WaitingQueue,
-)
+from bramleybend.decisions.queueing import LeastTime, WaitingQueue
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
 from bramleybend.decisions.switches import Switches
+from bramleybend.decisions.tier_queue import WINDOW, Waiting
 from bramleybend.decisions.turnaway import DrainRate
 from bramleybend.models import Ask, Tier
 
--- a/tests/decisions/test_standing_queue.py
+++ b/tests/decisions/test_standing_queue.py
@@ -1,10 +1,12 @@
 """A queue of late requests that a burst leaves behind."""
 
+from dataclasses import replace
 from typing import Final
 
 import pytest
 
 from bramleybend.decisions.queueing import LeastTime, WaitingQueue
+from bramleybend.decisions.tier_queue import LATE_EVERY
 from bramleybend.direct.owner import SWITCHES
 from bramleybend.models import Ask, Tier
 from tests.decisions.engine_play import PATIENCE_S, Burst, Play, Tally
@@ -72,3 +74,21 @@
     tallies = after_burst(seed)
     for tier in (Tier.CRITICAL, Tier.HIGH):
         assert tallies[tier].on_time >= tallies[tier].sent * MOST
+
+
+def test_a_late_request_at_risk_gets_a_turn_beside_those_on_time() -> None:
+    """Guards against late requests that starve while the overload lasts."""
+    queue = WaitingQueue({})
+    late = objective_ask('late', 'first', LATE_AT)
+    queue.add(replace(late, deadline=LATE_AT + 2), 0, LEAST)
+    for number in range(LATE_EVERY):
+        name = f'on-time-{number}'
+        queue.add(objective_ask(name, 'second', LATE_AT + 1), 1, LEAST)
+    queue.pass_over_late(LATE_AT)
+    started = []
+    for _ in range(LATE_EVERY):
+        entry = next(queue.windows(Tier.BULK, LATE_AT))[0]
+        queue.remove(entry.ask.request_id)
+        queue.count_start(entry)
+        started.append(entry.ask.request_id)
+    assert started[-1] == 'late'
