Each lower tier that waits keeps a small share of the starts

Cause: tiers go strictly first, so the lowest tier gets what the others leave. Now a tier that waits below the highest gets 0.1 of the starts at least (--min-tier-share); above that tiers go strictly. An arrival is refused for the queue ahead of it only if that share can't serve it either.

--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -73,5 +73,8 @@
     if rate is None:
         return False
     wait = shard.queue.cost_ahead(ask) / rate
+    least_per_s = shard.least_starts_per_s(now)
+    if least_per_s:
+        wait = min(wait, shard.queue.count_ahead(ask) / least_per_s)
     left = min(ask.begin_by, ask.deadline) - now
     return wait > left * SURE_WAIT
--- a/bramleybend/decisions/owner.py
+++ b/bramleybend/decisions/owner.py
@@ -22,6 +22,7 @@
 from bramleybend.decisions.dispatch import next_start, start_waiting
 from bramleybend.decisions.expiry import expire, refuse
 from bramleybend.decisions.learning import learn, learn_first_token
+from bramleybend.decisions.overload import UNBOUNDED, Overload
 from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.preemption import preempt
 from bramleybend.decisions.queueing import WaitingQueue
@@ -261,6 +262,7 @@
     switches: Switches | None = None,
     *,
     batched: bool = False,
+    overload: Overload = UNBOUNDED,
 ) -> ShardPolicy:
     """Make the policy of an empty shard; weights are the workspaces'."""
     switches = switches or Switches()
@@ -275,10 +277,12 @@
             tiers=switches.tiers,
             fair=switches.fair,
             short_first=switches.short_first,
+            overload=overload,
         ),
         suspects=WaitingQueue(shares),
         drain=DrainRate(),
         rng=rng,
         switches=switches,
+        overload=overload,
     )
     return ShardPolicy(shard, batched=batched)
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -20,6 +20,11 @@
 from itertools import islice
 from math import inf
 
+from bramleybend.decisions.overload import (
+    UNBOUNDED,
+    Overload,
+    StartShares,
+)
 from bramleybend.decisions.tier_queue import TierQueue, Waiting
 from bramleybend.models import Ask, Tier
 
@@ -49,8 +54,10 @@
         tiers: bool = True,
         fair: bool = True,
         short_first: bool = True,
+        overload: Overload = UNBOUNDED,
     ) -> None:
         """Start empty; the switches exist for the ablations."""
+        self._shares = StartShares(overload.min_share)
         self._weights = weights
         self._ranked = tiers
         self._fair = fair
@@ -113,17 +120,19 @@
         self._tier(ask.tier).charge(ask, cost)
 
     def count_start(self, entry: Waiting) -> None:
-        """Count a start towards its tier's next turn of late entries."""
+        """Count a start towards the next turns of other entries."""
         self._tier(entry.ask.tier).count_start(entry)
+        waiting = [tier for tier, line in self._tiers.items() if len(line)]
+        self._shares.started(entry.ask.tier, waiting)
 
     def windows(
         self, lowest: int, now: float = -inf
     ) -> Iterator[list[Waiting]]:
-        """Go over the next entries, tier by tier down to `lowest`.
+        """Go over the next entries by tier, down to `lowest`.
 
         By `now`, in seconds, late entries are at risk or not.
         """
-        for tier in sorted(self._tiers):
+        for tier in self._shares.order(self._tiers):
             if tier <= lowest:
                 yield from self._tiers[tier].windows(now)
 
@@ -170,6 +179,10 @@
         """Return when the entry that waits longest was queued."""
         return min((one.arrived for one in self._entries.values()), default=inf)
 
+    def count_ahead(self, ask: Ask) -> int:
+        """Estimate how many of its tier a new entry waits behind."""
+        return self._tier(ask.tier).count_ahead(ask)
+
     def cost_ahead(self, ask: Ask) -> float:
         """Estimate the cost that a new entry waits behind."""
         above = sum(
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -1,8 +1,11 @@
 """All that one owner knows of its shard, without any policy."""
 
 from dataclasses import dataclass, field
+from math import log
 from random import Random
 
+from bramleybend.decisions.fading import FadingSum
+from bramleybend.decisions.overload import UNBOUNDED, Overload
 from bramleybend.decisions.pool import RunnerPool
 from bramleybend.decisions.queueing import WaitingQueue
 from bramleybend.decisions.runs import Run, Runner
@@ -11,6 +14,12 @@
 from bramleybend.decisions.turnaway import DrainRate
 from bramleybend.models import Ask, Tier
 
+STARTS_HALF_LIFE_S = 2.0
+
+
+def _no_starts() -> FadingSum:
+    return FadingSum(STARTS_HALF_LIFE_S)
+
 
 @dataclass
 class Shard:
@@ -22,9 +31,11 @@
     drain: DrainRate
     rng: Random
     switches: Switches
+    overload: Overload = UNBOUNDED
     runs: dict[str, Run] = field(default_factory=dict)
     victims: dict[str, str] = field(default_factory=dict)  # by who waits
     floors: dict[int, float] = field(default_factory=dict)  # tier to end
+    starts: FadingSum = field(default_factory=_no_starts)  # of entries
 
     def lowest_tier(self, now: float) -> int:
         """Return the lowest tier that may be started now."""
@@ -41,6 +52,11 @@
         """Return the cost that the slots can finish, once that is known."""
         return self.drain.per_second(self.pool.limit(), now)
 
+    def least_starts_per_s(self, now: float) -> float:
+        """Return how often a lower tier that waits surely gets a start."""
+        per_s = self.starts.value(now) * log(2) / STARTS_HALF_LIFE_S
+        return per_s * self.overload.min_share
+
     def line(self, ask: Ask) -> WaitingQueue:
         """Return the queue that a request belongs in."""
         return self.suspects if ask.suspect else self.queue
@@ -58,6 +74,7 @@
         entry = self.leave_queue(ask.request_id)
         if entry is not None:
             self.queue.count_start(entry)
+            self.starts.add(1, now)
         cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
         prefill = max(ask.prompt_tokens - cached, 0)
         filling = len(runner.in_flight) - len(runner.streams) + 1
--- a/bramleybend/decisions/tier_queue.py
+++ b/bramleybend/decisions/tier_queue.py
@@ -153,6 +153,11 @@
         yield from self._on_time_windows()
         yield from (window for window in late if window[0].urgent_from > now)
 
+    def count_ahead(self, ask: Ask) -> int:
+        """Return the workspace's own entries times those it takes turns with."""
+        own = len(self._lanes.get(self._lane_name(ask), ()))
+        return min(own * max(len(self._lanes), 1), len(self))
+
     def cost_ahead(self, ask: Ask) -> float:
         """Return the workspace's own cost times those it takes turns with."""
         name = self._lane_name(ask)
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -22,6 +22,7 @@
     RunnerInfo,
     RunReport,
 )
+from bramleybend.decisions.overload import UNBOUNDED, Overload
 from bramleybend.decisions.owner import ShardPolicy, make_shard_policy
 from bramleybend.decisions.switches import Switches
 from bramleybend.direct.beat_messages import RunNews
@@ -55,11 +56,13 @@
 class ServiceQueue:
     """Orders one service's requests; carries out what the policy decides."""
 
-    def __init__(self, service: Service, clock: Clock, rng: Random) -> None:
+    def __init__(
+        self, service: Service, clock: Clock, rng: Random, overload: Overload
+    ) -> None:
         """Start empty."""
         self._clock = clock
         self._policy: ShardPolicy = make_shard_policy(
-            service, rng, switches=SWITCHES, batched=True
+            service, rng, switches=SWITCHES, batched=True, overload=overload
         )
         self._replies: dict[str, Reply] = {}
         self._asked_at: dict[str, float] = {}
@@ -259,11 +262,16 @@
 
 
 def make_queue(
-    name: str, *, is_engine: bool, clock: Clock, rng: Random
+    name: str,
+    *,
+    is_engine: bool,
+    clock: Clock,
+    rng: Random,
+    overload: Overload = UNBOUNDED,
 ) -> ServiceQueue:
     """Make the queue of a service whose runners declare their slots."""
     kind = ServiceKind.ENGINE if is_engine else ServiceKind.PLAIN
-    return ServiceQueue(Service(name, kind, slots=1), clock, rng)
+    return ServiceQueue(Service(name, kind, slots=1), clock, rng, overload)
 
 
 def without(ask: Ask, runner: str) -> Ask:
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -83,7 +83,12 @@
         )
         self._containment = Containment(clock, self.events)
         self._queues = make_queues(
-            self.book, self.members, clock, self.events, rng
+            self.book,
+            self.members,
+            clock,
+            self.events,
+            rng,
+            cfg.overload(),
         )
         self.placer = Placer(
             self.book, self.members, self._queues, clock, self.events
--- a/bramleybend/direct/queues.py
+++ b/bramleybend/direct/queues.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bramleybend.clock import Clock
+from bramleybend.decisions.overload import UNBOUNDED, Overload
 from bramleybend.direct.book import Book
 from bramleybend.direct.members import Members
 from bramleybend.direct.owner import ServiceQueue, make_queue
@@ -29,8 +30,10 @@
         limits: RunnerLimits,
         clock: Clock,
         rng: Random,
+        overload: Overload,
     ) -> None:
         """Start without services; they come with the manifest."""
+        self._overload = overload
         self._book = book
         self._members = members
         self.limits = limits
@@ -51,6 +54,7 @@
                 is_engine=self.is_engine(service),
                 clock=self._clock,
                 rng=self._rng,
+                overload=self._overload,
             )
             self._queues[service] = queue
             entries = self._book.runners.get(service, ())
@@ -101,11 +105,16 @@
 
 
 def make_queues(
-    book: Book, members: Members, clock: Clock, events: EventLog, rng: Random
+    book: Book,
+    members: Members,
+    clock: Clock,
+    events: EventLog,
+    rng: Random,
+    overload: Overload = UNBOUNDED,
 ) -> Queues:
     """Make the queues of a VM, which keep to what runners say they take."""
     limits = RunnerLimits(clock, events, rng)
-    queues = Queues(book, members, limits, clock, rng)
+    queues = Queues(book, members, limits, clock, rng, overload)
     limits.changed = queues.take_limits
     queues.log = QueueLog(queues, events)
     return queues
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bramleybend.decisions.allotments import Tolerance
+from bramleybend.decisions.overload import Overload
 from bramleybend.settings_parsing import Program
 from bramleybend.settings_types import (
     HostPort,
@@ -26,6 +27,9 @@
 RESEND_EXTRA: Final = 52
 RESEND_WINDOW_S: Final = 10
 ALLOTMENT_WINDOW_S: Final = 8
+MIN_TIER_SHARE: Final = 0.1
+# Three tiers below the highest leave it a quarter.
+MOST_TIER_SHARE: Final = 0.25
 # Judgement, not measured: below these a VM is spared work for others.
 CAPACITY_CORES: Final = 0.25
 CAPACITY_MBPS: Final = 2.5
@@ -37,6 +41,13 @@
     return given == 'true'
 
 
+def _tier_share(given: str) -> float:
+    number = amount(given)
+    if number > MOST_TIER_SHARE:
+        raise ValueError(f'write a number from 0 to {MOST_TIER_SHARE}')
+    return number
+
+
 @dataclass(frozen=True, kw_only=True)
 class EntrySettings:
     """What one process is told at its start."""
@@ -156,6 +167,15 @@
             '190000',
         ),
     )
+    min_tier_share: float = field(
+        default=MIN_TIER_SHARE,
+        metadata=about(
+            _tier_share,
+            'share of the starts that each tier which waits gets at least; '
+            'above it, higher tiers go first',
+            '0.1',
+        ),
+    )
     first_start: bool = field(
         default=False,
         metadata=about(
@@ -215,6 +235,10 @@
             self.allotment_slack,
         )
 
+    def overload(self) -> Overload:
+        """Return what holds while there is more work than capacity."""
+        return Overload(self.min_tier_share)
+
     def shown(self) -> dict[str, str]:
         """Return what the log tells of them at the start."""
         return {
--- /dev/null
+++ b/tests/decisions/test_overload.py
@@ -0,0 +1,110 @@
+"""More work than the runners can do, for longer than callers wait."""
+
+from functools import cache
+from random import Random
+from typing import Final
+
+import pytest
+
+from bramleybend.decisions.actions import (
+    Action,
+    Grant,
+    Refuse,
+    RunnerInfo,
+    RunReport,
+)
+from bramleybend.decisions.overload import MOST_SAVED, Overload
+from bramleybend.decisions.owner import make_shard_policy
+from bramleybend.direct.owner import SWITCHES
+from bramleybend.entry_settings import MIN_TIER_SHARE
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+
+RUN_S: Final = 0.1
+STEP_S: Final = 0.01
+LENGTH_S: Final = 20.0
+SETTLED_S: Final = 6.0  # the longest patience, and the time to tell a burst
+OBJECTIVE_S: Final = 0.5
+PATIENCE_S: Final = 4.0
+SEEDS: Final = (1, 2, 3)
+OVERLOAD: Final = Overload(MIN_TIER_SHARE)
+# Of a runner that does ten a second: the higher tier alone asks for all of it.
+PER_S: Final = {Tier.HIGH: 11.0, Tier.NORMAL: 8.0}
+
+
+class Played:
+    """What became of the requests of each tier."""
+
+    def __init__(self, seed: int) -> None:
+        """Play a load in virtual time."""
+        self.sent = dict.fromkeys(PER_S, 0)
+        self.waits: dict[Tier, list[float]] = {tier: [] for tier in PER_S}
+        self.told: dict[Tier, list[float]] = {tier: [] for tier in PER_S}
+        self._asks: dict[str, tuple[Tier, float]] = {}
+        self._ends: dict[str, float] = {}
+        self._policy = make_shard_policy(
+            Service('lm', ServiceKind.ENGINE, slots=1),
+            Random(seed),
+            switches=SWITCHES,
+            overload=OVERLOAD,
+        )
+        self._play(Random(seed))
+
+    def _play(self, rng: Random) -> None:
+        info = RunnerInfo('r1', slots=1, warm=True)
+        self._act(self._policy.runners([info], 0), 0)
+        for step in range(int(LENGTH_S / STEP_S)):
+            now = step * STEP_S
+            due = tuple(name for name, at in self._ends.items() if at <= now)
+            for name in due:
+                self._ends.pop(name)
+                report = RunReport('done', prompt_tokens=10, seconds=RUN_S)
+                self._act(self._policy.ended(name, report, now), now)
+            for tier, per_s in PER_S.items():
+                if rng.random() < per_s * STEP_S:
+                    name = f'{tier.name}-{step}'
+                    self._asks[name] = (tier, now)
+                    self.sent[tier] += now >= SETTLED_S
+                    self._act(self._policy.ask(_ask(name, tier, now), now), now)
+            self._act(self._policy.tick(now), now)
+
+    def _act(self, actions: list[Action], now: float) -> None:
+        for action in actions:
+            if not isinstance(action, Grant | Refuse):
+                continue
+            tier, at = self._asks[action.request_id]
+            if isinstance(action, Grant):
+                self._ends[action.request_id] = now + RUN_S
+            if at >= SETTLED_S:
+                is_grant = isinstance(action, Grant)
+                told = self.waits if is_grant else self.told
+                told[tier].append(now - at)
+
+
+def _ask(name: str, tier: Tier, now: float) -> Ask:
+    return Ask(
+        name,
+        'lm',
+        tier,
+        'w',
+        18,
+        10,
+        (),
+        now + 3 * PATIENCE_S,
+        cancellable=False,
+        begin_by=now + PATIENCE_S,
+        on_time_until=now + OBJECTIVE_S,
+    )
+
+
+play = cache(Played)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_the_lowest_tier_is_served_while_a_higher_one_fills_all(
+    seed: int,
+) -> None:
+    """Strictly by tier, a lower one would not be served at all."""
+    played = play(seed)
+    starts = sum(map(len, played.waits.values()))
+    lower = len(played.waits[Tier.NORMAL])
+    assert abs(lower - MIN_TIER_SHARE * starts) <= MOST_SAVED
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -70,14 +70,19 @@
     assert remedy in problem.remedy
 
 
-@pytest.mark.parametrize('given', ['yes', '1', 'True'])
-def test_whether_a_system_starts_first_is_told_in_one_way(given: str) -> None:
-    """A restart that is taken for a first start gives out bursts again."""
-    required = {
+def entry_vm_env() -> dict[str, str]:
+    """Return what an entry VM has to be told."""
+    return {
         env_of(setting.name): setting.about.example
         for setting in ENTRY.offered()
         if setting.is_required
     }
+
+
+@pytest.mark.parametrize('given', ['yes', '1', 'True'])
+def test_whether_a_system_starts_first_is_told_in_one_way(given: str) -> None:
+    """A restart that is taken for a first start gives out bursts again."""
+    required = entry_vm_env()
     assert parse_program(ENTRY, [], required).is_ok()
     args = ['--first-start', given]
     problem = parse_program(ENTRY, args, required).unwrap_err()
@@ -85,6 +90,14 @@
     assert "'true' or 'false'" in problem.detail
 
 
+@pytest.mark.parametrize('given', ['0.3', '-0.1', 'nan', 'some'])
+def test_lower_tiers_can_not_be_given_all_starts(given: str) -> None:
+    """The highest tier would wait for three lower ones."""
+    args = ['--min-tier-share', given]
+    problem = parse_program(ENTRY, args, entry_vm_env()).unwrap_err()
+    assert f'--min-tier-share {given}' in problem.detail
+
+
 def test_the_scheduler_opens_no_port_to_callers() -> None:
     """Its flags leave the callers' port out; a shared variable is taken."""
     args = ['--http-port', '80']
