A queue that stands is bounded by how long its entries keep getting late

What callers saw: in an overload that lasts, a tier's queue is as long as its callers are patient.

Cause: a queue was bounded by its callers' patience alone. Whether it stands is told by time and not by length, as in CoDel: once entries have kept getting late for 2 s (--standing-queue-s), late ones are refused while others of their tier can be on time. As many are answered; a burst that is over sooner is served late as before.

--- a/bramleybend/decisions/expiry.py
+++ b/bramleybend/decisions/expiry.py
@@ -11,6 +11,8 @@
 lower tier, and the refused request runs out of time without proof.
 """
 
+from collections.abc import Sequence
+
 from bramleybend.decisions.actions import Action, Refuse
 from bramleybend.decisions.floor import HOLD_S
 from bramleybend.decisions.queueing import WaitingQueue
@@ -21,14 +23,12 @@
 
 
 def expire(shard: Shard, now: float) -> list[Action]:
-    """Refuse what can no longer end before its deadline."""
+    """Refuse what can no longer end in time, or only at others' expense."""
     late = _late(shard.queue, now) + _late(shard.suspects, now)
-    for entry in late:
-        shard.leave_queue(entry.ask.request_id)
-    return [
-        refuse(shard, left.ask, 'deadline_unmet', now, shed=True)
-        for left in late
-    ]
+    actions = _refuse_all(shard, late, 'deadline_unmet', now)
+    overdue = shard.queue.overdue(now)
+    actions.extend(_refuse_all(shard, overdue, 'queue_standing', now))
+    return actions
 
 
 def refuse(
@@ -42,6 +42,14 @@
     return Refuse(ask.request_id, reason, wait, shed)
 
 
+def _refuse_all(
+    shard: Shard, entries: Sequence[Waiting], reason: str, now: float
+) -> list[Action]:
+    for entry in entries:
+        shard.leave_queue(entry.ask.request_id)
+    return [refuse(shard, left.ask, reason, now, shed=True) for left in entries]
+
+
 def _late(line: WaitingQueue, now: float) -> list[Waiting]:
     late: list[Waiting] = []
     for tier in Tier:
--- a/bramleybend/decisions/overload.py
+++ b/bramleybend/decisions/overload.py
@@ -1,7 +1,14 @@
 """How a shard treats more work than its runners can do.
 
 Load pattern: an overload that lasts, above which one tier fills every slot.
-Without it: the lowest tiers are not served at all.
+Without it: all who wait in a tier are answered late or refused at the end of
+their patience, as the queue never gets shorter than their objective; and the
+lowest tiers are not served at all.
+
+A queue stands once entries have kept getting late for `standing_s` (as in
+CoDel, it is time and not length that tells a burst from an overload). Then a
+late entry is refused at once while others can still be on time: as many are
+answered, they are on time, and the others hear of it while they can come back.
 
 Each lower tier that waits gets `min_share` of the starts at least. Above that,
 tiers go strictly.
@@ -9,6 +16,7 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from math import inf
 
 MOST_SAVED = 2.0  # starts that a tier may claim in a row
 
@@ -18,6 +26,7 @@
     """Bounds that hold while there is more work than capacity."""
 
     min_share: float = 0  # of the starts, for each lower tier that waits
+    standing_s: float = inf  # for how long a queue may be late
 
 
 UNBOUNDED = Overload()
@@ -46,3 +55,26 @@
 
     def _turn(self, tier: int) -> tuple[bool, int]:
         return (self._owed.get(tier, 0) < 1, tier)
+
+
+class Standing:
+    """For how long the entries of a queue have kept getting late."""
+
+    def __init__(self, standing_s: float) -> None:
+        """Start in time."""
+        self._standing_s = standing_s
+        self._from = inf
+        self._at = -inf
+
+    def note_late(self, now: float) -> None:
+        """Hear that an entry can't be on time any more."""
+        if self._is_over(now):
+            self._from = now
+        self._at = now
+
+    def holds(self, now: float) -> bool:
+        """Tell whether the queue stands."""
+        return not self._is_over(now) and now - self._from >= self._standing_s
+
+    def _is_over(self, now: float) -> bool:
+        return self._from == inf or now - self._at > self._standing_s
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -23,6 +23,7 @@
 from bramleybend.decisions.overload import (
     UNBOUNDED,
     Overload,
+    Standing,
     StartShares,
 )
 from bramleybend.decisions.tier_queue import TierQueue, Waiting
@@ -57,6 +58,7 @@
         overload: Overload = UNBOUNDED,
     ) -> None:
         """Start empty; the switches exist for the ablations."""
+        self._standing_s = overload.standing_s
         self._shares = StartShares(overload.min_share)
         self._weights = weights
         self._ranked = tiers
@@ -108,6 +110,7 @@
             ids = tuple(line.objectives.irange(maximum=(now, LAST_ID)))
             for _, request_id in ids:
                 entry = self._entries[request_id]
+                line.standing.note_late(now)
                 line.remove(entry)
                 moved = replace(entry, on_time_until=inf, is_late=True)
                 self._entries[request_id] = moved
@@ -136,6 +139,17 @@
             if tier <= lowest:
                 yield from self._tiers[tier].windows(now)
 
+    def overdue(self, now: float) -> list[Waiting]:
+        """Return the late entries of queues that stand.
+
+        Where none can be on time, the late ones have the runners.
+        """
+        overdue: list[Waiting] = []
+        for line in self._tiers.values():
+            if line.standing.holds(now) and line.has_on_time():
+                overdue.extend(line.late())
+        return overdue
+
     def due(self, before: float, tier: int) -> list[Waiting]:
         """Return the tier's entries whose latest start is before a time."""
         if tier not in self._tiers:
@@ -194,5 +208,6 @@
         if not self._ranked:
             tier = Tier.CRITICAL
         if tier not in self._tiers:
-            self._tiers[tier] = TierQueue(self._weights, self._fair)
+            standing = Standing(self._standing_s)
+            self._tiers[tier] = TierQueue(self._weights, self._fair, standing)
         return self._tiers[tier]
--- a/bramleybend/decisions/tier_queue.py
+++ b/bramleybend/decisions/tier_queue.py
@@ -18,6 +18,7 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
+from bramleybend.decisions.overload import Standing
 from bramleybend.decisions.prefixes import prefix_tokens
 from bramleybend.models import Ask
 
@@ -69,8 +70,11 @@
 class TierQueue:
     """The entries of one tier, fair between workspaces."""
 
-    def __init__(self, weights: Mapping[str, float], fair: bool) -> None:
+    def __init__(
+        self, weights: Mapping[str, float], fair: bool, standing: Standing
+    ) -> None:
         """Start empty."""
+        self.standing = standing
         self._weights = weights
         self._fair = fair
         self._lanes: dict[str, SortedKeyList] = {}
@@ -153,6 +157,18 @@
         yield from self._on_time_windows()
         yield from (window for window in late if window[0].urgent_from > now)
 
+    def late(self) -> list[Waiting]:
+        """Return the entries that can't be on time any more."""
+        return [
+            entry
+            for lane in self._lanes.values()
+            for entry in lane[lane.bisect_key_left(FIRST_LATE) :]
+        ]
+
+    def has_on_time(self) -> bool:
+        """Tell whether an entry that waits can still be on time."""
+        return any(not lane[0].is_late for lane in self._lanes.values())
+
     def count_ahead(self, ask: Ask) -> int:
         """Return the workspace's own entries times those it takes turns with."""
         own = len(self._lanes.get(self._lane_name(ask), ()))
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -30,6 +30,7 @@
 MIN_TIER_SHARE: Final = 0.1
 # Three tiers below the highest leave it a quarter.
 MOST_TIER_SHARE: Final = 0.25
+STANDING_QUEUE_S: Final = 2
 # Judgement, not measured: below these a VM is spared work for others.
 CAPACITY_CORES: Final = 0.25
 CAPACITY_MBPS: Final = 2.5
@@ -176,6 +177,15 @@
             '0.1',
         ),
     )
+    standing_queue_s: float = field(
+        default=STANDING_QUEUE_S,
+        metadata=about(
+            seconds,
+            'seconds for which requests of a tier may keep getting late; '
+            'after that, late ones are refused while others can be on time',
+            '2',
+        ),
+    )
     first_start: bool = field(
         default=False,
         metadata=about(
@@ -237,7 +247,7 @@
 
     def overload(self) -> Overload:
         """Return what holds while there is more work than capacity."""
-        return Overload(self.min_tier_share)
+        return Overload(self.min_tier_share, self.standing_queue_s)
 
     def shown(self) -> dict[str, str]:
         """Return what the log tells of them at the start."""
