--- a/bramleybend/direct/book.py
+++ b/bramleybend/direct/book.py
@@ -106,8 +106,9 @@
         Its entry stands until it lapses. To the queue a runner that refuses
         at once is always free, so it would draw everything that waits.
         """
+        if incarnation not in self._moved:
+            self._events.record('runner_moved', runner=incarnation)
         self._moved[incarnation] = self.now() + MOVED_S
-        self._events.record('runner_moved', runner=incarnation)
         if self._use_listed():
             self._tell()
 
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -132,8 +132,8 @@
             return False
         if failure.fate is Fate.MAY_HAVE_RUN:
             return job.terms.route.may_repeat and self.within_bounds(job)
-        # A runner that has moved tells nothing of how full its service is.
-        job.refusals += failure.sign is not Sign.MOVED
+        if failure.sign is not Sign.MOVED:
+            job.refusals += 1
         if job.refusals >= MOST_REFUSALS or self.left(job) <= 0:
             return False
         # What reached no runner counts as no arrival anywhere.
