--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -27,7 +27,6 @@
 LINGER_S: Final = 0.5
 CHUNKS_SINCE: Final = b'1.1'  # the HTTP version
 
-
 Handler = Callable[[RawRequest, Responder], Awaitable[None]]
 
 
@@ -89,11 +88,9 @@
         await self.write(payload)
 
     def tear(self) -> None:
-        """End the connection; an answer under way must not look whole.
-
-        Without chunks, its end is the end of the connection.
-        """
+        """End the connection; an answer under way must not look whole."""
         version = self.http.their_http_version or CHUNKS_SINCE
+        # Without chunks, an answer ends when its connection does.
         if self.http.our_state is h11.SEND_BODY and version < CHUNKS_SINCE:
             self.abort()
         else:
