--- a/tests/decisions/test_overload.py
+++ b/tests/decisions/test_overload.py
@@ -2,6 +2,7 @@
 
 from functools import cache
 from random import Random
+from types import MappingProxyType
 from typing import Final
 
 import pytest
@@ -33,6 +34,10 @@
 # Later, a caller would have left before the shortest time to come back.
 EARLY: Final = PATIENCE_S - SHORTEST_S * SPREAD[1]
 
+# Work for 1.3 s of every 1.8 s, that comes at two moments.
+BURST_STEPS: Final = 180
+BURSTS: Final = MappingProxyType({0: 10, 40: 3})
+
 
 class Played:
     """What became of the requests of each tier."""
@@ -164,3 +169,35 @@
             started.append('a0')
             ends_at = RUN_S
     assert len(started) == int(STANDING_QUEUE_S / RUN_S)
+
+
+def test_a_queue_that_runs_empty_does_not_stand() -> None:
+    """Short bursts that are worked off would else be taken for an overload."""
+    policy = make_shard_policy(
+        Service('lm', ServiceKind.ENGINE, slots=1),
+        Random(1),
+        switches=SWITCHES,
+        overload=OVERLOAD,
+    )
+    policy.runners([RunnerInfo('r1', slots=1, warm=True)], 0)
+    refused: list[str] = []
+    running = ''
+    ends_at = float(0)
+    for step in range(int(LENGTH_S / STEP_S)):
+        now = step * STEP_S
+        actions: list[Action] = []
+        if running and now >= ends_at:
+            report = RunReport('done', prompt_tokens=10, seconds=RUN_S)
+            actions.extend(policy.ended(running, report, now))
+            running = ''
+        for number in range(BURSTS.get(step % BURST_STEPS, 0)):
+            ask = _ask(f'a{step}-{number}', Tier.HIGH, now)
+            actions.extend(policy.ask(ask, now))
+        actions.extend(policy.tick(now))
+        for action in actions:
+            if isinstance(action, Grant):
+                running = action.request_id
+                ends_at = now + RUN_S
+            elif isinstance(action, Refuse):
+                refused.append(action.request_id)
+    assert not refused
