A queue that runs empty does not stand

Callers of short bursts that follow each other within 2 s were refused, though each burst was worked off: entries that get late less than 2 s apart counted as one standing queue, also where the queue ran empty between them.

Ruled out: a longer standing time, as bursts of any spacing below it fail alike. Change: a tier's queue that runs empty ends its standing; moving an entry back as late does not, as it stays. Test: test_a_queue_that_runs_empty_does_not_stand failed before (listed), passes; the other twelve cases of test_overload.py pass as before.

--- a/bramleybend/decisions/overload.py
+++ b/bramleybend/decisions/overload.py
@@ -5,9 +5,9 @@
 their patience, as the queue never gets shorter than their objective; and the
 lowest tiers are not served at all.
 
-A queue stands once entries have kept getting late for `standing_s` (as in
-CoDel, it is time and not length that tells a burst from an overload). Then a
-late entry is refused at once while others of its tier can still be on time:
+A queue stands once entries have kept getting late for `standing_s` without the
+queue running empty (as in CoDel, it is time and not length that tells a burst
+from an overload). Then a late entry is refused at once while others of its tier can still be on time:
 those get the slots, and who is refused hears of it early enough to come back.
 
 Each lower tier that waits gets `min_share` of the starts at least. Above that,
@@ -72,6 +72,10 @@
             self._from = now
         self._at = now
 
+    def note_empty(self) -> None:
+        """Hear that the queue ran empty: what was late has been worked off."""
+        self._from = inf
+
     def holds(self, now: float) -> bool:
         """Tell whether the queue stands."""
         return not self._is_over(now) and now - self._from >= self._standing_s
--- a/bramleybend/decisions/queueing.py
+++ b/bramleybend/decisions/queueing.py
@@ -100,7 +100,10 @@
         """Take a request out, if it waits."""
         entry = self._entries.pop(request_id, None)
         if entry is not None:
-            self._tier(entry.ask.tier).remove(entry)
+            line = self._tier(entry.ask.tier)
+            line.remove(entry)
+            if not len(line):
+                line.standing.note_empty()
         return entry
 
     def pass_over_late(self, now: float) -> bool:
