Read no message of a peer without end

A runner may send bytes that are no answer until its caller closes: informational heads, comments, one event, chunk extensions, a plain body. An answer was read up to 32 MiB, whatever others held.

Change: one meter for each message. Content is bounded (--answer-bytes, 8 MiB, in place of 32), an event too (--event-bytes), and what carries nothing (--filler-bytes, beyond as much as there is content). Connections are read 64 KiB at once, and after 64 events the event loop has its turn, so other callers are served meanwhile. The rest of a refusal, and answers to other requests, are read no further than 16 KiB. The splitter searches each byte once. The same for answers on the product's own interface, of the store and of other VMs, and for requests of callers; what a refused caller still sends is dropped up to 4 MiB.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -19,6 +19,13 @@
 
 from bramleybend.clients.framing import Framing, framing_of
 from bramleybend.clients.h11_protocol import H11Protocol
+from bramleybend.clients.message_bounds import (
+    USUAL_BOUNDS,
+    MessageBounds,
+    MessageMeter,
+    MessageTooLongError,
+    head_bytes,
+)
 from bramleybend.clock import Clock
 
 HeaderList: TypeAlias = Sequence[tuple[bytes, bytes]]
@@ -73,10 +80,14 @@
 class Channel(H11Protocol):
     """One connection that we opened."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, bounds: MessageBounds = USUAL_BOUNDS
+    ) -> None:
         """Start idle; `connect` makes one."""
         super().__init__(h11.Connection(h11.CLIENT))
         self._clock = clock
+        self._bounds = bounds
+        self._meter = MessageMeter(bounds)
         self._busy = False
         self._used_at = clock.monotonic()
         self._idle_s = UNSTATED_IDLE_S
@@ -121,6 +132,8 @@
         """Write the whole request; the answer may come before its end."""
         self._busy = True
         self.uses += 1
+        self.received = 0
+        self._meter = MessageMeter(self._bounds)
         length = str(len(outgoing.body)).encode()
         framing = [(b'Content-Length', length)]
         if not outgoing.body and outgoing.method in {b'GET', b'HEAD'}:
@@ -141,9 +154,13 @@
         self.transport.write(b''.join(part for part in parts if part))
 
     async def head(self) -> Head:
-        """Read status and headers of the next answer."""
+        """Read status and headers of the next answer.
+
+        Raises `MessageTooLongError` if informational heads don't end.
+        """
         event = await self.next_event()
         while isinstance(event, h11.InformationalResponse):
+            self._meter.add_filler(head_bytes(event))
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise EOFError('the connection ended before an answer')
@@ -154,29 +171,40 @@
         return head
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises if its framing shows that it was cut."""
+        """Yield the body; raises if its framing shows that it was cut.
+
+        Raises `MessageTooLongError` beyond the bounds.
+        """
         event = await self.next_event()
         while isinstance(event, h11.Data):
+            self._meter.add_content(len(event.data))
             yield bytes(event.data)
             event = await self.next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise EOFError('the connection ended within an answer')
 
     async def body(
-        self, most: int, on_chunk: Callable[[], None] | None = None
+        self, most: float, on_growth: Callable[[int], None] | None = None
     ) -> bytes:
-        """Read the body whole, up to a size; `on_chunk` is called for each part."""
+        """Read the body whole, up to so many bytes.
+
+        `on_growth` is called with the bytes so far.
+        """
         parts: list[bytes] = []
         size = 0
         async for chunk in self.chunks():
-            if on_chunk is not None:
-                on_chunk()
             parts.append(chunk)
             size += len(chunk)
+            if on_growth is not None:
+                on_growth(size)
             if size > most:
-                raise EOFError(f'the answer is over {most} bytes')
+                raise MessageTooLongError(f'the answer is over {most} bytes')
         return b''.join(parts)
 
+    def check_received(self) -> None:
+        """Raise if what came in this exchange is mostly no content."""
+        self._meter.note_received(self.received)
+
     def expect_another(self) -> None:
         """Read on for the true answer after one that was not ours.
 
@@ -224,13 +252,14 @@
     port: int,
     clock: Clock,
     timeout_s: float = CONNECT_TIMEOUT_S,
+    bounds: MessageBounds = USUAL_BOUNDS,
 ) -> Channel:
     """Open a channel; an `OSError` here means that nothing was sent."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, channel = await loop.create_connection(
-                lambda: Channel(clock), address, port
+                lambda: Channel(clock, bounds), address, port
             )
     except TimeoutError:
         raise ConnectionError(f'{address}:{port} did not answer') from None
--- a/bramleybend/clients/h11_protocol.py
+++ b/bramleybend/clients/h11_protocol.py
@@ -15,15 +15,23 @@
 
 # Unread bytes at which reading stops, so that a fast sender before a slow
 # reader costs no memory; far over one event or request of usual size.
-HIGH_WATER: Final = 262_144
+HIGH_WATER: Final = 65_536
+READ_BYTES: Final = 65_536  # at once
+MOST_DISCARDED: Final = 4_194_304  # bytes that nobody reads
+# Events between two turns of the event loop: bytes that came together may
+# hold thousands, and all other connections wait for them.
+EVENTS_A_TURN: Final = 64
 NO_LINGER: Final = struct.pack('ii', 1, 0)  # on, for no time
 
 logger = logging.getLogger(__name__)
 
 
-class H11Protocol(asyncio.Protocol):
+class H11Protocol(asyncio.BufferedProtocol):
     """Feeds a connection's bytes to h11 and hands out its events."""
 
+    # Each read is copied out before the next one, so all can share it.
+    _buffer: Final = bytearray(READ_BYTES)
+
     def __init__(self, http: h11.Connection) -> None:
         """Start without a transport."""
         self.http = http
@@ -34,6 +42,9 @@
         self._room = asyncio.Event()
         self._room.set()
         self._unread = 0
+        self._events = 0  # since the last turn of the event loop
+        self.received = 0  # bytes
+        self.discarding = False  # nobody reads what still comes
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -45,8 +56,21 @@
         """Take over an open connection."""
         self._transport = cast(asyncio.Transport, transport)
 
+    def get_buffer(self, sizehint: int) -> bytearray:  # noqa: WPS615
+        """Return where the next bytes are put."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take in bytes that were put into the buffer."""
+        self.data_received(bytes(self._buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """Buffer what came."""
+        """Keep what came until it is read."""
+        self.received += len(data)
+        if self.discarding:
+            if self.received > MOST_DISCARDED:
+                self.transport.pause_reading()
+            return
         self.http.receive_data(data)
         self._unread += len(data)
         if self._unread > HIGH_WATER:
@@ -79,10 +103,19 @@
         """Return h11's next event, waiting for bytes as needed."""
         event = self.http.next_event()
         while event is h11.NEED_DATA:
+            self._events = 0
+            self.check_received()
             await self.more_data()
             event = self.http.next_event()
+        self._events += 1
+        if self._events >= EVENTS_A_TURN:
+            self._events = 0
+            await asyncio.sleep(0)
         return event
 
+    def check_received(self) -> None:
+        """Raise if what came is no message; all of it has been read."""
+
     async def more_data(self) -> None:
         """Wait until bytes or the end of the connection have come."""
         self._unread = 0
--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -17,6 +17,11 @@
 from result import Err, Ok, Result
 
 from bramleybend.clients.framing import Framing, framing_of
+from bramleybend.clients.message_bounds import (
+    MessageBounds,
+    MessageMeter,
+    head_bytes,
+)
 from bramleybend.errors import ErrorKind, Problem, ProblemError
 from bramleybend.patience import patience, within
 
@@ -24,6 +29,7 @@
 DEFAULT_PORT: Final = 80
 CONNECT_TIMEOUT_S: Final = 1.0
 MAX_BODY: Final = 2**24  # bytes
+ANSWER_BOUNDS: Final = MessageBounds(message_bytes=MAX_BODY)
 # `TimeoutError` is an `OSError`.
 BROKEN: Final = (OSError, h11.ProtocolError, EOFError)
 CALL_FAILURES: Final = (*BROKEN, ProblemError)
@@ -57,6 +63,8 @@
         self._reader = reader
         self._writer = writer
         self._http = h11.Connection(h11.CLIENT)
+        self._meter = MessageMeter(ANSWER_BOUNDS)
+        self._received = 0
 
     async def send(
         self,
@@ -88,6 +96,7 @@
         """Read status and headers; the body is left to `chunks`."""
         event = await self._next_event()
         while isinstance(event, h11.InformationalResponse):
+            self._meter.add_filler(head_bytes(event))
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise EOFError('the connection ended before an answer')
@@ -101,6 +110,7 @@
         """Yield the body; raises if its framing shows that it was cut."""
         event = await self._next_event()
         while isinstance(event, h11.Data):
+            self._meter.add_content(len(event.data))
             yield bytes(event.data)
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
@@ -113,7 +123,10 @@
     async def _next_event(self) -> object:
         event = self._http.next_event()
         while event is h11.NEED_DATA:
-            self._http.receive_data(await self._reader.read(READ_SIZE))
+            self._meter.note_received(self._received)
+            came = await self._reader.read(READ_SIZE)
+            self._received += len(came)
+            self._http.receive_data(came)
             event = self._http.next_event()
         return event
 
--- a/bramleybend/clients/runner.py
+++ b/bramleybend/clients/runner.py
@@ -20,6 +20,12 @@
     connect,
     read_whole,
 )
+from bramleybend.clients.message_bounds import (
+    EVENT_BYTES,
+    USUAL_BOUNDS,
+    MessageMeter,
+    MessageTooLongError,
+)
 from bramleybend.models import ServiceKind
 
 RUN_ID: Final = 'X-Run-Id'
@@ -111,13 +117,23 @@
 
 
 async def events_of(exchange: Exchange) -> AsyncIterator[bytes]:
-    """Yield whole server-sent events; a torn last one is never yielded."""
-    pending = b''
+    """Yield whole server-sent events; a torn last one is never yielded.
+
+    Raises `MessageTooLongError` where an event, or the stream, has no end.
+    """
+    meter = MessageMeter(USUAL_BOUNDS)
+    pending = bytearray()
     async for chunk in exchange.chunks():
+        searched = max(len(pending) - 1, 0)
         pending += chunk
-        *whole, pending = pending.split(EVENT_END)
-        for event in whole:
-            yield event
+        if pending.find(EVENT_END, searched) >= 0:
+            *whole, rest = bytes(pending).split(EVENT_END)
+            pending = bytearray(rest)
+            for event in whole:
+                meter.add_content(len(event))
+                yield event
+        if len(pending) > EVENT_BYTES:
+            raise MessageTooLongError(f'an event is over {EVENT_BYTES} bytes')
 
 
 def is_json(body: bytes) -> bool:
--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -18,7 +18,6 @@
 from bramleybend.direct.sse import Event, EventSplitter
 
 TIMEOUT: Final = 'timeout'
-MAX_ANSWER: Final = 33_554_432  # bytes, 32 MiB of an answer that is no stream
 # Answers of earlier requests that are passed over before a connection is
 # given up; a runner sends one late or second answer, not a series.
 MOST_FOREIGN: Final = 2
@@ -27,6 +26,7 @@
 TURNS_TO_HEAR: Final = 3
 # The rest of a refusal is a few bytes that came with its head.
 DISCARD_S: Final = 0.1
+MOST_DISCARDED: Final = 16_384  # bytes
 BROKEN: Final = (OSError, EOFError, h11.ProtocolError)
 
 
@@ -84,6 +84,7 @@
         self._dialect = dialect
         self._limits = limits
         self._attempt_id = attempt_id
+        self._held = channels.memory.hold()
         self._channel: Channel | None = None
         self.runner = runner
         self.sent = False
@@ -122,9 +123,13 @@
         """Read the body; the runner's connection is free afterwards."""
         assert self._channel is not None
         try:
-            body = await self._channel.body(MAX_ANSWER)
+            body = await self._channel.body(
+                self._channels.bounds.message_bytes, self._held.resize
+            )
         except BROKEN as exc:
             return self._broken(exc)
+        finally:
+            self._held.release()
         self.finish()
         return WholeAnswer(head, body)
 
@@ -135,14 +140,17 @@
         like the end of an answer that has neither a length nor chunks.
         """
         assert self._channel is not None
-        splitter = EventSplitter()
+        splitter = EventSplitter(self._channels.bounds)
         try:
             async for chunk in self._channel.chunks():
-                for event in splitter.feed(chunk):
+                events = splitter.feed(chunk)
+                self._held.resize(splitter.rest_bytes)
+                for event in events:
                     yield event
         except BROKEN as exc:
             raise BrokenStreamError(str(exc) or type(exc).__name__) from exc
         finally:
+            self._held.release()
             self.cut_bytes = splitter.cut_bytes
         _check_end(head, splitter)
         if splitter.rest:
@@ -185,7 +193,7 @@
             answered = self._dialect.answer_facts(head).attempt_id
             if answered == self._attempt_id or not answered:
                 return head
-            await channel.body(MAX_ANSWER)
+            await channel.body(MOST_DISCARDED)
             channel.expect_another()
         raise EOFError('the runner answers other requests in place of ours')
 
@@ -217,7 +225,7 @@
         assert self._channel is not None
         try:
             async with asyncio.timeout(DISCARD_S):
-                await self._channel.body(MAX_ANSWER)
+                await self._channel.body(MOST_DISCARDED)
         except BROKEN:
             # The answer's head told all there was to know.
             self.cancel()
--- a/bramleybend/direct/channels.py
+++ b/bramleybend/direct/channels.py
@@ -5,16 +5,22 @@
 from math import inf
 
 from bramleybend.clients.channel import Channel, connect
+from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import Clock
+from bramleybend.direct.answer_memory import AnswerMemory
 from bramleybend.direct.models import RunnerEntry
 
 
 class RunnerChannels:
     """One VM's connections, by runner."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, bounds: MessageBounds, memory: AnswerMemory
+    ) -> None:
         """Start without connections."""
         self._clock = clock
+        self.bounds = bounds
+        self.memory = memory
         self._idle: dict[str, list[Channel]] = defaultdict(list)
         self._open: dict[str, int] = defaultdict(int)
         self.most: Callable[[RunnerEntry], float] = _unbounded
@@ -33,7 +39,9 @@
             raise ConnectionError('all our connections to it are in use')
         self._open[runner.incarnation] += 1
         try:
-            return await connect(runner.address, runner.port, self._clock)
+            return await connect(
+                runner.address, runner.port, self._clock, bounds=self.bounds
+            )
         except BaseException:
             self._open[runner.incarnation] -= 1
             raise
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -8,11 +8,17 @@
 import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from math import inf
 from typing import Final
 
 import h11
 
 from bramleybend.clients.h11_protocol import H11Protocol
+from bramleybend.clients.message_bounds import (
+    MessageBounds,
+    MessageMeter,
+    MessageTooLongError,
+)
 from bramleybend.clock import Clock
 from bramleybend.direct.models import IngressLimits
 from bramleybend.direct.replies import RawRequest, Reply, own_reply
@@ -26,6 +32,8 @@
 # How long a connection that ends is read on, or the last answer may be lost.
 LINGER_S: Final = 0.5
 CHUNKS_SINCE: Final = b'1.1'  # the HTTP version
+# The body has a bound of its own, of the users' manifest.
+REQUEST_BOUNDS: Final = MessageBounds(message_bytes=inf)
 
 Handler = Callable[[RawRequest, Responder], Awaitable[None]]
 
@@ -43,6 +51,7 @@
         )
         self._ingress = ingress
         self._limits = limits
+        self._meter = MessageMeter(REQUEST_BOUNDS)
         self._task: asyncio.Task[None] | None = None
         self._out: list[bytes] = []
         self._answering = False
@@ -71,6 +80,10 @@
         """Whether no request has begun to come in."""
         return not self._answering and not self.http.trailing_data[0]
 
+    def check_received(self) -> None:
+        """Raise if what came of this request is mostly no content."""
+        self._meter.note_received(self.received)
+
     def ends(self, wanted: bool) -> bool:
         """Tell whether the connection ends with the answer under way."""
         return wanted or self._ambiguous or self._ingress.draining
@@ -160,6 +173,8 @@
                 body = await self._body()
         except TimeoutError:
             return _too_slow()
+        except MessageTooLongError as exc:
+            return own_reply(HTTPStatus.BAD_REQUEST, str(exc), close=True)
         finally:
             self._answering = False
         if body is None:
@@ -192,6 +207,7 @@
         while isinstance(event := await self.next_event(), h11.Data):
             parts.append(bytes(event.data))
             size += len(event.data)
+            self._meter.add_content(len(event.data))
             if size > self._limits.body_bytes:
                 return None
         return b''.join(parts)
@@ -200,6 +216,7 @@
         """Read on for a moment before the connection is closed."""
         # Closed with bytes unread, the connection would be reset, and the
         # caller would see that in place of the answer that tells why.
+        self.discarding = True
         try:
             async with asyncio.timeout(LINGER_S):
                 while self.broken is None and not self.transport.is_closing():
@@ -213,6 +230,8 @@
         if self.http.their_state is not h11.DONE:
             return False
         self.http.start_next_cycle()
+        self._meter = MessageMeter(REQUEST_BOUNDS)
+        self.received = len(self.http.trailing_data[0])
         return True
 
 
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -94,7 +94,9 @@
             self.book, self.members, self._queues, clock, self.events
         )
         self.placer.may_own = self._may_own
-        self._channels = RunnerChannels(clock)
+        self._channels = RunnerChannels(
+            clock, cfg.answer_bounds(), cfg.answer_memory()
+        )
         self._channels.most = self._most_connections
         tables = Tables(
             self.members,
--- a/bramleybend/direct/sse.py
+++ b/bramleybend/direct/sse.py
@@ -2,13 +2,24 @@
 
 A runner may stop in the middle of an event. Only whole events are passed on,
 so that a stream which goes on at another runner repeats and misses nothing.
+
+An event whose end doesn't come, and comments without an event, are read no
+further than the bounds say. The cost is linear in the bytes.
 """
 
 import re
 from dataclasses import dataclass
 from typing import Final
 
+from bramleybend.clients.message_bounds import (
+    USUAL_BOUNDS,
+    MessageBounds,
+    MessageMeter,
+    MessageTooLongError,
+)
+
 _END: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_OVERLAP: Final = 3  # bytes of an end that may have come before
 _ID: Final = re.compile(rb'^id:[ ]?(.*?)\r?$', re.MULTILINE)
 
 
@@ -23,15 +34,22 @@
 class EventSplitter:
     """Cuts bytes into events."""
 
-    def __init__(self) -> None:
+    def __init__(self, bounds: MessageBounds = USUAL_BOUNDS) -> None:
         """Start between two events."""
-        self._rest = b''
+        self._bounds = bounds
+        self._meter = MessageMeter(bounds)
+        self._rest = bytearray()
         self.count = 0  # events that were whole
 
     @property
     def rest(self) -> bytes:
         """What came of an event that is not whole."""
-        return self._rest
+        return bytes(self._rest)
+
+    @property
+    def rest_bytes(self) -> int:
+        """Count these."""
+        return len(self._rest)
 
     @property
     def cut_bytes(self) -> int:
@@ -39,23 +57,42 @@
 
         Blank lines and comments after an event are part of none.
         """
-        lines = self._rest.splitlines(keepends=True)
-        if all(_is_blank_or_comment(line) for line in lines):
-            return 0
-        return len(self._rest)
+        rest = self.rest
+        return 0 if _carries_nothing(rest) else len(rest)
 
     def feed(self, chunk: bytes) -> list[Event]:
-        """Return the events that are whole now."""
-        text = self._rest + chunk
+        """Return the events that are whole now.
+
+        Raises `MessageTooLongError` beyond the bounds.
+        """
+        searched = max(len(self._rest) - _OVERLAP, 0)
+        self._rest += chunk
         events: list[Event] = []
         at = 0
-        for end in _END.finditer(text):
-            events.append(_event(text[at : end.end()]))
+        while end := _END.search(self._rest, max(at, searched)):
+            events.append(_event(bytes(self._rest[at : end.end()])))
             at = end.end()
-        self._rest = text[at:]
-        self.count += len(events)
+            self._count(events[-1].raw)
+        if at:
+            self._rest = self._rest[at:]
+        if len(self._rest) > self._bounds.event_bytes:
+            raise MessageTooLongError(
+                f'an event is over {self._bounds.event_bytes} bytes'
+            )
         return events
 
+    def _count(self, raw: bytes) -> None:
+        self.count += 1
+        if raw[:1] in b':\r\n' and _carries_nothing(raw):
+            self._meter.add_filler(len(raw))
+        else:
+            self._meter.add_content(len(raw))
+
+
+def _carries_nothing(raw: bytes) -> bool:
+    lines = raw.splitlines(keepends=True)
+    return all(_is_blank_or_comment(line) for line in lines)
+
 
 def _is_blank_or_comment(line: bytes) -> bool:
     return line[:1] in b':\r\n' and line.endswith((b'\r', b'\n'))
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -3,8 +3,15 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from bramleybend.clients.message_bounds import (
+    ANSWER_BYTES,
+    EVENT_BYTES,
+    FILLER_BYTES,
+    MessageBounds,
+)
 from bramleybend.decisions.allotments import Tolerance
 from bramleybend.decisions.overload import Overload
+from bramleybend.direct.answer_memory import AnswerMemory
 from bramleybend.settings_parsing import Program
 from bramleybend.settings_types import (
     HostPort,
@@ -31,6 +38,9 @@
 # Three tiers below the highest leave it a quarter.
 MOST_TIER_SHARE: Final = 0.25
 STANDING_QUEUE_S: Final = 2
+MEMORY_MB: Final = 300
+MEGABYTE: Final = 1_000_000
+ANSWERS_SHARE: Final = 0.2
 # Judgement, not measured: below these a VM is spared work for others.
 CAPACITY_CORES: Final = 0.25
 CAPACITY_MBPS: Final = 2.5
@@ -42,6 +52,19 @@
     return given == 'true'
 
 
+def _whole(given: str) -> int:
+    if not given.isdecimal() or not int(given):
+        raise ValueError('write a whole number above 0')
+    return int(given)
+
+
+def _share(given: str) -> float:
+    number = amount(given)
+    if not 0 < number <= 1:
+        raise ValueError('write a number above 0 and up to 1')
+    return number
+
+
 def _tier_share(given: str) -> float:
     number = amount(given)
     if number > MOST_TIER_SHARE:
@@ -186,6 +209,46 @@
             '2',
         ),
     )
+    answer_bytes: int = field(
+        default=ANSWER_BYTES,
+        metadata=about(
+            _whole,
+            'bytes of a runner that are read of one answer at most; each '
+            'chunk and event counts as 128 more',
+            '8388608',
+        ),
+    )
+    event_bytes: int = field(
+        default=EVENT_BYTES,
+        metadata=about(
+            _whole,
+            'bytes that one event of a stream may have',
+            '1048576',
+        ),
+    )
+    filler_bytes: int = field(
+        default=FILLER_BYTES,
+        metadata=about(
+            _whole,
+            'bytes of an answer that may carry nothing (informational heads, '
+            'comments, chunk extensions), beyond as many as carry something',
+            '65536',
+        ),
+    )
+    memory_mb: int = field(
+        default=MEMORY_MB,
+        metadata=about(
+            _whole, 'memory that this process may take, in MB', '300'
+        ),
+    )
+    answers_share: float = field(
+        default=ANSWERS_SHARE,
+        metadata=about(
+            _share,
+            'share of that memory that answers which are being read may take',
+            '0.2',
+        ),
+    )
     first_start: bool = field(
         default=False,
         metadata=about(
@@ -249,6 +312,16 @@
         """Return what holds while there is more work than capacity."""
         return Overload(self.min_tier_share, self.standing_queue_s)
 
+    def answer_bounds(self) -> MessageBounds:
+        """Return the most that is read of one answer."""
+        return MessageBounds(
+            self.answer_bytes, self.event_bytes, self.filler_bytes
+        )
+
+    def answer_memory(self) -> AnswerMemory:
+        """Return the memory for answers that are being read."""
+        return AnswerMemory(self.memory_mb * MEGABYTE * self.answers_share)
+
     def shown(self) -> dict[str, str]:
         """Return what the log tells of them at the start."""
         return {
--- a/bramleybend/gateway/caller_connection.py
+++ b/bramleybend/gateway/caller_connection.py
@@ -10,12 +10,18 @@
 from contextlib import AbstractContextManager, asynccontextmanager, suppress
 from datetime import timedelta
 from http import HTTPStatus
+from math import inf
 from typing import Final
 
 import h11
 
 from bramleybend.answers import Answer, not_run, rejected
 from bramleybend.clients.http import READ_SIZE
+from bramleybend.clients.message_bounds import (
+    MessageBounds,
+    MessageMeter,
+    MessageTooLongError,
+)
 from bramleybend.gateway.http_messages import (
     Handler,
     HttpAnswer,
@@ -25,6 +31,8 @@
 
 MAX_HEADER_BYTES: Final = 16_384
 MAX_REQUEST_BYTES: Final = 4 * 1024 * 1024
+# The body has a bound of its own, with an answer of its own.
+REQUEST_BOUNDS: Final = MessageBounds(message_bytes=inf)
 # Long enough for a slow link, short enough that half-sent requests can't
 # collect: at 200 connections a second they stay under 6,000 open sockets.
 READ_TIMEOUT_S: Final = 30.0
@@ -54,6 +62,8 @@
             h11.SERVER,
             max_incomplete_event_size=MAX_HEADER_BYTES,
         )
+        self._meter = MessageMeter(REQUEST_BOUNDS)
+        self._received = 0
         self._finishing = False
         self._read_limit: asyncio.Timeout | None = None
 
@@ -111,6 +121,8 @@
             return await self._read_request()
         except h11.RemoteProtocolError as exc:
             return _malformed(exc)
+        except MessageTooLongError as exc:
+            return _padded(exc)
         except TimeoutError:
             return self._overdue()
 
@@ -157,6 +169,7 @@
         while isinstance(event := await self._next_event(), h11.Data):
             parts.append(bytes(event.data))
             size += len(event.data)
+            self._meter.add_content(len(event.data))
             if size > MAX_REQUEST_BYTES:
                 return _oversized()
         return b''.join(parts)
@@ -167,7 +180,10 @@
             if self._http.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 self._writer.write(self._http.send(go_on) or b'')
-            self._http.receive_data(await self._reader.read(READ_SIZE))
+            self._meter.note_received(self._received)
+            came = await self._reader.read(READ_SIZE)
+            self._received += len(came)
+            self._http.receive_data(came)
             event = self._http.next_event()
         return event
 
@@ -201,15 +217,16 @@
                 await self._linger()
 
     async def _linger(self) -> None:
-        """Read on for a moment before the connection is closed."""
+        """Read on for a moment, and not for ever, before it is closed."""
         # Closed with bytes unread, the connection would be reset, and the
         # caller would see that in place of the answer that tells why.
         self._writer.write_eof()
         with suppress(TimeoutError):
             async with asyncio.timeout(LINGER_S):
-                discarded = await self._reader.read(READ_SIZE)
-                while discarded:
+                left = MAX_REQUEST_BYTES
+                while left > 0:
                     discarded = await self._reader.read(READ_SIZE)
+                    left -= len(discarded) or left
 
     async def _send(self, event: h11.Event) -> None:
         payload = self._http.send(event)
@@ -224,6 +241,8 @@
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self._meter = MessageMeter(REQUEST_BOUNDS)
+        self._received = len(self._http.trailing_data[0])
         return True
 
 
@@ -236,6 +255,14 @@
     )
 
 
+def _padded(exc: MessageTooLongError) -> Answer:
+    return rejected(
+        str(exc),
+        'send larger chunks and no extensions; nothing was run',
+        HTTPStatus.BAD_REQUEST,
+    )
+
+
 def _half_sent() -> Answer:
     return rejected(
         f'the request was not whole after {READ_TIMEOUT_S:.0f} s',
--- a/bramleybend/platform/store.py
+++ b/bramleybend/platform/store.py
@@ -24,6 +24,7 @@
     Outgoing,
     connect,
 )
+from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import Clock
 from bramleybend.direct.feed_copy import KeyedRecord, Page
 from bramleybend.errors import ErrorKind, Problem
@@ -49,6 +50,7 @@
 # Another VM that trickles is left for the store while a change can still be in
 # force in time: two seconds are promised, and the store takes its part.
 MIRROR_TIMEOUT_S: Final = 1.5
+STORE_BOUNDS: Final = MessageBounds(message_bytes=MOST_INFLATED)
 LOST: Final = (OSError, EOFError, h11.ProtocolError)
 
 
@@ -200,8 +202,8 @@
         await channel.send(outgoing)
         head = await channel.head()
         ends_at = _loop_time() + self._whole_timeout_s
-        on_chunk = partial(_prolong, limit, ends_at)
-        return head, await channel.body(MOST_INFLATED, on_chunk)
+        on_growth = partial(_prolong, limit, ends_at)
+        return head, await channel.body(MOST_INFLATED, on_growth)
 
     async def _open(self) -> Channel:
         while self._idle:
@@ -209,7 +211,9 @@
             if channel.usable:
                 return channel
             channel.abort()
-        return await connect(self.address, self.port, self._clock)
+        return await connect(
+            self.address, self.port, self._clock, bounds=STORE_BOUNDS
+        )
 
     def _keep(self, channel: Channel, kept: bool) -> None:
         if kept:
@@ -241,7 +245,7 @@
     return StoreClient(address, port, clock, headers, MIRROR_TIMEOUT_S)
 
 
-def _prolong(limit: asyncio.Timeout, ends_at: float) -> None:
+def _prolong(limit: asyncio.Timeout, ends_at: float, size: int) -> None:
     """Allow the next part of an answer its time."""
     limit.reschedule(min(_loop_time() + SILENCE_TIMEOUT_S, ends_at))
 
--- a/tests/direct/test_attempt.py
+++ b/tests/direct/test_attempt.py
@@ -8,7 +8,9 @@
 from unittest.mock import Mock
 
 from bramleybend.clients.channel import Channel, Outgoing
+from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import SystemClock
+from bramleybend.direct.answer_memory import AnswerMemory
 from bramleybend.direct.attempt import Attempt, Failure, Fate
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.models import RunnerEntry, RunnerState
@@ -26,6 +28,7 @@
     def __init__(self) -> None:
         """Start with none."""
         self.kept = False
+        self.memory = AnswerMemory(0)
 
     async def take(self, runner: RunnerEntry) -> Channel:
         """Return a connection that is not written to."""
@@ -65,7 +68,7 @@
 async def test_a_connection_that_its_runner_has_closed_is_not_used() -> None:
     """A booking isn't told that it may have run where nothing was sent."""
     clock = SystemClock()
-    channels = RunnerChannels(clock)
+    channels = RunnerChannels(clock, MessageBounds(), AnswerMemory(0))
     limits = RunnerLimits(clock, cast(EventLog, cast(Any, None)), Random(1))
     with socket.create_server(('127.0.0.1', 0)) as listener:
         runner = replace(RUNNER, port=listener.getsockname()[1])
