Spread the work of services that each VM orders for itself

A plain service is ordered by each VM for itself, from its own few runs. The least cost won, and costs hardly differed: plain requests state no tokens, and a pace was learned only from 64 of them, so all runners had the same pace for good, and what decided was the order of the list, or the residue of a failure long ago.

Ruled out: an own queue that is full (6 slots at each VM, two requests a second). Weighed: two random choices favour one of two runners that differ by a sample (1.8 times for the best of five); a subset by rendezvous hashing of 1 of 5 is uneven by chance (1.28) and slow to use a runner that joins; shared counts and an owner cost a round trip or 150 messages a second. Chosen: a draw by capacity and the inverse square of cost, failures as a factor; a run without tokens teaches a pace.

Test: tests/decisions/test_spreading.py, 6 to 350 VMs, 3 to 20 runners: busiest at most 1.25, one that joins 0.7 to 1.25 of its share after 10 s, none overrun in the first second, a slow one little.

--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -29,6 +29,7 @@
 )
 from bramleybend.decisions.runs import Runner
 from bramleybend.decisions.shard import Shard
+from bramleybend.decisions.spreading import draw
 from bramleybend.decisions.tier_queue import WINDOW, Waiting
 from bramleybend.models import Tier
 
@@ -107,6 +108,7 @@
     is_free_for_all = len(shard.queue) <= sum(one.free for one in places)
     weighed = (
         _weigh(
+            shard,
             entry,
             position,
             places,
@@ -139,6 +141,7 @@
 
 
 def _weigh(
+    shard: Shard,
     entry: Waiting,
     position: int,
     places: list[Place],
@@ -151,6 +154,11 @@
     if ask.excluded:
         able = [one for one in places if one.runner.name not in ask.excluded]
     left = time_left(ask, now) if in_time else UNLIMITED
+    if shard.switches.spreading:
+        runner = draw(able, ask, left, shard.rng)
+        if runner is None:
+            return None
+        return Choice(entry, runner, position * PLACE_S, saves_work=False)
     standing = best_of(able, ask, left)
     if standing.runner is None:
         return None
--- a/bramleybend/decisions/speeds.py
+++ b/bramleybend/decisions/speeds.py
@@ -57,6 +57,9 @@
 
     def ended(self, work: float, seconds: float) -> None:
         """Learn from a run without a first token, as of one phase."""
+        if self._prefill is None and work > 0 and seconds > 0:
+            # Plain services have no prompts, and no pace without this phase.
+            self._prefill = work / seconds
         self.prefilled(work, seconds)
         self.decoded(work, seconds)
 
--- a/bramleybend/decisions/switches.py
+++ b/bramleybend/decisions/switches.py
@@ -20,3 +20,6 @@
     pacing: bool = True
     admission: bool = True
     floor_at_refusal: bool = True  # off where no request asks for a floor
+    spreading: bool = (
+        False  # on where many VMs order a service, each for itself
+    )
--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -51,6 +51,8 @@
 SWITCHES: Final = Switches(
     preemption=False, limits=False, floor_at_refusal=False, holding=False
 )
+# Every VM orders a plain service for itself.
+PLAIN_SWITCHES: Final = replace(SWITCHES, spreading=True)
 
 
 class ServiceQueue:
@@ -61,8 +63,13 @@
     ) -> None:
         """Start empty."""
         self._clock = clock
+        is_plain = service.kind is ServiceKind.PLAIN
         self._policy: ShardPolicy = make_shard_policy(
-            service, rng, switches=SWITCHES, batched=True, overload=overload
+            service,
+            rng,
+            switches=PLAIN_SWITCHES if is_plain else SWITCHES,
+            batched=True,
+            overload=overload,
         )
         self._replies: dict[str, Reply] = {}
         self._asked_at: dict[str, float] = {}
--- /dev/null
+++ b/tests/decisions/test_spreading.py
@@ -0,0 +1,203 @@
+"""Plain services that many VMs order, each for itself, in virtual time."""
+
+import heapq
+from collections import Counter
+from functools import cache
+from itertools import count
+from random import Random
+from typing import Final
+
+import pytest
+
+from bramleybend.decisions.actions import Grant, RunnerInfo, RunReport
+from bramleybend.decisions.owner import make_shard_policy
+from bramleybend.direct.owner import PLAIN_SWITCHES
+from bramleybend.models import Ask, Service, ServiceKind, Tier
+
+SLOTS: Final = 6
+WORK_S: Final = 0.045
+LOAD: Final = 0.25  # of all slots
+FAILED: Final = 0.012  # of all runs
+# Enough starts at each runner that a fair draw stays within the bounds.
+STARTS: Final = 450
+STARTS_S: Final = STARTS * WORK_S / (LOAD * SLOTS)
+JOINS_AT: Final = STARTS_S
+SETTLED_S: Final = 10.0  # after a join
+LENGTH_S: Final = JOINS_AT + SETTLED_S + STARTS_S / 2
+SEEDS: Final = (1,)
+MOST: Final = 1.25  # times the fair share
+LEAST: Final = 0.7
+FLEETS: Final = (
+    (6, 3),
+    (9, 3),
+    (84, 3),
+    (195, 5),
+    (350, 20),
+)
+# A few VMs have most callers.
+BUSY_SHARE: Final = 0.1
+BUSY_WEIGHT: Final = 6
+
+
+class Fleet:
+    """VMs that each place their own callers' requests on shared runners."""
+
+    def __init__(self, vms: int, runners: int, seed: int) -> None:
+        """Play; one more runner joins in the middle."""
+        self.starts: list[tuple[float, str]] = []
+        self.slowest_s = float(0)
+        self._rng = Random(seed)
+        self._names = [f'r{number}' for number in range(runners)]
+        self._numbers = count()
+        self._due: list[tuple[float, int, int, str, str, float]] = []
+        self._free_at = {
+            name: [float(0)] * SLOTS for name in (*self._names, 'new')
+        }
+        service = Service('app', ServiceKind.PLAIN, slots=SLOTS)
+        self._policies = [
+            make_shard_policy(
+                service, Random(seed * 1000 + vm), switches=PLAIN_SWITCHES
+            )
+            for vm in range(vms)
+        ]
+        self._play(LOAD * SLOTS * runners / WORK_S)
+
+    def shares(self, start: float, end: float) -> dict[str, float]:
+        """Return what each runner got, 1 being its fair share."""
+        got = Counter(name for at, name in self.starts if start <= at < end)
+        names = self._names if end <= JOINS_AT else [*self._names, 'new']
+        mean = sum(got.values()) / len(names)
+        return {name: got[name] / mean for name in names}
+
+    def _play(self, per_s: float) -> None:
+        vms = range(len(self._policies))
+        busy = max(int(len(vms) * BUSY_SHARE), 1)
+        weights = [BUSY_WEIGHT if vm < busy else 1 for vm in vms]
+        self._list(self._names, 0)
+        has_joined = False
+        now = self._rng.expovariate(per_s)
+        while now < LENGTH_S:
+            if now >= JOINS_AT and not has_joined:
+                has_joined = True
+                self._list([*self._names, 'new'], now)
+            while self._due and self._due[0][0] <= now:
+                self._end(*heapq.heappop(self._due))
+            vm = self._rng.choices(vms, weights)[0]
+            self._ask(vm, now)
+            now += self._rng.expovariate(per_s)
+
+    def _list(self, names: list[str], now: float) -> None:
+        infos = [RunnerInfo(name, slots=SLOTS, warm=True) for name in names]
+        for policy in self._policies:
+            policy.runners(infos, now)
+
+    def _ask(self, vm: int, now: float) -> None:
+        ask = Ask(
+            f'{vm}-{next(self._numbers)}',
+            'app',
+            Tier.NORMAL,
+            'w',
+            1,
+            0,
+            (),
+            now + 1,
+            cancellable=False,
+        )
+        for action in self._policies[vm].ask(ask, now):
+            assert isinstance(action, Grant)
+            self._start(vm, action, now)
+
+    def _start(self, vm: int, grant: Grant, now: float) -> None:
+        self.starts.append((now, grant.runner))
+        slots = self._free_at[grant.runner]
+        begins = max(heapq.heappop(slots), now)
+        ends = begins + WORK_S * self._rng.uniform(0.7, 1.3)
+        heapq.heappush(slots, ends)
+        self.slowest_s = max(self.slowest_s, ends - now)
+        item = (ends, next(self._numbers), vm, grant.request_id, '', now)
+        heapq.heappush(self._due, item)
+
+    def _end(
+        self,
+        ends: float,
+        number: int,
+        vm: int,
+        request_id: str,
+        _: str,
+        started: float,
+    ) -> None:
+        outcome = 'failed' if self._rng.random() < FAILED else 'done'
+        report = RunReport(outcome, completion_tokens=1, seconds=ends - started)
+        self._policies[vm].ended(request_id, report, ends)
+
+
+play = cache(Fleet)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize(('vms', 'runners'), FLEETS)
+def test_no_runner_gets_much_more_than_its_share(
+    vms: int, runners: int, seed: int
+) -> None:
+    """Each VM by itself, all would choose the first runner of the list."""
+    fleet = play(vms, runners, seed)
+    assert max(fleet.shares(0, JOINS_AT).values()) <= MOST
+    assert max(fleet.shares(JOINS_AT, LENGTH_S).values()) <= MOST
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize(('vms', 'runners'), FLEETS)
+def test_right_after_a_start_of_all_no_runner_is_overrun(
+    vms: int, runners: int, seed: int
+) -> None:
+    """Without a run to learn from, all runners look alike to every VM."""
+    fleet = play(vms, runners, seed)
+    first = fleet.shares(0, 1)
+    mean = LOAD * SLOTS / WORK_S
+    # Three standard deviations of a count that is drawn evenly.
+    assert max(first.values()) <= 1 + 3 / mean**0.5 * 1.2
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize(('vms', 'runners'), FLEETS)
+def test_a_runner_that_joins_gets_its_share(
+    vms: int, runners: int, seed: int
+) -> None:
+    """Never better than the best known, it would get nothing."""
+    fleet = play(vms, runners, seed)
+    share = fleet.shares(JOINS_AT + SETTLED_S, LENGTH_S)['new']
+    assert LEAST <= share <= MOST
+
+
+def test_a_slow_runner_gets_little_and_is_still_tried() -> None:
+    """Never tried again, it could not show that it has recovered."""
+    policy = make_shard_policy(
+        Service('app', ServiceKind.PLAIN, slots=SLOTS),
+        Random(1),
+        switches=PLAIN_SWITCHES,
+    )
+    names = ('slow', 'a', 'b')
+    policy.runners(
+        [RunnerInfo(one, slots=SLOTS, warm=True) for one in names], 0
+    )
+    got: Counter[str] = Counter()
+    for number in range(2000):
+        now = float(number)
+        ask = Ask(
+            f'{number}',
+            'app',
+            Tier.NORMAL,
+            'w',
+            1,
+            0,
+            (),
+            now + 1,
+            cancellable=False,
+        )
+        (grant,) = policy.ask(ask, now)
+        assert isinstance(grant, Grant)
+        got[grant.runner] += 1
+        seconds = WORK_S * (4 if grant.runner == 'slow' else 1)
+        report = RunReport('done', completion_tokens=1, seconds=seconds)
+        policy.ended(f'{number}', report, now + seconds)
+    assert 20 <= got['slow'] <= 120
