VMs that start at once agree on an owner at once

After a stop of all VMs each ordered engines' work by itself for about 1.5 s: a VM is asked nothing in its first second, and so was nobody. A VM that starts alone did the same beside a settled owner, as it has heard nobody for a second.

Ruled out: a late heartbeat (peers were heard 0.0 to 0.4 s after the start). Change: where no VM that is heard has settled, the first in rank of those that are ready is asked; a restarted VM still isn't asked while another has settled. Test: tests/direct/test_owner_after_start.py; two of four failed before.

--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -31,7 +31,8 @@
 RELAYED_ALIVE_S: Final = ALIVE_S + 2 * BEAT_S
 # Silent for longer than any freeze or cut is likely to last.
 FORGET_S: Final = 30.0
-# A VM that comes up is asked nothing before it knows what runs where.
+# A VM that comes up is asked nothing before it knows what runs where, unless
+# all come up at once.
 SETTLE_S: Final = 1.0
 # One may be down and another frozen, and the domain still hears the rest.
 HUBS: Final = 3
@@ -204,8 +205,13 @@
 
     def owners(self, service: str, now: float, most: int) -> list[Member]:
         """Return the first in rank for a service's work, without us."""
-        able = (one for one in self.alive(now) if self._may_own(one, now))
-        return nlargest(most, able, key=lambda one: rank_of(service, one))
+        able = [one for one in self.alive(now) if self._may_own(one, now)]
+        settled = [one for one in able if now - one.since >= SETTLE_S]
+        # Where nobody has settled, all have just started, or we have. Ordered
+        # by each for itself, the work of all would start at the same runners.
+        return nlargest(
+            most, settled or able, key=lambda one: rank_of(service, one)
+        )
 
     def owner(self, service: str, now: float, able: bool) -> Member | None:
         """Return who orders a service's work; none: we do ourselves.
@@ -223,7 +229,6 @@
         return (
             member.ready
             and not member.leaving
-            and now - member.since >= SETTLE_S
             and self._distrusted.get(member.vm, 0) <= now
         )
 
