The owner of an engine service looks at fewer runners for each request

An end of a run told all runners of the shard that it is over, and each arrival went over all runs for a lower tier, over all runners' caches though it states no prefix, and each decision over all runs for a suspect though none waits. Now the runner that had the run is told, and the rest is looked at only where it matters.

--- a/bramleybend/decisions/admission.py
+++ b/bramleybend/decisions/admission.py
@@ -67,7 +67,7 @@
 
 
 def _waits_too_long(shard: Shard, ask: Ask, now: float) -> bool:
-    if not shard.switches.admission or shard.lower_runs(ask.tier):
+    if not shard.switches.admission or shard.has_lower_run(ask.tier):
         return False
     rate = shard.drained_per_second(now)
     if rate is None:
--- a/bramleybend/decisions/dispatch.py
+++ b/bramleybend/decisions/dispatch.py
@@ -172,9 +172,8 @@
 
 
 def _start_suspect(shard: Shard, now: float) -> list[Action]:
-    window = next(shard.suspects.windows(shard.lowest_tier(now)), [])
-    running = [run for run in shard.runs.values() if run.ask.suspect]
-    if running or not window:
+    window = next(shard.suspects.windows(shard.lowest_tier(now)), None)
+    if not window or any(run.ask.suspect for run in shard.runs.values()):
         return []
     ask = window[0].ask
     runner = _emptiest(shard, ask.excluded)
--- a/bramleybend/decisions/pool.py
+++ b/bramleybend/decisions/pool.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Sequence
+from math import inf
 
 from bramleybend.decisions.actions import RunnerInfo
 from bramleybend.decisions.cache_view import CacheView
@@ -84,19 +85,14 @@
             return LeastTime(0, 0)
         decode = max(ask.cost - ask.prompt_tokens, 1)
         mean = self.mean_pace()
-        paces = [
-            (self.pace_of(runner, mean), _prefill(ask, runner))
-            for runner in self._runners.values()
-        ]
-        return LeastTime(
-            min(
-                (pace.seconds(prefill, 0) for pace, prefill in paces), default=0
-            ),
-            min(
-                (pace.seconds(prefill, decode) for pace, prefill in paces),
-                default=0,
-            ),
-        )
+        begin = inf
+        end = inf
+        for runner in self._runners.values():
+            pace = self.pace_of(runner, mean)
+            filled = _prefill(ask, runner) / pace.prefill
+            begin = min(begin, filled)
+            end = min(end, filled + decode / pace.decode)
+        return LeastTime(begin, end) if self._runners else LeastTime(0, 0)
 
     def mean_pace(self) -> Pace:
         """Return the peers' mean, or a guess before any run has ended."""
@@ -136,5 +132,7 @@
 
 
 def _prefill(ask: Ask, runner: Runner) -> int:
+    if not ask.prefixes:
+        return max(ask.prompt_tokens, 0)
     cached = runner.cache.cached_tokens(ask.prefixes, ask.prompt_tokens)
     return max(ask.prompt_tokens - cached, 0)
--- a/bramleybend/decisions/shard.py
+++ b/bramleybend/decisions/shard.py
@@ -129,10 +129,23 @@
         for waiting, victim in tuple(self.victims.items()):
             if victim == request_id:
                 self.victims.pop(waiting)
-        for runner in self.pool:
-            runner.forget(request_id)
+        self._free(request_id, run)
         return run
 
     def lower_runs(self, tier: int) -> list[Run]:
         """Return the runs of a lower tier."""
         return [run for run in self.runs.values() if run.ask.tier > tier]
+
+    def has_lower_run(self, tier: int) -> bool:
+        """Tell whether a run of a lower tier is under way."""
+        return any(run.ask.tier > tier for run in self.runs.values())
+
+    def _free(self, request_id: str, run: Run | None) -> None:
+        if run is None or run.ask.suspect:
+            # A suspect may hold a runner other than the one that it ran on.
+            for runner in self.pool:
+                runner.forget(request_id)
+            return
+        ran_on = self.pool.get(run.runner)
+        if ran_on is not None:
+            ran_on.forget(request_id)
