An ask names free connections to runners of its own service

Of the four that were used last most led to engines, also for a lookup.

Test: tests/direct/test_connected_runners.py. Also: one copy less of each read, and a docstring reflowed.

--- a/bramleybend/clients/h11_protocol.py
+++ b/bramleybend/clients/h11_protocol.py
@@ -62,7 +62,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take in bytes that were put into the buffer."""
-        self.data_received(bytes(self._buffer[:nbytes]))
+        self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Keep what came until it is read."""
--- a/bramleybend/decisions/overload.py
+++ b/bramleybend/decisions/overload.py
@@ -7,8 +7,9 @@
 
 A queue stands once entries have kept getting late for `standing_s` without the
 queue running empty (as in CoDel, it is time and not length that tells a burst
-from an overload). Then a late entry is refused at once while others of its tier can still be on time:
-those get the slots, and who is refused hears of it early enough to come back.
+from an overload). Then a late entry is refused at once while others of its tier
+can still be on time: those get the slots, and who is refused hears of it early
+enough to come back.
 
 Each lower tier that waits gets `min_share` of the starts at least. Above that,
 tiers go strictly.
--- a/bramleybend/direct/channels.py
+++ b/bramleybend/direct/channels.py
@@ -28,12 +28,14 @@
         self.memory = memory
         self._idle: dict[str, list[Channel]] = defaultdict(list)
         self._open: dict[str, int] = defaultdict(int)
+        self._services: dict[str, str] = {}  # by runner
         self.most: Callable[[RunnerEntry], float] = _unbounded
 
     async def take(
         self, runner: RunnerEntry, *, fresh: bool = False
     ) -> Channel:
         """Return a connection; an `OSError` means that nothing was sent."""
+        self._services[runner.incarnation] = runner.service
         idle = self._idle[runner.incarnation]
         while idle and not fresh:
             channel = idle.pop()
@@ -51,15 +53,15 @@
             self._open[runner.incarnation] -= 1
             raise
 
-    def connected(self) -> frozenset[str]:
-        """Return runners to which a connection is open and free.
+    def connected(self, service: str) -> frozenset[str]:
+        """Return a service's runners to which a connection is open and free.
 
         Of many, those that were used last: all of them would make an ask long.
         """
         free = (
             name
             for name, idle in reversed(self._idle.items())
-            if idle and idle[-1].usable
+            if idle and self._services.get(name) == service and idle[-1].usable
         )
         return frozenset(islice(free, MOST_CONNECTED))
 
@@ -85,6 +87,7 @@
     def keep_only(self, incarnations: set[str]) -> None:
         """Close what leads to runners that are gone."""
         for gone in self._idle.keys() - incarnations:
+            self._services.pop(gone, None)
             for channel in self._idle.pop(gone):
                 self._drop(gone, channel)
 
--- a/bramleybend/direct/tries.py
+++ b/bramleybend/direct/tries.py
@@ -225,7 +225,7 @@
             suspect=self._parts.containment.runs_alone(job.fingerprint),
             excluded=self._excluded(job),
             on_time_until=job.req.received_at + job.terms.route.objective_s,
-            connected=self._parts.channels.connected(),
+            connected=self._parts.channels.connected(job.terms.service),
         )
 
     def _ends_by(self, job: Job) -> float:
