--- a/tests/decisions/test_connected.py
+++ b/tests/decisions/test_connected.py
@@ -10,8 +10,6 @@
 from bramleybend.models import Ask, Service, ServiceKind, Tier
 
 TOKENS = 1000
-
-
 NONE: frozenset[str] = frozenset()
 
 
--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from time import thread_time
-from types import MappingProxyType
 from typing import Any, Final
 from unittest.mock import Mock
 
@@ -22,16 +21,21 @@
 from bramleybend.direct.sse import EventSplitter
 from bramleybend.entry_settings import ANSWERS_SHARE, MEGABYTE
 from tests.direct.world import ENGINE, PLAIN, World, manifest, playing
+from tests.utils.endless_bytes import (
+    CHUNKED,
+    EVENTS,
+    FRAMED,
+    FRAMING,
+    HEADS,
+    OK,
+    PROCESSOR_S,
+    READ,
+)
 from tests.utils.raw_runner import Behaviour, Seen, chunk, event
 from tests.utils.waiting import wait_until
 
-OK: Final = b'HTTP/1.1 200 OK\r\n'
-CHUNKED: Final = b'Transfer-Encoding: chunked\r\n\r\n'
-FRAMED: Final = OK + CHUNKED
 NOT_RUN: Final = b'X-Bramleybend-Not-Executed: 1\r\n\r\n'
 COMMENT: Final = b': keep-alive\n\n'
-READ: Final = 65_536  # bytes that are fed at once
-PROCESSOR_S: Final = 1.0  # that one answer may cost, whatever is sent
 PROMPTLY_S: Final = 2.0  # in which a caller hears of a fast one
 SLOW_S: Final = 0.02  # between two parts of a slow one
 TIMEOUT_MS: Final = 700
@@ -39,31 +43,6 @@
 REFUSED: Final = 'bytes after the head of a refusal'
 AFTER: Final = 'bytes after a whole answer'
 
-# What comes first, and what then comes for ever.
-HEADS: Final = MappingProxyType(
-    {
-        'one header line': (b'%bX-Long: ' % OK, b'a' * 512),
-        'many headers': (OK, b'X-More: 1\r\n' * 50),
-        'informational heads': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 20),
-    }
-)
-FRAMING: Final = MappingProxyType(
-    {
-        'one chunk extension': (b'%b1;' % FRAMED, b'e' * 512),
-        'chunk extensions': (FRAMED, b'1;%b\r\n\n\r\n' % (b'e' * 500)),
-        'chunks of one byte': (FRAMED, chunk(b'\n') * 90),
-        'trailers': (b'%b0\r\n' % FRAMED, b'X-More: 1\r\n' * 50),
-    }
-)
-EVENTS: Final = MappingProxyType(
-    {
-        'one event': (b'data: ', b'a' * 512),
-        'one event of many lines': (b'', b'data: a\n' * 64),
-        'comments': (b'', b':\n\n' * 170),
-        'blank lines': (b'', b'\n' * 512),
-        'events': (b'', b'data:\n\n' * 73),
-    }
-)
 # Events that carry something are an answer until the time for it is over.
 WITHOUT_EVENTS: Final = tuple(case for case in EVENTS if case != 'events')
 
--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -16,18 +16,18 @@
 from bramleybend.clients.runner import events_of
 from bramleybend.errors import ProblemError
 from bramleybend.gateway.caller_connection import Connection
-from tests.direct.test_endless_answers import (
+from tests.direct.world import KEY, playing
+from tests.utils.endless_bytes import (
     EVENTS,
     FRAMED,
     FRAMING,
     HEADS,
+    OK,
     PROCESSOR_S,
     READ,
 )
-from tests.direct.world import KEY, playing
 from tests.utils.raw_runner import chunk
 
-OK: Final = b'HTTP/1.1 200 OK\r\n'
 BODY: Final = (b'%bContent-Type: text/plain\r\n\r\n' % OK, b'body' * 4096)
 POST: Final = b'POST /book/x HTTP/1.1\r\nHost: desk.example\r\n'
 CHUNKED_POST: Final = b'%bTransfer-Encoding: chunked\r\n\r\n' % POST
