--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -27,7 +27,6 @@
     FRAMED,
     FRAMING,
     HEADS,
-    OK,
     PROCESSOR_S,
     READ,
 )
