--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -12,6 +12,7 @@
 from bramleybend.decisions.allotments import Tolerance
 from bramleybend.decisions.overload import Overload
 from bramleybend.direct.answer_memory import AnswerMemory
+from bramleybend.entry_setting_types import share, tier_share, whole, yes_no
 from bramleybend.settings_parsing import Program
 from bramleybend.settings_types import (
     HostPort,
@@ -35,8 +36,6 @@
 RESEND_WINDOW_S: Final = 10
 ALLOTMENT_WINDOW_S: Final = 8
 MIN_TIER_SHARE: Final = 0.1
-# Three tiers below the highest leave it a quarter.
-MOST_TIER_SHARE: Final = 0.25
 STANDING_QUEUE_S: Final = 2
 MEMORY_MB: Final = 300
 MEGABYTE: Final = 1_000_000
@@ -46,32 +45,6 @@
 CAPACITY_MBPS: Final = 2.5
 
 
-def _yes_no(given: str) -> bool:
-    if given not in {'true', 'false'}:
-        raise ValueError("write 'true' or 'false'")
-    return given == 'true'
-
-
-def _whole(given: str) -> int:
-    if not given.isdecimal() or not int(given):
-        raise ValueError('write a whole number above 0')
-    return int(given)
-
-
-def _share(given: str) -> float:
-    number = amount(given)
-    if not 0 < number <= 1:
-        raise ValueError('write a number above 0 and up to 1')
-    return number
-
-
-def _tier_share(given: str) -> float:
-    number = amount(given)
-    if number > MOST_TIER_SHARE:
-        raise ValueError(f'write a number from 0 to {MOST_TIER_SHARE}')
-    return number
-
-
 @dataclass(frozen=True, kw_only=True)
 class EntrySettings:
     """What one process is told at its start."""
@@ -194,7 +167,7 @@
     min_tier_share: float = field(
         default=MIN_TIER_SHARE,
         metadata=about(
-            _tier_share,
+            tier_share,
             'share of the starts that each tier which waits gets at least; '
             'above it, higher tiers go first',
             '0.1',
@@ -212,7 +185,7 @@
     answer_bytes: int = field(
         default=ANSWER_BYTES,
         metadata=about(
-            _whole,
+            whole,
             'bytes of a runner that are read of one answer at most; each '
             'chunk and event counts as 128 more',
             '8388608',
@@ -221,7 +194,7 @@
     event_bytes: int = field(
         default=EVENT_BYTES,
         metadata=about(
-            _whole,
+            whole,
             'bytes that one event of a stream may have',
             '1048576',
         ),
@@ -229,7 +202,7 @@
     filler_bytes: int = field(
         default=FILLER_BYTES,
         metadata=about(
-            _whole,
+            whole,
             'bytes of an answer that may carry nothing (informational heads, '
             'comments, chunk extensions), beyond as many as carry something',
             '65536',
@@ -238,13 +211,13 @@
     memory_mb: int = field(
         default=MEMORY_MB,
         metadata=about(
-            _whole, 'memory that this process may take, in MB', '300'
+            whole, 'memory that this process may take, in MB', '300'
         ),
     )
     answers_share: float = field(
         default=ANSWERS_SHARE,
         metadata=about(
-            _share,
+            share,
             'share of that memory that answers which are being read may take',
             '0.2',
         ),
@@ -252,7 +225,7 @@
     first_start: bool = field(
         default=False,
         metadata=about(
-            _yes_no,
+            yes_no,
             'whether the whole system starts for the first time; else '
             'workspaces may owe what was let in before, and their bursts '
             'are taken for spent until another VM tells',
