Tell and count requests that the raw ingress could not read

Cause: a request that is refused before a service sees it (400 for what is no request or has no end, 408, 413, 431) left neither a line nor a count, so a caller that sends such bytes was not to be seen by an operator.

Change: the ingress hands these replies to the service, which writes the same 'denied' line (without an id) and counts them as denied. Test: test_a_request_that_cannot_be_read_is_told_and_counted, three cases; no line before.

Not counted still: the operator's and the mirror's doors.

--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -36,6 +36,11 @@
 REQUEST_BOUNDS: Final = MessageBounds(message_bytes=inf)
 
 Handler = Callable[[RawRequest, Responder], Awaitable[None]]
+Refused = Callable[[Reply], None]
+
+
+def _nothing(reply: Reply) -> None:
+    """Tell nobody of a request that could not be read."""
 
 
 class CallerConnection(H11Protocol):
@@ -139,6 +144,7 @@
         self._answering = True
         try:
             if isinstance(req, Reply):
+                self._ingress.refused(req)
                 await responder.reply(req)
             else:
                 await self._ingress.handler(req, responder)
@@ -150,6 +156,7 @@
         if self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             status = HTTPStatus(exc.error_status_hint)
             reply = own_reply(status, str(exc), close=True)
+            self._ingress.refused(reply)
             await Responder(self).reply(reply)
             await self._linger()
         return False
@@ -243,9 +250,11 @@
         handler: Handler,
         limits: Callable[[], IngressLimits],
         clock: Clock,
+        refused: Refused = _nothing,
     ) -> None:
-        """Answer every request by `handler`."""
+        """Answer by `handler` what can be read; tell of the rest."""
         self.handler = handler
+        self.refused = refused
         self.limits = limits
         self.clock = clock
         self.draining = False
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -117,7 +117,9 @@
         self.peers.add_seeds(cfg.seed_addresses())
         self.placer.send = self.peers.send
         self._service = DirectService(self._parts(dialect, rng))
-        self.ingress = Ingress(self._service.handle, self._limits, clock)
+        self.ingress = Ingress(
+            self._service.handle, self._limits, clock, self._service.refused
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self.stopping = asyncio.Event()
         self.leaving = False
--- a/bramleybend/direct/service.py
+++ b/bramleybend/direct/service.py
@@ -43,13 +43,13 @@
         await self._parts.book.completed(hold_s(facts))
         admitted = self._parts.intake.admit(req, facts)
         if isinstance(admitted, Reply):
-            self._log_denied(facts, admitted, req)
+            self._note_denied(facts.attempt_id, req.path, admitted)
             await responder.reply(admitted)
             return
         job = self._job(req, facts, admitted)
         if self._parts.containment.is_refused(job.fingerprint):
             reply = self._tries.contained(job)
-            self._log_denied(facts, reply, req)
+            self._note_denied(facts.attempt_id, req.path, reply)
             await responder.reply(reply)
             return
         try:
@@ -58,6 +58,10 @@
             self._note_left(job)
             raise
 
+    def refused(self, reply: Reply) -> None:
+        """Log and count a request that the ingress could not read."""
+        self._note_denied('', '', reply)
+
     def _job(
         self, req: RawRequest, facts: RequestFacts, terms: Admitted
     ) -> Job:
@@ -220,15 +224,13 @@
             return False
         return self._tries.within_bounds(job)
 
-    def _log_denied(
-        self, facts: RequestFacts, reply: Reply, req: RawRequest
-    ) -> None:
+    def _note_denied(self, attempt_id: str, path: str, reply: Reply) -> None:
         self._parts.meters.count('denied', int(reply.status))
         self._parts.events.record(
             'denied',
-            req=facts.attempt_id,
+            req=attempt_id,
             status=int(reply.status),
-            path=req.path,
+            path=path,
             why=reply.reason,
             **reply.inputs,
         )
--- a/tests/direct/test_own_records.py
+++ b/tests/direct/test_own_records.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import time
-from typing import Any
+from typing import Any, Final
 
 import pytest
 
@@ -15,6 +15,8 @@
 from tests.utils.raw_runner import Seen, answers
 from tests.utils.waiting import wait_until
 
+POST: Final = b'POST /book/x HTTP/1.1\r\nHost: desk.example\r\n'
+
 
 def _events(caplog: pytest.LogCaptureFixture, name: str) -> list[Any]:
     lines = [each.msg for each in caplog.records if isinstance(each.msg, dict)]
@@ -63,6 +65,35 @@
         free.set()
 
 
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'no request\r\n\r\n', 400),
+        (b'%bX-Big: %b' % (POST, b'x' * 100_000), 431),
+        (
+            b'%bContent-Length: 9000000\r\n\r\n%b' % (POST, b'x' * 9_000_000),
+            413,
+        ),
+    ],
+    ids=['no request', 'a head too long', 'a body too long'],
+)
+async def test_a_request_that_cannot_be_read_is_told_and_counted(
+    caplog: pytest.LogCaptureFixture, sent: bytes, status: int
+) -> None:
+    """Refused before any service saw it, it would leave no trace."""
+    caplog.set_level(logging.INFO)
+    async with playing() as world:
+        caller = await world.connect()
+        caller.writer.write(sent)
+        answer = await caller.answer(2)
+        assert answer.status == status
+        (told,) = _events(caplog, 'denied')
+        assert told['status'] == status
+        assert told['why']
+        denied = world.vms[0].entry.meters.counters['denied']
+        assert denied == {(str(status),): 1}
+
+
 def test_a_vm_tells_when_its_messages_would_fill_a_thin_link(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
