VMs that reach no owner start at different runners, again

Cause: of runners that look alike the first of the list is taken, and the list has one order at all VMs: those that reach no owner (just started, cut off) all send to the same runner, which rejects what it has no slot for.

--- a/bramleybend/direct/owner.py
+++ b/bramleybend/direct/owner.py
@@ -63,6 +63,7 @@
     ) -> None:
         """Start empty."""
         self._clock = clock
+        self._rng = rng
         is_plain = service.kind is ServiceKind.PLAIN
         self._policy: ShardPolicy = make_shard_policy(
             service,
@@ -156,6 +157,9 @@
             )
             for entry in entries
         ]
+        # Of runners that look alike the first is taken. In the same order at
+        # all VMs, those that reach no owner would all start at the same one.
+        self._rng.shuffle(infos)
         self._act(self._policy.runners(infos, self._clock.monotonic()))
 
     def take_rates(self, per_s: Mapping[str, float]) -> None:
