Test: VMs that lose their paths to all runners, failing, listed

A cut VM's requests all fail (96 of 96 in 2 s, engines and plain services, paths silent or reset), from 3 s after the cut on. With engines, the requests of VMs that reach every runner fail as well (21 to 25 of 21 to 25). Paths on which open connections live on while new ones are refused pass, as the pools suffice. Each VM is started in a context of its own, by which its outgoing connections are told apart and cut within the test's process.

--- a/tests/direct/cluster.py
+++ b/tests/direct/cluster.py
@@ -1,6 +1,7 @@
 """Runs entry VMs, a store and fake runners in one event loop."""
 
 import asyncio
+import contextvars
 import itertools
 import json
 import os
@@ -16,6 +17,7 @@
     make_platform_process,
 )
 from bramleybend.setting_parsers import HostPort
+from tests.utils.path_cuts import PathCuts, current_vm
 from tests.utils.platform_store import PlatformStore
 from tests.utils.raw_runner import Behaviour, RawRunner, answer_at_once
 from tests.utils.waiting import wait_until
@@ -25,6 +27,7 @@
 HOST = 'desk.example'
 # Test processes run in parallel, each in its own loopback subnet.
 _SUBNET = 20 + os.getpid() % 200
+_RUNNER_HOST = f'127.{_SUBNET}.9.1'
 _PORTS = itertools.count(21_000)
 
 
@@ -83,6 +86,7 @@
     vms: list[PlatformProcess] = field(default_factory=list)
     cfgs: list[EntrySettings] = field(default_factory=list)
     runners: dict[str, RawRunner] = field(default_factory=dict)
+    paths: PathCuts = field(default_factory=lambda: PathCuts(_RUNNER_HOST))
     clock: Clock = field(default_factory=SystemClock)
     # further settings of the VMs
     extra_settings: Mapping[str, Any] = field(default_factory=dict)
@@ -95,7 +99,7 @@
         self, name: str, service: str, behave: Behaviour = answer_at_once
     ) -> RawRunner:
         """Start a runner and register it."""
-        runner = RawRunner(f'127.{_SUBNET}.9.1', name, behave)
+        runner = RawRunner(_RUNNER_HOST, name, behave)
         await runner.start()
         self.runners[name] = runner
         self.store.put('keyed.servers', name, runner.entry(service))
@@ -105,7 +109,9 @@
         """Start an entry VM with the first one as its seed."""
         cfg = self._settings(len(self.vms) + 1)
         vm = make_platform_process(cfg, self.clock)
-        await vm.start()
+        context = contextvars.copy_context()
+        context.run(current_vm.set, len(self.vms))
+        await asyncio.create_task(vm.start(), context=context)
         self.vms.append(vm)
         self.cfgs.append(cfg)
         return vm
@@ -263,6 +269,7 @@
     store = PlatformStore(f'127.{_SUBNET}.8.1')
     await store.server.start()
     cluster = Cluster(store, clock=clock or SystemClock(), extra_settings=more)
+    cluster.paths.install()
     cluster.publish(manifest())
     store.topic('keyed.servers')
     try:
--- /dev/null
+++ b/tests/direct/test_lost_paths.py
@@ -0,0 +1,110 @@
+"""VMs that lose their paths to all runners while everyone else keeps theirs."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+import pytest
+
+from tests.direct.cluster import ENGINE, PLAIN, Cluster, running_cluster
+from tests.utils.path_cuts import PathState
+from tests.utils.raw_runner import (
+    answer_at_once,
+    stream_three_events,
+)
+
+VMS = 4
+RUNNERS = 4
+WARM_UP_S = 1.0
+NOTICE_S = 3.0  # in which a VM has to find another way to the runners
+MEASURED_S = 2.0
+CALL_EVERY_S = 0.02  # between two requests, 50 a second
+TARGETS = {ENGINE: '/draft/x', PLAIN: '/book/x'}
+BEHAVIOURS = {ENGINE: stream_three_events, PLAIN: answer_at_once}
+
+
+@dataclass
+class Served:
+    """Requests and whole answers with status 200, by VM."""
+
+    sent: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+    answered: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+
+    def failed(self) -> dict[int, int]:
+        """Return the requests that were not answered, by VM."""
+        return {
+            vm: sent - self.answered[vm]
+            for vm, sent in self.sent.items()
+            if sent > self.answered[vm]
+        }
+
+
+async def send_load(cluster: Cluster, service: str, seconds: float) -> Served:
+    """Send requests to the VMs in turn; each is sent once."""
+    served = Served()
+    loop = asyncio.get_running_loop()
+    send_until = loop.time() + seconds
+    calls = set()
+    number = 0
+    while loop.time() < send_until:
+        number += 1
+        call = _call(cluster, service, number, served)
+        calls.add(asyncio.create_task(call))
+        await asyncio.sleep(CALL_EVERY_S)
+    await asyncio.gather(*calls)
+    return served
+
+
+async def _call(
+    cluster: Cluster, service: str, number: int, served: Served
+) -> None:
+    vm = number % len(cluster.vms)
+    served.sent[vm] += 1
+    try:
+        answer = await cluster.call(
+            TARGETS[service],
+            vm=vm,
+            attempt=f'a{number}',
+            X_Bramleybend_Deadline_Ms='1500',
+        )
+    except (OSError, EOFError):
+        return
+    served.answered[vm] += answer.status == 200 and answer.is_whole
+
+
+async def start_runners(cluster: Cluster, service: str) -> None:
+    """Start the runners of a service and fill the pools of connections."""
+    for number in range(RUNNERS):
+        await cluster.add_runner(f'r{number}', service, BEHAVIOURS[service])
+    await cluster.wait_for_runners(service, RUNNERS)
+    await send_load(cluster, service, WARM_UP_S)
+
+
+@pytest.mark.parametrize(
+    'state', [PathState.SILENT, PathState.RESET, PathState.REFUSED]
+)
+@pytest.mark.parametrize('cut', [(0,), (0, 1, 2)])
+@pytest.mark.parametrize('service', [ENGINE, PLAIN])
+async def test_callers_of_a_vm_without_paths_are_served(
+    service: str, cut: tuple[int, ...], state: PathState
+) -> None:
+    """A VM cut off from all runners must not fail its callers or others'."""
+    async with running_cluster(VMS) as cluster:
+        await start_runners(cluster, service)
+        for vm in cut:
+            cluster.paths.set_state(vm, state)
+        await send_load(cluster, service, NOTICE_S)
+        served = await send_load(cluster, service, MEASURED_S)
+        assert not served.failed()
+
+
+@pytest.mark.parametrize('state', [PathState.SILENT, PathState.RESET])
+async def test_a_lost_path_closes_no_runner_for_other_vms(
+    state: PathState,
+) -> None:
+    """What one VM can't reach must not be taken for down by the others."""
+    async with running_cluster(VMS) as cluster:
+        await start_runners(cluster, ENGINE)
+        cluster.paths.set_state(0, state)
+        served = await send_load(cluster, ENGINE, NOTICE_S)
+        assert not served.failed().keys() - {0}
