--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -297,6 +297,7 @@
             req=job.facts.attempt_id,
             runner=placement.runner.name,
             fate=failure.run_status,
+            cause=failure.cause,
             why=failure.reason,
         )
 
--- a/bramleybend/direct/placement.py
+++ b/bramleybend/direct/placement.py
@@ -162,6 +162,13 @@
             case Ended():
                 if message.moved_runner:
                     self._catalog.exclude_moved_runner(message.moved_runner)
+                if message.crashed:
+                    self._events.record(
+                        'runner_reported_down',
+                        req=message.request_id,
+                        service=message.service,
+                        by=vm,
+                    )
                 queue = self._queues.queue_for(message.service)
                 queue.release(message.request_id, run_report_from(message))
             case Queued() | Granted() | Refused():
