Reach runners through another VM when a VM has lost its own links

Cause: a connection to a runner could only be made directly. Class: one path taken for the only one. Change: a VM opens a tunnel to the runner through a VM that says it reaches the service. The VM that has the caller stays in charge of the request: admission, slot, allotment, deadline, retries, resume, cancel. The tunnel carries the runner's bytes in frames, so that its loss is told from the runner's end. Direct connection and tunnels are raced, 0.08 s apart; once a path is known as lost, tunnels go first and the path is probed in the background. VMs tell the services that they don't reach in their profile, so they are not asked to help. Weighed: handing the whole request to another VM (admission, allotment, slots and stops twice, headers to be protected from callers); leaving the directory (callers keep an answer for up to three times its lifetime); not ready (all VMs of a domain at once).

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -80,6 +80,9 @@
 class Channel(H11Protocol):
     """A client connection; `connect` opens one."""
 
+    via: str | None = None  # the VM that forwards its bytes, if one does
+    is_path_lost = False  # that VM was lost, which says nothing about the peer
+
     def __init__(
         self, clock: Clock, bounds: MessageBounds = DEFAULT_BOUNDS
     ) -> None:
@@ -97,16 +100,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket timeouts that detect an unreachable peer."""
         super().connection_made(transport)
-        sock = transport.get_extra_info('socket')
-        options = (
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        )
-        for level, option, setting in options:
-            sock.setsockopt(level, option, setting)
+        set_peer_timeouts(transport)
 
     def data_received(self, data: bytes) -> None:
         """Abort an idle connection whose peer sends unrequested bytes."""
@@ -264,6 +258,20 @@
         )
 
 
+def set_peer_timeouts(transport: asyncio.BaseTransport) -> None:
+    """Set the socket options by which the kernel detects a dead peer."""
+    sock = transport.get_extra_info('socket')
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    )
+    for level, option, setting in options:
+        sock.setsockopt(level, option, setting)
+
+
 async def connect(
     address: str,
     port: int,
--- a/bramleybend/clients/h11_protocol.py
+++ b/bramleybend/clients/h11_protocol.py
@@ -151,11 +151,15 @@
         reads until the connection ends would also accept a truncated response
         as complete.
         """
-        if self._transport is None:
-            return
-        sock = self._transport.get_extra_info('socket')
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        except OSError as exc:
-            logger.debug('cannot set SO_LINGER, closing gracefully: %s', exc)
-        self._transport.abort()
+        if self._transport is not None:
+            reset_transport(self._transport)
+
+
+def reset_transport(transport: asyncio.Transport) -> None:
+    """Reset a connection; unsent bytes, and those in flight, are dropped."""
+    sock = transport.get_extra_info('socket')
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    except OSError as exc:
+        logger.debug('cannot set SO_LINGER, closing gracefully: %s', exc)
+    transport.abort()
--- a/bramleybend/direct/digests.py
+++ b/bramleybend/direct/digests.py
@@ -340,6 +340,7 @@
         profile.capacity,
         key,
         timeout_s,
+        profile.unreached,
     )
 
 
--- a/bramleybend/direct/heartbeat_messages.py
+++ b/bramleybend/direct/heartbeat_messages.py
@@ -23,11 +23,20 @@
     caller_endpoint: str  # ip:port where callers connect
     ready: bool
     leaving: bool
+    # Services whose runners it can't connect to. Not sent by earlier versions.
+    unreached: tuple[str, ...] = ()
 
     @property
     def key(self) -> int:
-        """Return a 32-bit hash that identifies this state of the VM."""
-        return xxh32_intdigest(msgspec.msgpack.encode(self))
+        """Return a 32-bit hash that identifies this state of the VM.
+
+        Earlier versions hash the fields up to `leaving`. The other field is
+        left out while it is empty, so that all versions get the same key.
+        """
+        fields = msgspec.structs.astuple(self)
+        return xxh32_intdigest(
+            msgspec.msgpack.encode(fields if self.unreached else fields[:-1])
+        )
 
 
 class ReportedRun(msgspec.Struct, array_like=True):
--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -64,6 +64,9 @@
     capacity: int = 0
     key: int = 0  # of its profile
     timeout_s: float = HEARTBEAT_TIMEOUT_S  # after `last_heard_at`
+    unreached: tuple[
+        str, ...
+    ] = ()  # services whose runners it can't connect to
 
     def is_alive(self, now: float) -> bool:
         """Tell whether its next heartbeat is not overdue."""
--- a/bramleybend/direct/meters.py
+++ b/bramleybend/direct/meters.py
@@ -42,6 +42,10 @@
         'denied': MeterInfo(
             'Requests turned away before a service was chosen.', ('status',)
         ),
+        'tunnels_opened': MeterInfo(
+            'Connections to runners opened through another entry VM.',
+            ('service',),
+        ),
         'tries_failed': MeterInfo(
             'Sends to a runner that brought no answer.', ('service', 'fate')
         ),
@@ -75,6 +79,12 @@
         'peers_alive': MeterInfo(
             'Other entry VMs heard within the last heartbeats.', ()
         ),
+        'tunnels_served': MeterInfo(
+            'Connections to runners kept open for other entry VMs.', ()
+        ),
+        'services_unreached': MeterInfo(
+            'Services whose runners this VM reaches only through others.', ()
+        ),
         'peer_messages': MeterInfo(
             'Messages sent to other entry VMs since the start.', ()
         ),
--- a/bramleybend/direct/peer_message_handler.py
+++ b/bramleybend/direct/peer_message_handler.py
@@ -61,6 +61,8 @@
         self._clock = clock
         self._spending_reports = SpendingReports()
         self.feeds: list[Feed] = []
+        # Returns the services whose runners this VM can't connect to.
+        self.unreached: Callable[[], tuple[str, ...]] = tuple
 
     def make_heartbeat(self, receiver: Receiver) -> Heartbeat:
         """Return the heartbeat to send to a VM now."""
@@ -148,6 +150,7 @@
             own.caller_endpoint,
             ready,
             leaving,
+            self.unreached(),
         )
 
     def _apply_spendings(
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -13,7 +13,6 @@
 from bramleybend.decisions.resends import ResendBudget, ResendLimits
 from bramleybend.direct.admission import AdmissionControl
 from bramleybend.direct.catalog import Catalog
-from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.containment import Containment
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.header_codec import HeaderCodec
@@ -30,6 +29,7 @@
 from bramleybend.direct.placement import Placer
 from bramleybend.direct.queues import make_queues
 from bramleybend.direct.request_handler import RequestHandler
+from bramleybend.direct.runner_access import RunnerAccess
 from bramleybend.direct.suspension import WatchedSleep
 from bramleybend.entry_settings import ENTRY_PROGRAM, EntrySettings
 from bramleybend.events import EventLog
@@ -101,10 +101,19 @@
             self.catalog, self.members, self._queues, clock, self.events
         )
         self.placer.may_own = self._may_own
-        self._channels = RunnerChannels(
-            clock, cfg.answer_bounds(), cfg.answer_memory()
+        self._access = RunnerAccess(
+            self.catalog,
+            self.members,
+            clock,
+            self.events,
+            rng,
+            cfg.answer_bounds(),
+            cfg.answer_memory(),
+        )
+        self._access.channels.max_connections = self._max_connections
+        self._access.connector.on_tunnel = lambda service: self.meters.count(
+            'tunnels_opened', service
         )
-        self._channels.max_connections = self._max_connections
         tables = SharedTables(
             self.members,
             self.placer,
@@ -115,6 +124,7 @@
         self._message_handler = PeerMessageHandler(
             tables, self._readiness, clock
         )
+        self._message_handler.unreached = self._access.paths.unreached
         self.peers = Peers(
             self.members,
             self._queues.engine_services,
@@ -155,6 +165,7 @@
     async def start(self) -> None:
         """Bind the sockets and start the background tasks."""
         await self.peers.start(self._cfg.address)
+        await self._access.start(self._cfg.address, self._cfg.peer_port)
         await self.ingress.start(self._cfg.front.host, self._cfg.front.port)
         self.spawn(self.peers.run())
         self.spawn(self._sweep_queues())
@@ -196,7 +207,7 @@
         self._request_handler.is_shutting_down = True
         self.ingress.close_idle()
         drain_until = started_at + self._cfg.drain_timeout_s - KILL_MARGIN_S
-        while self.ingress.busy_count and self._clock.monotonic() < drain_until:
+        while self._is_busy() and self._clock.monotonic() < drain_until:
             await asyncio.sleep(DRAIN_POLL_S)
         self.events.record('stopped', in_flight=self.ingress.busy_count)
 
@@ -208,7 +219,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.peers.close()
-        self._channels.close_idle()
+        self._access.close()
+
+    def _is_busy(self) -> bool:
+        """Return whether callers, or those of other VMs, are still served."""
+        return bool(self.ingress.busy_count or self._access.tunnels.open_count)
 
     def _stop_on_task_end(self, task: 'asyncio.Task[None]') -> None:
         """Stop the process, which must not serve without one of its tasks."""
@@ -235,7 +250,7 @@
             self.placer,
             self._containment,
             self._queues.limits,
-            self._channels,
+            self._access.channels,
             header_codec,
             ResendBudget(
                 ResendLimits(
@@ -262,6 +277,8 @@
                 self.members.alive(self._clock.monotonic())
             ),
             'in_flight': lambda: self.ingress.busy_count,
+            'tunnels_served': lambda: self._access.tunnels.open_count,
+            'services_unreached': lambda: len(self._access.paths.unreached()),
             'peer_messages': lambda: self.peers.traffic.sent_messages,
             'peer_bytes': lambda: self.peers.traffic.sent_bytes,
         }
@@ -289,12 +306,7 @@
 
     def _catalog_changed(self) -> None:
         self._queues.update_runners()
-        incarnations = {
-            entry.incarnation
-            for entries in self.catalog.runners_by_service.values()
-            for entry in entries
-        }
-        self._channels.close_all_except(incarnations)
+        incarnations = self._access.update_runners()
         self._queues.limits.retain_only(incarnations)
 
     async def _sweep_queues(self) -> None:
@@ -307,6 +319,7 @@
             for _, queue in self._queues:
                 queue.drop_expired()
             self._queues.update_rate_limits()
+            self._access.sweep()
             self.on_sweep()
 
 
--- a/tests/direct/test_attempt.py
+++ b/tests/direct/test_attempt.py
@@ -8,7 +8,6 @@
 from unittest.mock import Mock
 
 from bramleybend.clients.channel import Channel, OutgoingRequest
-from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import SystemClock
 from bramleybend.direct.answer_memory import AnswerMemory
 from bramleybend.direct.attempt import Attempt, Failure, RunStatus
@@ -17,6 +16,7 @@
 from bramleybend.direct.runner_limits import RunnerLimits
 from bramleybend.events import EventLog
 from bramleybend.platform.platform_dialect import make_header_codec
+from tests.utils.runner_channels import make_channels
 
 OPENING_S = 0.1
 RUNNER = RunnerEntry('r1', 1, 'app', '127.0.0.1', 80, 'a', 4, RunnerState.READY)
@@ -71,7 +71,7 @@
     The attempt opens another connection instead.
     """
     clock = SystemClock()
-    channels = RunnerChannels(clock, MessageBounds(), AnswerMemory(0))
+    channels = make_channels()
     limits = RunnerLimits(clock, cast(EventLog, cast(Any, None)), Random(1))
     with socket.create_server(('127.0.0.1', 0)) as listener:
         runner = replace(RUNNER, port=listener.getsockname()[1])
--- a/tests/direct/test_connected_runners.py
+++ b/tests/direct/test_connected_runners.py
@@ -4,18 +4,16 @@
 from dataclasses import replace
 
 from bramleybend.clients.channel import OutgoingRequest
-from bramleybend.clients.message_bounds import MessageBounds
-from bramleybend.clock import SystemClock
-from bramleybend.direct.answer_memory import AnswerMemory
-from bramleybend.direct.channels import MAX_CONNECTED_RUNNERS, RunnerChannels
+from bramleybend.direct.channels import MAX_CONNECTED_RUNNERS
 from bramleybend.direct.models import RunnerEntry, RunnerState
+from tests.utils.runner_channels import make_channels
 
 RUNNER = RunnerEntry('r', 1, 'app', '127.0.0.1', 80, 'a', 4, RunnerState.READY)
 
 
 async def test_only_free_connections_to_the_service_are_named() -> None:
     """Busy connections, and those to other services, are not named."""
-    channels = RunnerChannels(SystemClock(), MessageBounds(), AnswerMemory(0))
+    channels = make_channels()
     with socket.create_server(('127.0.0.1', 0)) as listener:
         port = listener.getsockname()[1]
         runners = [
--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -272,7 +272,7 @@
         assert peak <= 2 * memory_mb * MEGABYTE * ANSWERS_SHARE
         await cluster.add_runner('good', PLAIN)
         await cluster.wait_for_runners(PLAIN, 11)
-        memory = cluster.vms[0].entry._channels.memory
+        memory = cluster.vms[0].entry._access.channels.memory
         assert memory.free_bytes == memory_mb * MEGABYTE * ANSWERS_SHARE / 2
 
 
--- a/tests/direct/test_lost_paths.py
+++ b/tests/direct/test_lost_paths.py
@@ -18,6 +18,7 @@
 WARM_UP_S = 1.0
 NOTICE_S = 3.0  # in which a VM has to find another way to the runners
 MEASURED_S = 2.0
+TARGET_LATENCY_S = 0.8  # of the routes
 CALL_EVERY_S = 0.02  # between two requests, 50 a second
 TARGETS = {ENGINE: '/draft/x', PLAIN: '/book/x'}
 BEHAVIOURS = {ENGINE: stream_three_events, PLAIN: answer_at_once}
@@ -29,6 +30,10 @@
 
     sent: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     answered: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+    # Seconds that the slowest answer took, by VM.
+    slowest_s: dict[int, float] = field(
+        default_factory=lambda: defaultdict(float)
+    )
 
     def failed(self) -> dict[int, int]:
         """Return the requests that were not answered, by VM."""
@@ -58,6 +63,8 @@
 async def _call(
     cluster: Cluster, service: str, number: int, served: Served
 ) -> None:
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
     vm = number % len(cluster.vms)
     served.sent[vm] += 1
     try:
@@ -70,6 +77,8 @@
     except (OSError, EOFError):
         return
     served.answered[vm] += answer.status == 200 and answer.is_whole
+    taken_s = loop.time() - started_at
+    served.slowest_s[vm] = max(served.slowest_s[vm], taken_s)
 
 
 async def start_runners(cluster: Cluster, service: str) -> None:
@@ -108,3 +117,20 @@
         cluster.paths.set_state(0, state)
         served = await send_load(cluster, ENGINE, NOTICE_S)
         assert not served.failed().keys() - {0}
+        others = served.slowest_s.keys() - {0}
+        assert max(served.slowest_s[vm] for vm in others) <= TARGET_LATENCY_S
+
+
+@pytest.mark.parametrize('cut', [0, 1])
+async def test_a_request_lost_on_its_path_closes_no_runner(cut: int) -> None:
+    """A runner that one VM no longer hears must stay open for the others."""
+    async with running_cluster(2) as cluster:
+        await cluster.add_runner('r', ENGINE, stream_three_events)
+        await cluster.wait_for_runners(ENGINE)
+        for vm in (cut, 1 - cut):
+            assert (await cluster.call(TARGETS[ENGINE], vm=vm)).status == 200
+        cluster.paths.set_state(cut, PathState.SILENT)
+        await cluster.call(TARGETS[ENGINE], vm=cut)
+        async with asyncio.timeout(TARGET_LATENCY_S):
+            answer = await cluster.call(TARGETS[ENGINE], vm=1 - cut)
+        assert answer.status == 200
