Report a runner as down only if another VM doesn't reach it either

Seen: VMs that reach every runner served a third of their callers while others were cut off (42 of 122, 36 of 69); the owner had 20 slots, none running and no open runner. Cause: each failed or hung connection of one VM was reported as the runner's crash, which closes it for all VMs for 1 s, twice as long each time. Class: what is true of a path is told as true of a runner. Change: a failed connection counts for the runner only if another VM that was asked for a tunnel failed to connect, or if there is no other VM. A connection that hangs counts for the runner only if another of the service answered within the last second. All else is 'path_lost': no crash, no failure share, not excluded for the request's next try.

--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -14,6 +14,7 @@
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.header_codec import HeaderCodec
 from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.runner_connector import PathLostError
 from bramleybend.direct.runner_limits import RunnerLimits
 from bramleybend.direct.sse import Event, EventSplitter
 
@@ -45,6 +46,7 @@
     FULL = 'full'  # the runner refused the request
     MOVED = 'moved'  # another process listens at the runner's address
     UNREACHABLE = 'unreachable'
+    PATH_LOST = 'path_lost'  # this VM doesn't reach it; others may
     CONNECTION_CLOSED = 'broke_off'  # before the answer was complete
 
 
@@ -94,10 +96,13 @@
     @property
     def cause_of_end(self) -> FailureCause:
         """Return the failure cause if the answer ends at this point."""
-        has_ended = self._channel is not None and self._channel.has_peer_ended
-        return (
-            FailureCause.CONNECTION_CLOSED if has_ended else FailureCause.NONE
-        )
+        if self._channel is None:
+            return FailureCause.NONE
+        if self._channel.is_path_lost:
+            return FailureCause.PATH_LOST
+        if self._channel.has_peer_ended:
+            return FailureCause.CONNECTION_CLOSED
+        return FailureCause.NONE
 
     async def send(
         self, make_outgoing: Callable[[], OutgoingRequest], send_by: float
@@ -108,6 +113,9 @@
         """
         try:
             channel = await self._open_connection()
+        except PathLostError as exc:
+            reason = f'no connection: {exc}'
+            return Failure(RunStatus.NOT_RUN, reason, FailureCause.PATH_LOST)
         except OSError as exc:
             reason = f'no connection: {exc}'
             return Failure(RunStatus.NOT_RUN, reason, FailureCause.UNREACHABLE)
@@ -119,6 +127,7 @@
             head = await self._read_own_head(channel)
         except CONNECTION_ERRORS as exc:
             return self._connection_failure(exc)
+        self._channels.connector.note_heard(self.runner)
         self._record_limit(head, sent_at)
         return await self._check_head(head)
 
@@ -149,6 +158,7 @@
         splitter = EventSplitter(self._channels.bounds)
         try:
             async for chunk in self._channel.iter_body():
+                self._channels.connector.note_heard(self.runner)
                 read_events = splitter.feed(chunk)
                 self._memory.resize(splitter.remainder_bytes)
                 for event in read_events:
@@ -245,10 +255,13 @@
     def _connection_failure(self, exc: Exception) -> Failure:
         sign = self.cause_of_end
         if isinstance(exc, TimeoutError):
-            # A reset may concern this connection alone. A timeout means that
-            # the sent bytes were not acknowledged, so the runner itself is cut
-            # off.
-            sign = FailureCause.UNREACHABLE
+            # The sent bytes were not acknowledged, so either the runner or this
+            # VM is cut off.
+            sign = (
+                FailureCause.UNREACHABLE
+                if self._channels.note_silent(self.runner)
+                else FailureCause.PATH_LOST
+            )
         self.drop_connection()
         reason = str(exc) or type(exc).__name__
         return Failure(RunStatus.MAY_HAVE_RUN, reason, sign)
--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -38,6 +38,10 @@
 DONE: Final = 'done'
 FAILED: Final = 'failed'
 UNSENT: Final = 'unsent'
+UNKNOWN: Final = 'unknown'  # nothing is known about how the runner did
+UNCONNECTED: Final = frozenset(
+    (FailureCause.UNREACHABLE, FailureCause.PATH_LOST)
+)
 CALLER_LEFT: Final = Failure(
     RunStatus.MAY_HAVE_RUN, 'its caller left', FailureCause.NONE
 )
@@ -118,7 +122,8 @@
         failure = outcome if isinstance(outcome, Failure) else None
         if failure is None or failure.run_status is RunStatus.MAY_HAVE_RUN:
             job.possible_runs += 1
-        job.excluded |= {placement.runner.incarnation}
+        if not _is_path_lost_unsent(failure):
+            job.excluded |= {placement.runner.incarnation}
         if failure is None:
             self._components.containment.record_completion(job.fingerprint)
         else:
@@ -153,9 +158,7 @@
             return False
         # An attempt that could not connect put no load on a runner, so it is
         # not counted against the resend budget.
-        return failure.cause is FailureCause.UNREACHABLE or self._spend_resend(
-            job
-        )
+        return failure.cause in UNCONNECTED or self._spend_resend(job)
 
     def take_rerun(self, job: Job) -> bool:
         """Decide whether a job that may have run runs again; count it if so."""
@@ -271,8 +274,13 @@
             job.admission.service, ()
         )
         known = {entry.incarnation for entry in entries}
-        if not known <= job.excluded | crashed:
-            return job.excluded | crashed
+        avoided = self._components.channels.connector.avoided()
+        for excluded in (
+            job.excluded | crashed | avoided,
+            job.excluded | crashed,
+        ):
+            if not known <= excluded:
+                return excluded
         if job.possible_runs and known <= job.excluded:
             return frozenset()
         return job.excluded
@@ -305,6 +313,8 @@
 def _outcome_of(job: Job, outcome: WholeAnswer | Failure | None) -> str:
     if not isinstance(outcome, Failure):
         return FAILED if _is_runner_failure(job, outcome) else DONE
+    if outcome.cause is FailureCause.PATH_LOST:
+        return UNKNOWN
     is_unsent = (
         outcome.run_status is RunStatus.NOT_RUN
         and outcome.cause is FailureCause.NONE
@@ -312,6 +322,15 @@
     return UNSENT if is_unsent else FAILED
 
 
+def _is_path_lost_unsent(failure: Failure | None) -> bool:
+    """Return whether the runner may get the request on another path."""
+    return (
+        failure is not None
+        and failure.cause is FailureCause.PATH_LOST
+        and failure.run_status is RunStatus.NOT_RUN
+    )
+
+
 def _is_runner_failure(job: Job, outcome: WholeAnswer | Failure | None) -> bool:
     """Return whether the answer that was relayed is a runner's failure.
 
