Contain parts of prompts that crash runners, not only whole requests

Cause: content was told apart by caller, target and body as a whole; the parts of a prompt were not read, so each request was a first crash. Class: a feature that all crashed runs share and no completed run has, looked for in one feature only. Change: each shared part of a prompt (all but the last) has a crash record of its own, beside the whole's. From the second crash on requests with the part run alone, one at a time; from the third on they are refused. Requests that were granted a slot or wait for one are taken back. Heartbeats carry the records of the most crashes first, the others take turns. Acquiring a slot is a module of its own now. Ruled out: records lost with VMs that start anew (peers tell refused records for good).

--- a/bramleybend/decisions/quarantine.py
+++ b/bramleybend/decisions/quarantine.py
@@ -17,12 +17,17 @@
 
 Records merge in any order: clearing raises the generation, and of two records
 the one with the higher generation wins; equal generations are united.
+
+With `refusal_ttl_s`, a refusal can be revised: it ends after this time without
+a further crash, or with a run that ends normally. Then a single run at a time
+tells whether the content still crashes runners.
 """
 
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from math import inf
 
 REFUSAL_CRASHES = 3
 MAX_RECORDS = 10_000
@@ -50,8 +55,9 @@
 class CrashRegistry:
     """One process's crash records, shared with the others by gossip."""
 
-    def __init__(self) -> None:
-        """Start without records."""
+    def __init__(self, refusal_ttl_s: float | None = None) -> None:
+        """Start without records; without a TTL, refusals last for good."""
+        self._refusal_ttl_s = refusal_ttl_s
         self._records: OrderedDict[str, CrashRecord] = OrderedDict()
         self._changed_at: dict[str, float] = {}
 
@@ -70,7 +76,9 @@
     def record_finish(self, fingerprint: str, now: float) -> None:
         """Clear content whose run ended normally."""
         record = self._record(fingerprint)
-        if record.runners and not record.refused:
+        if record.refused and not self._is_revisable:
+            return
+        if record.runners:
             cleared = CrashRecord(fingerprint, record.generation + 1)
             self._store(cleared, now)
 
@@ -81,9 +89,9 @@
     def status_of(self, fingerprint: str, now: float) -> ContentStatus:
         """Return how content is treated now."""
         record = self._record(fingerprint)
-        if record.refused:
-            return ContentStatus.REFUSED
         age = now - self._changed_at.get(fingerprint, now)
+        if record.refused and age < (self._refusal_ttl_s or inf):
+            return ContentStatus.REFUSED
         if record.runners and age < SUSPECT_TTL_S:
             return ContentStatus.SUSPECT
         return ContentStatus.CLEAR
@@ -105,9 +113,15 @@
         for record in records:
             own_record = self._record(record.fingerprint)
             merged = _merge(own_record, record)
-            if merged != own_record:
+            if self._is_revisable:
+                merged = replace(merged, refused=False)
+            if _differ(merged, own_record):
                 self._store(merged, now)
 
+    @property
+    def _is_revisable(self) -> bool:
+        return self._refusal_ttl_s is not None
+
     def _record(self, fingerprint: str) -> CrashRecord:
         return self._records.get(fingerprint, CrashRecord(fingerprint))
 
@@ -140,5 +154,11 @@
     return replace(newest, runners=runners, refused=refused)
 
 
+def _differ(one: CrashRecord, other: CrashRecord) -> bool:
+    if one.refused and not other.refused:
+        return True
+    return (one.generation, one.runners) != (other.generation, other.runners)
+
+
 def _generation_of(record: CrashRecord) -> int:
     return record.generation
--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -1,6 +1,5 @@
 """Sends a job to one runner after another, within the retry limits."""
 
-from datetime import timedelta
 from http import HTTPStatus
 from typing import Final
 
@@ -19,25 +18,22 @@
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.placement import NoSlot, Placement
 from bramleybend.direct.replies import Reply, own_reply
-from bramleybend.models import SlotRequest
+from bramleybend.direct.slot_acquisition import (
+    ANSWER_MARGIN_S,
+    QUARANTINED,
+    UNSENT,
+    SlotAcquisition,
+    ms_between,
+)
 
 # Refusals of one request by runners after which the caller is told to retry
 # later instead of the request being kept. A refusal takes about a millisecond,
 # and after three of them the service is full.
 MAX_REFUSALS: Final = 3
-# The time before a caller's timeout at which its answer must be sent.
-ANSWER_MARGIN_S: Final = 0.02
-# The queue rejects a request before the dispatcher gives up on it, because the
-# queue knows when the caller should retry.
-QUEUE_MARGIN_S: Final = 2 * ANSWER_MARGIN_S
 # A runner that refused a request stays full for about the time of one run.
 REFUSED_RETRY_AFTER_S: Final = 0.3
-# Share of the remaining time that is kept in reserve for a stream: its token
-# rate falls as other runs join its runner.
-PACE_RESERVE: Final = 0.3
 DONE: Final = 'done'
 FAILED: Final = 'failed'
-UNSENT: Final = 'unsent'
 UNKNOWN: Final = 'unknown'  # nothing is known about how the runner did
 UNCONNECTED: Final = frozenset(
     (FailureCause.UNREACHABLE, FailureCause.PATH_LOST)
@@ -56,30 +52,7 @@
     def __init__(self, components: Components) -> None:
         """Create a dispatcher that uses the given components."""
         self._components = components
-
-    async def acquire_slot(self, job: Job) -> Placement | NoSlot:
-        """Wait for the owner to grant a slot at a runner."""
-        slot_ask = self._ask(job)
-        placement = await self._components.placer.place(slot_ask)
-        if isinstance(placement, Placement):
-            job.tried_runners.append(placement.runner.name)
-            self._components.meters.observe(
-                'queue_seconds',
-                self.now() - job.req.received_at,
-                job.admission.service,
-                int(job.admission.tier),
-            )
-            self._components.events.record(
-                'placed',
-                req=job.facts.attempt_id,
-                service=job.admission.service,
-                tokens=job.facts.prompt_tokens,
-                output=job.facts.expected_output_tokens,
-                runner=placement.runner.name,
-                owner=placement.owner.vm if placement.owner else 'own',
-                waited_ms=self.ms_since(job.req.received_at),
-            )
-        return placement
+        self.acquire_slot = SlotAcquisition(components).acquire
 
     def make_attempt(self, job: Job, placement: Placement) -> Attempt:
         """Create the attempt that sends a job to the runner of its slot."""
@@ -125,7 +98,7 @@
         if not _is_path_lost_unsent(failure):
             job.excluded |= {placement.runner.incarnation}
         if failure is None:
-            self._components.containment.record_completion(job.fingerprint)
+            self._components.containment.record_completion(job.content)
         else:
             self._record_failure(job, placement, failure)
         cause = failure.cause if failure else FailureCause.NONE
@@ -163,7 +136,7 @@
     def take_rerun(self, job: Job) -> bool:
         """Decide whether a job that may have run runs again; count it if so."""
         return (
-            not self._components.containment.is_refused(job.fingerprint)
+            not self._components.containment.is_refused(job.content)
             and job.possible_runs < job.admission.route.max_runners
             and self.remaining_s(job) > ANSWER_MARGIN_S
             and self._spend_resend(job)
@@ -188,8 +161,8 @@
         self.refund_allotment(job)
         return own_reply(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            'this content ended the runners that ran it; nothing was run',
-            inputs={'content': job.fingerprint},
+            f'{QUARANTINED.reason}; nothing was run',
+            inputs={'content': job.content.whole},
         )
 
     def refund_allotment(self, job: Job) -> None:
@@ -213,7 +186,7 @@
 
     def remaining_s(self, job: Job) -> float:
         """Return the seconds until the caller must have its answer."""
-        return job.answer_due_at - self.now()
+        return job.remaining_s(self.now())
 
     def remaining_for_slot_s(self, job: Job) -> float:
         """Return the seconds until it is too late to start the job at a runner.
@@ -230,60 +203,7 @@
 
     def ms_since(self, moment: float) -> int:
         """Return the milliseconds since a monotonic time, for the event log."""
-        elapsed = timedelta(seconds=self.now() - moment)
-        return elapsed // timedelta(milliseconds=1)
-
-    def _ask(self, job: Job) -> SlotRequest:
-        facts = job.facts
-        return SlotRequest(
-            request_id=self._components.placer.next_request_id(),
-            service=job.admission.service,
-            tier=job.admission.tier,
-            workspace=job.admission.workspace,
-            cost=facts.expected_work,
-            prompt_tokens=facts.prompt_tokens,
-            prefixes=(),
-            deadline=self._answer_deadline(job),
-            latest_answer_start=job.next_event_due_at - QUEUE_MARGIN_S,
-            cancellable=False,
-            suspect=self._components.containment.runs_alone(job.fingerprint),
-            excluded=self._excluded_runners(job),
-            on_time_until=job.req.received_at
-            + job.admission.route.target_latency_s,
-            connected=self._components.channels.connected_runners(
-                job.admission.service
-            ),
-        )
-
-    def _answer_deadline(self, job: Job) -> float:
-        """Return when the answer should end at its runner's current rate."""
-        deadline = job.answer_due_at - QUEUE_MARGIN_S
-        if job.admission.route.streaming:
-            deadline -= max(self.remaining_s(job), 0) * PACE_RESERVE
-        return deadline
-
-    def _excluded_runners(self, job: Job) -> frozenset[str]:
-        """Return the runners to avoid, as long as others remain.
-
-        A runner that fails this content again and again may itself be faulty.
-        But if it is the only runner, a run that failed by chance is retried
-        there, because the caller would otherwise get the failure.
-        """
-        crashed = self._components.containment.crashed_runners(job.fingerprint)
-        entries = self._components.catalog.runners_by_service.get(
-            job.admission.service, ()
-        )
-        known = {entry.incarnation for entry in entries}
-        avoided = self._components.channels.connector.avoided()
-        for excluded in (
-            job.excluded | crashed | avoided,
-            job.excluded | crashed,
-        ):
-            if not known <= excluded:
-                return excluded
-        if job.possible_runs and known <= job.excluded:
-            return frozenset()
-        return job.excluded
+        return ms_between(moment, self.now())
 
     def _spend_resend(self, job: Job) -> bool:
         return self._components.resend_budget.try_spend(
@@ -295,7 +215,7 @@
     ) -> None:
         if failure.cause is FailureCause.CONNECTION_CLOSED:
             self._components.containment.record_crash(
-                job.fingerprint, placement.runner
+                job.content, placement.runner
             )
         self._components.meters.count(
             'tries_failed', job.admission.service, failure.run_status
--- a/bramleybend/direct/containment.py
+++ b/bramleybend/direct/containment.py
@@ -1,22 +1,27 @@
 """Tracks request content that crashes runners, across all VMs.
 
 Load pattern: a request crashes its runner, and its caller sends the same
-content again, to any VM. Without containment, one prompt takes down a service,
-one runner after another, together with everything that runs beside it.
-
-`CrashRegistry` keeps the records. Here, a request gets a runner to itself only
-from its second crash on: on a day when runners drop many connections, every
-request whose connection dropped once would otherwise wait for an empty runner.
-An innocent request that was running at two crashes then runs alone to its end,
-and its record is cleared.
+content again, to any VM; or many requests share a part of their prompts that
+crashes runners.
+Without containment, they take down a service, one runner after another,
+together with everything that runs beside them.
+
+`CrashRegistry` keeps the records of whole requests, `PartQuarantine` those of
+parts. Here, a request gets a runner to itself only from its second crash on: on
+a day when runners drop many connections, every request whose connection dropped
+once would otherwise wait for an empty runner. An innocent request that was
+running at two crashes then runs alone to its end, and its record is cleared.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from itertools import cycle, islice
 from typing import Final
 
 from xxhash import xxh64_hexdigest
 
 from bramleybend.clock import Clock
+from bramleybend.decisions.part_quarantine import PartQuarantine
 from bramleybend.decisions.quarantine import (
     ContentStatus,
     CrashRecord,
@@ -32,9 +37,20 @@
 # records of refused content are sent indefinitely, because VMs that start later
 # need them.
 BROADCAST_S: Final = 5.0
-# Maximum number of records in a heartbeat, about 60 bytes each; the newest are
-# kept. A crash ends what ran on one runner, which is a few requests.
+# Maximum number of records in a heartbeat, about 60 bytes each. A crash ends
+# what ran on one runner, which is a few requests of a few parts each.
 MAX_BROADCAST_RECORDS: Final = 32
+# Of these, so many are always those of the most crashes. The others take turns.
+FIRST_RECORDS: Final = 16
+PART_PREFIX: Final = 'p:'  # of a part's fingerprint
+
+
+@dataclass(frozen=True)
+class ContentIds:
+    """Identifies the content of a request: the whole, and what it shares."""
+
+    whole: str  # equal for equal caller, target and body
+    parts: tuple[str, ...] = ()  # fingerprints of its prompt's shared parts
 
 
 class Containment:
@@ -44,52 +60,66 @@
         """Create an empty set of records."""
         self._clock = clock
         self._events = events
-        self._crash_book = CrashRegistry()
+        self._requests = CrashRegistry()
+        self._parts = PartQuarantine()
+        self._turn = 0  # of the records that take turns
 
-    def fingerprint(self, req: RawRequest, facts: RequestMetadata) -> str:
-        """Return a hash that is equal for equal caller, target and body."""
+    def identify(self, req: RawRequest, facts: RequestMetadata) -> ContentIds:
+        """Return what identifies the content of a request."""
         head = b'\n'.join((req.method, req.target, facts.key.encode()))
-        return xxh64_hexdigest(b'\n'.join((head, req.body)))
+        return ContentIds(
+            xxh64_hexdigest(b'\n'.join((head, req.body))),
+            tuple(PART_PREFIX + part for part in facts.shared_parts),
+        )
 
-    def is_refused(self, fingerprint: str) -> bool:
+    def is_refused(self, content: ContentIds) -> bool:
         """Return whether content must not be run again."""
         now = self._clock.monotonic()
-        return (
-            self._crash_book.status_of(fingerprint, now)
-            is ContentStatus.REFUSED
+        status = self._requests.status_of(content.whole, now)
+        return status is ContentStatus.REFUSED or any(
+            self._parts.is_refused(part, now) for part in content.parts
         )
 
-    def crashed_runners(self, fingerprint: str) -> frozenset[str]:
+    def crashed_runners(self, content: ContentIds) -> frozenset[str]:
         """Return the incarnations of runners that crashed on this content."""
-        return self._crash_book.runners(fingerprint)
+        return frozenset().union(*self._crashes(content).values())
 
-    def runs_alone(self, fingerprint: str) -> bool:
+    def runs_alone(self, content: ContentIds) -> bool:
         """Return whether content gets a runner to itself."""
-        return len(self.crashed_runners(fingerprint)) >= ISOLATE_AFTER_CRASHES
-
-    def record_crash(self, fingerprint: str, runner: RunnerEntry) -> None:
-        """Record a runner that closed the connection while running content."""
-        crashed_before = self.crashed_runners(fingerprint)
-        self._crash_book.record_crash(
-            runner.incarnation, (fingerprint,), self._clock.monotonic()
+        return any(
+            len(runners) >= ISOLATE_AFTER_CRASHES
+            for runners in self._crashes(content).values()
         )
-        if len(crashed_before | {runner.incarnation}) >= ISOLATE_AFTER_CRASHES:
-            self._events.record(
-                'content_suspect',
-                content=fingerprint,
-                crashed=','.join(sorted(crashed_before | {runner.incarnation})),
-                refused=self.is_refused(fingerprint),
-            )
 
-    def record_completion(self, fingerprint: str) -> None:
+    def record_crash(self, content: ContentIds, runner: RunnerEntry) -> None:
+        """Record a runner that closed the connection while running content."""
+        now = self._clock.monotonic()
+        name = runner.incarnation
+        self._requests.record_crash(name, (content.whole,), now)
+        self._parts.record_crash(name, content.parts, now)
+        for fingerprint, runners in self._crashes(content).items():
+            if name in runners and len(runners) >= ISOLATE_AFTER_CRASHES:
+                self._events.record(
+                    'content_suspect',
+                    content=fingerprint,
+                    crashed=','.join(sorted(runners)),
+                    refused=self.is_refused(content),
+                )
+
+    def record_completion(self, content: ContentIds) -> None:
         """Record a run of this content that completed."""
-        self._crash_book.record_finish(fingerprint, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._requests.record_finish(content.whole, now)
+        self._parts.record_completion(content.parts, now)
 
     def recent_news(self) -> list[CrashReport]:
         """Return the records that the next heartbeat carries."""
-        recent = self._crash_book.changed_records(
-            self._clock.monotonic() - BROADCAST_S
-        )
+        since = self._clock.monotonic() - BROADCAST_S
+        recent = [
+            *self._requests.changed_records(since),
+            *self._parts.changed_records(since),
+        ]
+        recent.sort(key=_crash_count, reverse=True)
         return [
             CrashReport(
                 record.fingerprint,
@@ -97,11 +127,12 @@
                 sorted(record.runners),
                 record.refused,
             )
-            for record in recent[-MAX_BROADCAST_RECORDS:]
+            for record in self._select(recent)
         ]
 
     def merge_news(self, news: Sequence[CrashReport]) -> None:
         """Merge the records of another VM's heartbeat."""
+        now = self._clock.monotonic()
         records = [
             CrashRecord(
                 record.fingerprint,
@@ -111,4 +142,32 @@
             )
             for record in news
         ]
-        self._crash_book.merge(records, self._clock.monotonic())
+        self._requests.merge([one for one in records if not _is_part(one)], now)
+        self._parts.merge([one for one in records if _is_part(one)], now)
+
+    def _crashes(self, content: ContentIds) -> dict[str, frozenset[str]]:
+        """Return the runners that crashed, by fingerprint."""
+        return {
+            content.whole: self._requests.runners(content.whole),
+            **{part: self._parts.runners(part) for part in content.parts},
+        }
+
+    def _select(self, records: Sequence[CrashRecord]) -> Iterator[CrashRecord]:
+        """Yield as many records as a heartbeat carries."""
+        if len(records) <= MAX_BROADCAST_RECORDS:
+            yield from records
+            return
+        yield from records[:FIRST_RECORDS]
+        others = records[FIRST_RECORDS:]
+        count = MAX_BROADCAST_RECORDS - FIRST_RECORDS
+        start = self._turn % len(others)
+        self._turn += count
+        yield from islice(cycle(others), start, start + count)
+
+
+def _crash_count(record: CrashRecord) -> int:
+    return len(record.runners)
+
+
+def _is_part(record: CrashRecord) -> bool:
+    return record.fingerprint.startswith(PART_PREFIX)
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -9,7 +9,7 @@
 from bramleybend.direct.attempt import Attempt, Failure
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.channels import RunnerChannels
-from bramleybend.direct.containment import Containment
+from bramleybend.direct.containment import Containment, ContentIds
 from bramleybend.direct.header_codec import HeaderCodec
 from bramleybend.direct.meters import Meters
 from bramleybend.direct.models import RequestMetadata
@@ -27,7 +27,7 @@
     facts: RequestMetadata
     admission: Admission
     answer_due_at: float  # monotonic; when the caller times out
-    fingerprint: str = ''  # hash of the content
+    content: ContentIds
     excluded: frozenset[str] = frozenset()  # incarnations of tried runners
     possible_runs: int = 0  # attempts that may have run it
     refusal_count: int = 0  # by runners, `MOVED` ones not included
@@ -51,6 +51,10 @@
             self.answer_due_at, since + self.admission.route.event_timeout_s
         )
 
+    def remaining_s(self, now: float) -> float:
+        """Return the seconds until the caller must have its answer."""
+        return self.answer_due_at - now
+
     @property
     def may_be_running(self) -> bool:
         """Whether the request was sent to a runner and is not answered yet."""
--- a/bramleybend/direct/models.py
+++ b/bramleybend/direct/models.py
@@ -141,6 +141,8 @@
     max_output_tokens: int
     output_tokens_hint: int | None
     last_event_id: str  # ID of the last event that the caller has received
+    # IDs of the prompt's parts that other requests may share.
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def expected_output_tokens(self) -> int:
--- a/bramleybend/direct/placement.py
+++ b/bramleybend/direct/placement.py
@@ -72,7 +72,7 @@
     """No slot was granted; nothing was sent to a runner."""
 
     reason: str
-    retry_after_s: float
+    retry_after_s: float | None  # none: there is no use in a retry
 
 
 class Placer:
--- a/bramleybend/direct/request_handler.py
+++ b/bramleybend/direct/request_handler.py
@@ -49,7 +49,7 @@
             await responder.send_reply(admission)
             return
         job = self._make_job(req, facts, admission)
-        if self._components.containment.is_refused(job.fingerprint):
+        if self._components.containment.is_refused(job.content):
             reply = self._dispatcher.quarantined_reply(job)
             self._record_denied(facts.attempt_id, req.path, reply)
             await responder.send_reply(reply)
@@ -82,9 +82,9 @@
             self._components.vm_count(),
             self._dispatcher.now(),
         )
-        fingerprint = self._components.containment.fingerprint(req, facts)
+        content = self._components.containment.identify(req, facts)
         answer_due_at = req.received_at + timeout_s
-        return Job(req, facts, admission, answer_due_at, fingerprint)
+        return Job(req, facts, admission, answer_due_at, content)
 
     async def _serve(self, job: Job, responder: Responder) -> None:
         if job.admission.route.streaming:
--- /dev/null
+++ b/bramleybend/direct/slot_acquisition.py
@@ -0,0 +1,153 @@
+"""Acquires runner slots for jobs, and the exceptions for suspect content."""
+
+import asyncio
+from datetime import timedelta
+from typing import Final
+
+from bramleybend.decisions.actions import RunReport
+from bramleybend.direct.job import Components, Job
+from bramleybend.direct.placement import NoSlot, Placement
+from bramleybend.models import SlotRequest
+
+# The time before a caller's timeout at which its answer must be sent.
+ANSWER_MARGIN_S: Final = 0.02
+# The queue rejects a request before the dispatcher gives up on it, because the
+# queue knows when the caller should retry.
+QUEUE_MARGIN_S: Final = 2 * ANSWER_MARGIN_S
+# Share of the remaining time that is kept in reserve for a stream: its token
+# rate falls as other runs join its runner.
+PACE_RESERVE: Final = 0.3
+RECHECK_S: Final = 0.2  # while suspect content waits; about a heartbeat
+UNSENT: Final = 'unsent'
+QUARANTINED: Final = NoSlot(
+    'this content ended the runners that ran it', retry_after_s=None
+)
+
+
+class SlotAcquisition:
+    """Asks for slots and gives back those that may not be used."""
+
+    def __init__(self, components: Components) -> None:
+        """Use the given components."""
+        self._components = components
+
+    async def acquire(self, job: Job) -> Placement | NoSlot:
+        """Wait for the owner to grant a slot at a runner.
+
+        Content may become suspect or refused while it waits. Then the slot is
+        given back: suspect content must not run beside other requests.
+        """
+        while True:
+            ask = self._ask(job)
+            placement = await self._place(job, ask)
+            if isinstance(placement, NoSlot):
+                return placement
+            if self._is_refused(job):
+                self._return_slot(placement)
+                return QUARANTINED
+            if ask.suspect or not self._runs_alone(job):
+                self._record_placement(job, placement)
+                return placement
+            self._return_slot(placement)
+
+    def _ask(self, job: Job) -> SlotRequest:
+        facts = job.facts
+        return SlotRequest(
+            request_id=self._components.placer.next_request_id(),
+            service=job.admission.service,
+            tier=job.admission.tier,
+            workspace=job.admission.workspace,
+            cost=facts.expected_work,
+            prompt_tokens=facts.prompt_tokens,
+            prefixes=(),
+            deadline=self._answer_deadline(job),
+            latest_answer_start=job.next_event_due_at - QUEUE_MARGIN_S,
+            cancellable=False,
+            suspect=self._components.containment.runs_alone(job.content),
+            excluded=self._excluded_runners(job),
+            on_time_until=job.req.received_at
+            + job.admission.route.target_latency_s,
+            connected=self._components.channels.connected_runners(
+                job.admission.service
+            ),
+        )
+
+    def _answer_deadline(self, job: Job) -> float:
+        """Return when the answer should end at its runner's current rate."""
+        deadline = job.answer_due_at - QUEUE_MARGIN_S
+        if job.admission.route.streaming:
+            deadline -= max(job.remaining_s(self._now()), 0) * PACE_RESERVE
+        return deadline
+
+    def _excluded_runners(self, job: Job) -> frozenset[str]:
+        """Return the runners to avoid, as long as others remain.
+
+        A runner that fails this content again and again may itself be faulty.
+        But if it is the only runner, a run that failed by chance is retried
+        there, because the caller would otherwise get the failure.
+        """
+        crashed = self._components.containment.crashed_runners(job.content)
+        entries = self._components.catalog.runners_by_service.get(
+            job.admission.service, ()
+        )
+        known = {entry.incarnation for entry in entries}
+        avoided = self._components.channels.connector.avoided()
+        for excluded in (
+            job.excluded | crashed | avoided,
+            job.excluded | crashed,
+        ):
+            if not known <= excluded:
+                return excluded
+        if job.possible_runs and known <= job.excluded:
+            return frozenset()
+        return job.excluded
+
+    async def _place(self, job: Job, ask: SlotRequest) -> Placement | NoSlot:
+        """Wait for a slot; stop waiting once suspect content is refused."""
+        if not ask.suspect:
+            return await self._components.placer.place(ask)
+        placing = asyncio.create_task(self._components.placer.place(ask))
+        try:
+            while not self._is_refused(job):
+                done, _ = await asyncio.wait((placing,), timeout=RECHECK_S)
+                if done:
+                    return placing.result()
+        finally:
+            placing.cancel()
+        return QUARANTINED
+
+    def _return_slot(self, placement: Placement) -> None:
+        self._components.placer.release(placement, RunReport(UNSENT))
+
+    def _is_refused(self, job: Job) -> bool:
+        return self._components.containment.is_refused(job.content)
+
+    def _runs_alone(self, job: Job) -> bool:
+        return self._components.containment.runs_alone(job.content)
+
+    def _record_placement(self, job: Job, placement: Placement) -> None:
+        job.tried_runners.append(placement.runner.name)
+        self._components.meters.observe(
+            'queue_seconds',
+            self._now() - job.req.received_at,
+            job.admission.service,
+            int(job.admission.tier),
+        )
+        self._components.events.record(
+            'placed',
+            req=job.facts.attempt_id,
+            service=job.admission.service,
+            tokens=job.facts.prompt_tokens,
+            output=job.facts.expected_output_tokens,
+            runner=placement.runner.name,
+            owner=placement.owner.vm if placement.owner else 'own',
+            waited_ms=ms_between(job.req.received_at, self._now()),
+        )
+
+    def _now(self) -> float:
+        return self._components.clock.monotonic()
+
+
+def ms_between(start: float, end: float) -> int:
+    """Return the milliseconds between two monotonic times."""
+    return timedelta(seconds=end - start) // timedelta(milliseconds=1)
--- a/bramleybend/platform/platform_dialect.py
+++ b/bramleybend/platform/platform_dialect.py
@@ -11,6 +11,7 @@
     hop_by_hop_names,
 )
 from bramleybend.direct.models import RequestMetadata
+from bramleybend.platform.prompt_parts import shared_parts
 from bramleybend.platform.wire_names import (
     ATTEMPT_ID,
     AUTHORIZATION,
@@ -53,6 +54,7 @@
             if length_hint is None
             else int(length_hint),
             last_event_id=_header_text(headers, LAST_EVENT_ID),
+            shared_parts=shared_parts(headers),
         )
 
     def runner_headers(
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -6,7 +6,12 @@
 
 from bramleybend.clock import ManualClock
 from bramleybend.decisions.quarantine import REFUSAL_CRASHES
-from bramleybend.direct.containment import BROADCAST_S, Containment
+from bramleybend.direct.containment import (
+    BROADCAST_S,
+    MAX_BROADCAST_RECORDS,
+    Containment,
+    ContentIds,
+)
 from bramleybend.direct.models import (
     RequestMetadata,
     RunnerEntry,
@@ -14,7 +19,8 @@
 )
 from bramleybend.direct.replies import RawRequest
 from bramleybend.events import EventLog
-from tests.direct.cluster import ENGINE, PLAIN, Cluster, running_cluster
+from bramleybend.platform.platform_dialect import make_header_codec
+from tests.direct.cluster import ENGINE, KEY, PLAIN, Cluster, running_cluster
 from tests.utils.raw_runner import (
     ReceivedRequest,
     answer_at_once,
@@ -177,10 +183,10 @@
         clock, EventLog('vm', 'i', clock, max_kept_events=0)
     )
     for number in range(REFUSAL_CRASHES):
-        containment.record_crash('refused', runner(number))
-    containment.record_crash('broken', runner(0))
-    containment.record_crash('cleared', runner(0))
-    containment.record_completion('cleared')
+        containment.record_crash(ContentIds('refused'), runner(number))
+    containment.record_crash(ContentIds('broken'), runner(0))
+    containment.record_crash(ContentIds('cleared'), runner(0))
+    containment.record_completion(ContentIds('cleared'))
     told = {one.fingerprint for one in containment.recent_news()}
     assert told == {'refused', 'broken', 'cleared'}
     clock.advance(BROADCAST_S + 1)
@@ -197,7 +203,7 @@
     def name(key: str, target: bytes, body: bytes) -> str:
         req = RawRequest(b'POST', target, (), body, 0)
         facts = RequestMetadata('a', key, None, 0, 0, None, '')
-        return containment.fingerprint(req, facts)
+        return containment.identify(req, facts).whole
 
     first = name('k1', b'/a', POISON)
     assert first == name('k1', b'/a', POISON)
@@ -207,3 +213,66 @@
         name('k1', b'/a', INNOCENT),
     }
     assert len(others | {first}) == 4
+
+
+def test_records_of_many_parts_all_reach_other_vms() -> None:
+    """A crash under many requests must not hide the record that matters."""
+    clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    events = EventLog('vm', 'i', clock, max_kept_events=0)
+    sender, receiver = Containment(clock, events), Containment(clock, events)
+    crashing = ContentIds('w', ('p:bad',))
+    sender.record_crash(crashing, runner(0))
+    for number in range(MAX_BROADCAST_RECORDS * 4):
+        bystander = ContentIds(f'w{number}', (f'p:{number}',))
+        sender.record_crash(bystander, runner(1))
+    sender.record_crash(crashing, runner(2))
+    news = sender.recent_news()
+    assert len(news) == MAX_BROADCAST_RECORDS
+    assert {'w', 'p:bad'} <= {one.fingerprint for one in news}
+    for _ in range(20):
+        receiver.merge_news(sender.recent_news())
+    last = ContentIds('w0', ('p:0',))
+    assert receiver.crashed_runners(last) == {runner(1).incarnation}
+
+
+def test_the_last_part_of_a_prompt_is_not_shared() -> None:
+    """It belongs to the request itself, whose crash says nothing of others."""
+    headers = [(b'X-Bramleybend-Prompt-Prefix', b'5c:800, 91:410,5c:1,e4:250')]
+    facts = make_header_codec().request_facts(headers)
+    assert facts.shared_parts == ('5c', '91')
+
+
+def test_a_prompt_without_parts_shares_none() -> None:
+    """Plain services send no such header."""
+    assert make_header_codec().request_facts([]).shared_parts == ()
+
+
+async def test_a_request_that_waits_is_refused_with_its_content() -> None:
+    """Suspects that wait for an empty runner would end it one by one."""
+    gate = asyncio.Event()
+
+    async def hold(seen: ReceivedRequest) -> None:
+        if seen.body == POISON:
+            seen.writer.transport.abort()
+            return
+        await gate.wait()
+        await stream_three_events(seen)
+
+    async with running_cluster() as cluster:
+        await cluster.add_runner('r', ENGINE, hold)
+        await cluster.wait_for_runners(ENGINE)
+        other = asyncio.create_task(cluster.call('/draft/x', body=INNOCENT))
+        await wait_until(lambda: bool(cluster.runners['r'].seen), 'a run')
+        containment = cluster.vms[0].entry._containment
+        req = RawRequest(b'POST', b'/draft/x', (), POISON, 0)
+        facts = RequestMetadata('a', KEY, None, 0, 0, None, '')
+        content = containment.identify(req, facts)
+        for number in range(REFUSAL_CRASHES - 1):
+            containment.record_crash(content, runner(number))
+        waiting = asyncio.create_task(cluster.call('/draft/x', body=POISON))
+        await asyncio.sleep(HEARTBEAT_WAIT_S)
+        containment.record_crash(content, runner(REFUSAL_CRASHES))
+        async with asyncio.timeout(1):
+            assert (await waiting).status == 503
+        gate.set()
+        assert (await other).is_whole
--- a/tests/direct/test_left_callers.py
+++ b/tests/direct/test_left_callers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bramleybend.direct.attempt_dispatcher import UNSENT
+from bramleybend.direct.slot_acquisition import UNSENT
 from tests.direct.cluster import (
     ENGINE,
     HOST,
