Soak: VMs lose their paths to all runners, silently or by resets

Drawn apart from the other faults, so the plans of earlier seeds keep their other faults. The entry process of tests cuts its own outgoing connections when it is told to by a signal.

--- a/tests/direct/entry_process.py
+++ b/tests/direct/entry_process.py
@@ -1,10 +1,36 @@
-"""Runs `bramleybend-entry` with a settings file, as the platform starts it."""
+"""Runs `bramleybend-entry` with a settings file, as the platform starts it.
+
+With the address of the runners as a second argument, SIGUSR1 sets the path to
+them to the state that is written in `<settings file>.path`.
+"""
 
 import os
+import signal
 import sys
+from pathlib import Path
+from types import FrameType
 
 from bramleybend.cli.entry_vm import run
+from tests.utils.path_cuts import PathCuts, PathState, current_vm
+
+OWN = 0
+
+
+def _install_path_cuts(settings: str, runner_host: str) -> None:
+    cuts = PathCuts(runner_host)
+    cuts.install_for_all_loops()
+    current_vm.set(OWN)
+
+    def set_state(number: int, frame: FrameType | None) -> None:
+        state = Path(f'{settings}.path').read_text()
+        cuts.set_state(OWN, PathState(state))
+
+    signal.signal(signal.SIGUSR1, set_state)
+
 
 if __name__ == '__main__':
-    os.environ['BRAMLEYBEND_SETTINGS'] = sys.argv.pop()
+    sys.argv, (settings, *hosts) = sys.argv[:1], sys.argv[1:]
+    os.environ['BRAMLEYBEND_SETTINGS'] = settings
+    if hosts:
+        _install_path_cuts(settings, hosts[0])
     run()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,5 +1,6 @@
 """The faults of one run, drawn from its seed."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -27,6 +28,8 @@
     RUNNER_CRASH = 'runner_crash'
     RUNNER_LEAVE = 'runner_leave'  # orderly, after draining
     RUNNER_MUTE = 'runner_mute'  # accepts requests and never answers
+    PATHS_SILENT = 'paths_silent'  # one VM's packets to all runners are lost
+    PATHS_RESET = 'paths_reset'  # its connections to them are reset or refused
     CHANGE = 'change'  # one more route
     LARGE_CHANGE = 'large_change'  # 1,500 more routes
     REVOKE = 'revoke'  # an API key is revoked
@@ -51,6 +54,11 @@
 }
 
 
+PATH_FAULTS: Final = (FaultKind.PATHS_SILENT, FaultKind.PATHS_RESET)
+PATH_FAULT_INTERVAL_S: Final = (2.0, 8.0)
+PATH_FAULT_S: Final = (0.5, 5.0)
+
+
 @dataclass(frozen=True)
 class Fault:
     """One fault of a run."""
@@ -76,4 +84,21 @@
         fault_s = rng.uniform(0.2, max(max_fault_s, 0.3))
         faults.append(Fault(at, kind, fault_s, rng.randrange(1000)))
         at += rng.uniform(*FAULT_INTERVAL_S)
-    return faults
+    faults.extend(_draw_path_faults(seed, duration_s))
+    return sorted(faults, key=_start_of)
+
+
+def _draw_path_faults(seed: int, duration_s: float) -> Iterator[Fault]:
+    """Yield faults of VMs' paths to runners, drawn apart from the others."""
+    rng = Random(f'paths-{seed}')
+    at = WARMUP_S + rng.uniform(*PATH_FAULT_INTERVAL_S)
+    while at < duration_s - RECOVERY_S:
+        kind = rng.choice(PATH_FAULTS)
+        max_s = max(duration_s - RECOVERY_S - at, PATH_FAULT_S[0])
+        fault_s = min(rng.uniform(*PATH_FAULT_S), max_s)
+        yield Fault(at, kind, fault_s, rng.randrange(1000))
+        at += rng.uniform(*PATH_FAULT_INTERVAL_S)
+
+
+def _start_of(fault: Fault) -> float:
+    return fault.at
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -21,6 +21,7 @@
 from tests.soak.plan import Fault, FaultKind, draw_faults
 from tests.soak.vms import SoakVm
 from tests.soak.world import LARGE_CHANGE_ROUTES, SoakWorld, run_world
+from tests.utils.path_cuts import PathState
 from tests.utils.relay import Cut
 from tests.utils.waiting import wait_until
 
@@ -142,6 +143,12 @@
         FaultKind.STORE_DEAF: lambda: vm.cut_store(
             Cut.FROM_TARGET, fault.seconds
         ),
+        FaultKind.PATHS_SILENT: lambda: vm.cut_runners(
+            PathState.SILENT, fault.seconds
+        ),
+        FaultKind.PATHS_RESET: lambda: vm.cut_runners(
+            PathState.RESET, fault.seconds
+        ),
         FaultKind.STORE_RESET: lambda: vm.reset_store(),
         FaultKind.STORE_AWAY: lambda: world.refuse_store_calls(fault.seconds),
         FaultKind.RUNNER_CRASH: lambda: world.crash_runner(runner),
--- a/tests/soak/vms.py
+++ b/tests/soak/vms.py
@@ -7,6 +7,7 @@
 
 from bramleybend.clock import Clock
 from tests.soak.ledger import Ledger
+from tests.utils.path_cuts import PathState
 from tests.utils.processes import Process
 from tests.utils.relay import BandwidthLimit, Cut, Relay
 
@@ -24,6 +25,7 @@
         number: int,
         subnet: int,
         store: tuple[str, int],
+        runner_host: str,
         folder: Path,
         ledger: Ledger,
         clock: Clock,
@@ -33,6 +35,7 @@
         self.host = f'127.{subnet}.30.{number}'
         self.port = PORT
         self._seed_address = f'127.{subnet}.30.1:1'
+        self._runner_host = runner_host
         self._folder = folder
         self._ledger = ledger
         self._clock = clock
@@ -115,6 +118,12 @@
         await self.relay.heal()
         fault_span.end = self._clock.monotonic()
 
+    async def cut_runners(self, state: PathState, duration_s: float) -> None:
+        """Cut the paths from this VM to all runners, then restore them."""
+        self._set_path_state(state)
+        await asyncio.sleep(duration_s)
+        self._set_path_state(PathState.INTACT)
+
     async def reset_store(self) -> None:
         """Close the VM's open connections to the store."""
         fault_span = self._ledger.begin_fault(
@@ -123,6 +132,13 @@
         await self.relay.heal(drop=True)
         fault_span.end = self._clock.monotonic()
 
+    def _set_path_state(self, state: PathState) -> None:
+        """Set the paths of the running process; a new one starts intact."""
+        if self._process is not None and self.is_up:
+            stem = f'{self.name}-{self._start_count}'
+            (self._folder / f'{stem}.conf.path').write_text(state)
+            self._process.send_signal(signal.SIGUSR1)
+
     def _record_if_exited(self) -> None:
         if not self.is_up:
             self._ledger.exited_vms.append(self.name)
@@ -134,7 +150,7 @@
         settings.write_text(self._settings())
         self._process = Process(
             self.name,
-            ['tests.direct.entry_process', str(settings)],
+            ['tests.direct.entry_process', str(settings), self._runner_host],
             self._folder / f'{stem}.log',
         )
         await self._process.start()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -36,7 +36,7 @@
         self.muted_runners: set[str] = set()
         self.keys = [f'key-{number}' for number in range(KEY_COUNT)]
         self._services: dict[str, str] = {}
-        self._host = f'127.{subnet}.32.1'
+        self.host = f'127.{subnet}.32.1'  # of the runners
         self._clock = clock
         self._names = itertools.count(1)
         self._version = 1
@@ -72,7 +72,7 @@
         async def handle_request(seen: ReceivedRequest) -> None:
             await self._handle_request(name, service, seen)
 
-        runner = RawRunner(self._host, name, handle_request)
+        runner = RawRunner(self.host, name, handle_request)
         await runner.start()
         self.runners[name] = runner
         self._services[name] = service
@@ -184,7 +184,7 @@
     await world.start()
     store = (world.store.server.host, world.store.server.port)
     vms = [
-        SoakVm(number + 1, subnet, store, folder, ledger, clock)
+        SoakVm(number + 1, subnet, store, world.host, folder, ledger, clock)
         for number in range(count)
     ]
     try:
--- a/tests/utils/path_cuts.py
+++ b/tests/utils/path_cuts.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from contextvars import ContextVar
 from enum import StrEnum
+from functools import partial
 from typing import Any, Final
 
 current_vm: ContextVar[int] = ContextVar('current_vm')
@@ -44,6 +45,18 @@
         self._connect = loop.create_connection
         loop.create_connection = self._create_connection  # type: ignore
 
+    def install_for_all_loops(self) -> None:
+        """Take over the outgoing connections of loops that start later."""
+        connect = asyncio.BaseEventLoop.create_connection
+
+        async def create_connection(
+            loop: asyncio.BaseEventLoop, *details: Any, **options: Any
+        ) -> tuple[Any, Any]:
+            self._connect = partial(connect, loop)
+            return await self._create_connection(*details, **options)
+
+        asyncio.BaseEventLoop.create_connection = create_connection  # type: ignore
+
     def set_state(self, vm: int, state: PathState) -> None:
         """Change the path from a VM to all runners."""
         self._states[vm] = state
