Withdraw a crash if its runner is reached through another VM only

Seen: test_connections_reset_on_a_lost_path_condemn_no_content, failing before: a request that was reset three times on its VM's lost path is refused for good ('this content ended the runners that ran it'), while its runners are sound. Change: after a reset the runner is connected to anew, in the background; if it is reached, but not directly, the record is cleared for all VMs.

--- a/bramleybend/decisions/part_quarantine.py
+++ b/bramleybend/decisions/part_quarantine.py
@@ -53,6 +53,10 @@
         while len(self._completed_at) > MAX_SOUND_PARTS:
             self._completed_at.popitem(last=False)
 
+    def withdraw(self, part: str, now: float) -> None:
+        """Clear a part's record without taking the part for sound."""
+        self._registry.record_finish(part, now)
+
     def merge(self, records: Sequence[CrashRecord], now: float) -> None:
         """Merge the records of another process; clear those of sound parts."""
         self._registry.merge(records, now)
--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -214,7 +214,7 @@
         self, job: Job, placement: Placement, failure: Failure
     ) -> None:
         if failure.cause is FailureCause.CONNECTION_CLOSED:
-            self._components.containment.record_crash(
+            self._components.crash_check.record_crash(
                 job.content, placement.runner
             )
         self._components.meters.count(
--- a/bramleybend/direct/containment.py
+++ b/bramleybend/direct/containment.py
@@ -106,6 +106,20 @@
                     refused=self.is_refused(content),
                 )
 
+    def withdraw_crash(self, content: ContentIds, runner: RunnerEntry) -> None:
+        """Clear records after a crash that turned out to be none.
+
+        Records can't be reduced by one crash, as VMs merge them in any order.
+        Those of true crashes come back with the next one.
+        """
+        now = self._clock.monotonic()
+        self._requests.record_finish(content.whole, now)
+        for part in content.parts:
+            self._parts.withdraw(part, now)
+        self._events.record(
+            'crash_withdrawn', content=content.whole, runner=runner.name
+        )
+
     def record_completion(self, content: ContentIds) -> None:
         """Record a run of this content that completed."""
         now = self._clock.monotonic()
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -10,6 +10,7 @@
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.containment import Containment, ContentIds
+from bramleybend.direct.crash_check import CrashCheck
 from bramleybend.direct.header_codec import HeaderCodec
 from bramleybend.direct.meters import Meters
 from bramleybend.direct.models import RequestMetadata
@@ -69,6 +70,7 @@
     admission_control: AdmissionControl
     placer: Placer
     containment: Containment
+    crash_check: CrashCheck
     runner_limits: RunnerLimits
     channels: RunnerChannels
     header_codec: HeaderCodec
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -249,6 +249,7 @@
             ),
             self.placer,
             self._containment,
+            self._access.make_crash_check(self._containment),
             self._queues.limits,
             self._access.channels,
             header_codec,
--- a/bramleybend/direct/runner_access.py
+++ b/bramleybend/direct/runner_access.py
@@ -12,6 +12,8 @@
 from bramleybend.direct.answer_memory import AnswerMemory
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.channels import RunnerChannels
+from bramleybend.direct.containment import Containment
+from bramleybend.direct.crash_check import CrashCheck
 from bramleybend.direct.helper_choice import HelperChoice
 from bramleybend.direct.members import Members
 from bramleybend.direct.models import RunnerEntry, RunnerState
@@ -65,6 +67,10 @@
         self.tunnels.close()
         self.channels.close_idle()
 
+    def make_crash_check(self, containment: Containment) -> CrashCheck:
+        """Make the check that tells crashes of runners from lost paths."""
+        return CrashCheck(self.channels, containment)
+
     def update_runners(self) -> set[str]:
         """Forget the runners that are gone; return those in use."""
         by_service = {
--- a/tests/direct/test_lost_paths.py
+++ b/tests/direct/test_lost_paths.py
@@ -3,15 +3,21 @@
 import asyncio
 from collections import defaultdict
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 
+from bramleybend.decisions.quarantine import REFUSAL_CRASHES
 from tests.direct.cluster import ENGINE, PLAIN, Cluster, running_cluster
 from tests.utils.path_cuts import PathState
 from tests.utils.raw_runner import (
+    ReceivedRequest,
     answer_at_once,
+    chunk,
+    event,
     stream_three_events,
 )
+from tests.utils.waiting import wait_until
 
 VMS = 4
 RUNNERS = 4
@@ -20,6 +26,7 @@
 MEASURED_S = 2.0
 TARGET_LATENCY_S = 0.8  # of the routes
 CALL_EVERY_S = 0.02  # between two requests, 50 a second
+RESET_WAIT_S = 0.3  # until the VM knows that its path was lost
 TARGETS = {ENGINE: '/draft/x', PLAIN: '/book/x'}
 BEHAVIOURS = {ENGINE: stream_three_events, PLAIN: answer_at_once}
 
@@ -134,3 +141,39 @@
         async with asyncio.timeout(TARGET_LATENCY_S):
             answer = await cluster.call(TARGETS[ENGINE], vm=1 - cut)
         assert answer.status == 200
+
+
+async def test_connections_reset_on_a_lost_path_condemn_no_content() -> None:
+    """A caller's request must not be refused for good as a crashing one."""
+
+    async def hold(seen: ReceivedRequest) -> None:
+        seen.writer.write(seen.stream_head() + chunk(event(1)))
+        await seen.closed.wait()
+
+    async with running_cluster(2) as cluster:
+        for number in range(REFUSAL_CRASHES):
+            await cluster.add_runner(f'r{number}', ENGINE, hold)
+        await cluster.wait_for_runners(ENGINE, REFUSAL_CRASHES)
+        for number in range(REFUSAL_CRASHES):
+            call = cluster.call(TARGETS[ENGINE], vm=0, attempt=f'a{number}')
+            task = asyncio.create_task(call)
+            await wait_until(
+                partial(has_request, cluster, f'a{number}'), 'the request'
+            )
+            cluster.paths.set_state(0, PathState.RESET)
+            assert not (await task).is_whole
+            await asyncio.sleep(RESET_WAIT_S)
+            cluster.paths.set_state(0, PathState.INTACT)
+        for runner in cluster.runners.values():
+            runner.behave = stream_three_events
+        answer = await cluster.call(TARGETS[ENGINE], vm=0)
+        assert answer.status == 200
+
+
+def has_request(cluster: Cluster, attempt: str) -> bool:
+    """Return whether a runner has received a request."""
+    return any(
+        seen.attempt == attempt
+        for runner in cluster.runners.values()
+        for seen in runner.seen
+    )
