Choose VMs for tunnels only when the direct connection fails or is slow

Each new connection went through the list of all VMs, 350 of them at full size, for a choice that is rarely used. An error tells why the first way failed.

--- a/bramleybend/direct/connection_race.py
+++ b/bramleybend/direct/connection_race.py
@@ -9,13 +9,13 @@
 
 
 async def race(ways: Sequence[Way], stagger_s: float) -> Channel:
-    """Return the first connection; raise the last `OSError` if none opens.
+    """Return the first connection; raise the first `OSError` if none opens.
 
     A way is started once the one before it has failed or has taken `stagger_s`.
     """
     waiting = list(ways)
     started: set[asyncio.Task[Channel]] = set()
-    failure: OSError = ConnectionError('there is no way to it')
+    failure: OSError | None = None
     try:
         while waiting or started:
             if waiting:
@@ -27,15 +27,15 @@
     finally:
         for task in started:
             _discard(task)
-    raise failure
+    raise failure or ConnectionError('there is no way to it')
 
 
 async def _wait(
     tasks: set['asyncio.Task[Channel]'],
     timeout_s: float | None,
-    failure: OSError,
-) -> tuple[Channel | None, OSError]:
-    """Wait for one task; return its connection and the latest failure.
+    failure: OSError | None,
+) -> tuple[Channel | None, OSError | None]:
+    """Wait for one task; return its connection and the first failure.
 
     Tasks whose outcome was taken are removed from `tasks`.
     """
@@ -47,7 +47,7 @@
         try:
             return task.result(), failure
         except OSError as exc:
-            failure = exc
+            failure = failure or exc
     return None, failure
 
 
--- a/bramleybend/direct/runner_connector.py
+++ b/bramleybend/direct/runner_connector.py
@@ -20,7 +20,7 @@
 from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import Clock
 from bramleybend.decisions.runner_paths import RunnerPaths
-from bramleybend.direct.helper_choice import HelperChoice
+from bramleybend.direct.helper_choice import MAX_HELPERS, HelperChoice
 from bramleybend.direct.members import Member
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.connection_race import Way, race
@@ -68,11 +68,10 @@
 
         Raises `PathLostError` unless the runner itself is likely to be down.
         """
-        helpers = self._choose_helpers(runner)
-        verdict = _Verdict()
+        search = _HelperSearch(partial(self._choose_helpers, runner))
         tunnels = [
-            partial(self._open_tunnel, runner, helper, verdict)
-            for helper in helpers
+            partial(self._open_tunnel, runner, search)
+            for _ in range(MAX_HELPERS)
         ]
         direct = partial(self.connect_directly, runner)
         ways: list[Way] = [direct, *tunnels]
@@ -82,9 +81,9 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 return await race(ways, STAGGER_S)
         except OSError as exc:
-            self._note_unreached(runner, verdict)
+            self._note_unreached(runner, search)
             reason = str(exc) or 'it did not answer'
-            if verdict.is_runner_down or not helpers:
+            if search.is_runner_down or not search.was_any_found:
                 raise ConnectionError(reason) from exc
             raise PathLostError(reason) from exc
 
@@ -163,15 +162,18 @@
             return []
         return self._helpers.choose(runner.service)
 
-    def _note_unreached(self, runner: RunnerEntry, verdict: '_Verdict') -> None:
+    def _note_unreached(
+        self, runner: RunnerEntry, search: '_HelperSearch'
+    ) -> None:
         self._paths.avoid(runner.incarnation, self._clock.monotonic())
-        for vm in verdict.unanswered:
+        for vm in search.unanswered:
             self._helpers.avoid(vm)
 
     async def _open_tunnel(
-        self, runner: RunnerEntry, helper: Member, verdict: '_Verdict'
+        self, runner: RunnerEntry, search: '_HelperSearch'
     ) -> Channel:
-        verdict.unanswered.add(helper.vm)
+        helper = search.next_helper()
+        search.unanswered.add(helper.vm)
         try:
             channel = await open_tunnel(
                 helper,
@@ -182,8 +184,8 @@
                 self._own_address,
             )
         except TunnelRefusedError as exc:
-            verdict.unanswered.discard(helper.vm)
-            verdict.is_runner_down |= exc.is_runner_unreachable
+            search.unanswered.discard(helper.vm)
+            search.is_runner_down |= exc.is_runner_unreachable
             raise
         self._events.record(
             'tunnel_opened',
@@ -195,13 +197,28 @@
         return channel
 
 
-class _Verdict:
-    """What other VMs found out about a runner."""
+class _HelperSearch:
+    """The VMs that are asked for one connection, and what they found out.
+
+    They are chosen only once the direct connection fails or is slow.
+    """
 
-    def __init__(self) -> None:
-        self.is_runner_down = False
+    def __init__(self, choose: Callable[[], list[Member]]) -> None:
+        self._choose = choose
+        self._helpers: list[Member] | None = None
+        self.was_any_found = False
+        self.is_runner_down = False  # another VM doesn't reach it either
         self.unanswered: set[str] = set()  # VMs that were asked
 
+    def next_helper(self) -> Member:
+        """Return the next VM to ask; an `OSError` means that there is none."""
+        if self._helpers is None:
+            self._helpers = self._choose()
+            self.was_any_found = bool(self._helpers)
+        if not self._helpers:
+            raise ConnectionError('no other VM reaches it')
+        return self._helpers.pop(0)
+
 
 def _ignore_tunnel(service: str) -> None:
     """Stand in until a callback is set."""
