--- a/bramleybend/direct/connection_race.py
+++ b/bramleybend/direct/connection_race.py
@@ -27,7 +27,8 @@
     finally:
         for task in started:
             _discard(task)
-    raise failure or ConnectionError('there is no way to it')
+    assert failure is not None
+    raise failure
 
 
 async def _wait(
