--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -422,7 +422,12 @@
     def is_running(self):
         return self._process is not None and self._process.returncode is None
 
-    async def start(self):
+    def set_seeds(self, seeds):
+        """Change the seeds; `start` or `write_settings` puts them down."""
+        self._settings['SEEDS'] = seeds
+
+    def write_settings(self):
+        """Write the settings file, as the platform does; return its path."""
         path = Path(self._folder) / f'vm-{self.index}.conf'
         path.write_text(
             ''.join(
@@ -430,6 +435,10 @@
                 for name, text in self._settings.items()
             )
         )
+        return path
+
+    async def start(self):
+        path = self.write_settings()
         env = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
