--- a/tests/direct/cluster.py
+++ b/tests/direct/cluster.py
@@ -164,11 +164,14 @@
             ready=HostPort(host=address, port=port + 1000),
             directory=HostPort(host=address, port=port + 2000),
             peer_port=port + 3000,
-            seeds=f'127.{_SUBNET}.1.1:1',
             store=HostPort(
                 host=self.store.server.host, port=self.store.server.port
             ),
-            **{'first_start': True, **self.extra_settings},
+            **{
+                'first_start': True,
+                'seeds': f'127.{_SUBNET}.1.1:1',
+                **self.extra_settings,
+            },
         )
 
 
