Find VMs through a register in the store when seeds are stale

Class: a VM takes what it hears for all there is.

Cause: seeds were the only way to other VMs, and were read at the start and on SIGHUP alone. All VMs read the store, but did not look for each other there.

Now each VM has a record in a keyed log of ours. A VM reads it at its start, counts registered VMs as members that it doesn't hear (so its share of rate and burst is a true one from the start) and contacts three at random in each 0.4 s until they answer. Hubs read it once a minute. Until it is read, no share is known, for two heartbeats at most.

Ruled out: reading the settings file at an interval, as right seeds come late (seedLagS) and may be stale again.

--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -22,6 +22,7 @@
 from heapq import nlargest
 from typing import Final, TypeAlias
 
+from bramleybend.direct.expected_vms import ExpectedVms
 from bramleybend.direct.ranks import hash_of, rank_of
 
 HEARTBEAT_INTERVAL_S: Final = 0.2
@@ -112,6 +113,7 @@
         self.own = own
         self._members: dict[str, Member] = {}
         self._distrusted_until: dict[str, float] = {}  # by VM name
+        self.expected = ExpectedVms()
         self._hubs: dict[str, list[str]] = {}  # VM names, by domain
 
     def __iter__(self) -> Iterator[Member]:
@@ -135,6 +137,7 @@
             if before.incarnation == member.incarnation:
                 member.first_heard_at = before.first_heard_at
         self._members[member.vm] = member
+        self.expected.remove(member.vm)
         return before
 
     def remove_expired(self, now: float) -> list[Member]:
@@ -146,6 +149,7 @@
         ]
         for member in expired:
             self._members.pop(member.vm)
+        self.expected.remove_expired(now)
         return expired
 
     def alive(self, now: float) -> list[Member]:
@@ -171,12 +175,17 @@
         ]
 
     def alive_fraction(self, now: float) -> float:
-        """Return the fraction of the VMs that are alive, with this one."""
+        """Return the fraction of the VMs that are alive, with this one.
+
+        It is 0 while other VMs may exist that this VM doesn't know.
+        """
+        if now < self.expected.is_unknown_until:
+            return 0
         return (len(self.alive(now)) + 1) / self.count()
 
     def count(self) -> int:
         """Return the number of known VMs, with this one."""
-        return len(self._members) + 1
+        return len(self._members) + len(self.expected) + 1
 
     def distrust(self, vm: str, until: float) -> None:
         """Exclude a VM from the choice of owners until a point in time."""
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -140,6 +140,11 @@
         """Send one message; it may be lost."""
         self._send_payload(encode(message), address)
 
+    def contact(self, address: str) -> None:
+        """Send a heartbeat to a VM that may not know this one."""
+        receiver = Receiver(address, is_new=True)
+        self.send(self._handler.make_heartbeat(receiver), address)
+
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
@@ -186,7 +191,7 @@
                     self.send(reply, address)
             case MissingProfiles():
                 for profile in self._digests.unknown_profiles(message):
-                    self._send_first_heartbeat(profile.address)
+                    self.contact(profile.address)
             case _:
                 self._handler.handle_message(
                     message, vm, partial(self.send, address=address)
@@ -258,7 +263,7 @@
         if is_new:
             # A VM that has just started gets this VM's heartbeat at once, not
             # one interval later. It holds the debts of all workspaces.
-            self._send_first_heartbeat(address)
+            self.contact(address)
         self._handler.handle_heartbeat(heartbeat, address)
 
     def _handle_digest(self, digest: Digest, address: str) -> None:
@@ -285,10 +290,6 @@
             )
             self._handler.handle_relayed_totals(profile, fresh)
 
-    def _send_first_heartbeat(self, address: str) -> None:
-        receiver = Receiver(address, is_new=True)
-        self.send(self._handler.make_heartbeat(receiver), address)
-
     def _update_member(self, member: Member) -> bool:
         """Store a VM that is alive; returns whether it wasn't alive before."""
         before = self._members.update(member)
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -9,7 +9,10 @@
 from result import Err, Ok
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.allotments import make_allotment_ledger
+from bramleybend.decisions.allotments import (
+    STARTUP_HOLD_S,
+    make_allotment_ledger,
+)
 from bramleybend.decisions.resends import ResendBudget, ResendLimits
 from bramleybend.direct.admission import AdmissionControl
 from bramleybend.direct.catalog import Catalog
@@ -149,6 +152,9 @@
         self.is_leaving = False
         self.on_sweep: Callable[[], None] = _ignore_sweep
         self.catalog.add_listener(self._catalog_changed)
+        self.members.expected.is_unknown_until = (
+            clock.monotonic() + STARTUP_HOLD_S
+        )
 
     def is_ready(self) -> bool:
         """Return whether this VM accepts callers."""
--- a/bramleybend/platform/platform_process.py
+++ b/bramleybend/platform/platform_process.py
@@ -10,6 +10,7 @@
 from bramleybend.direct.models import IngressLimits
 from bramleybend.direct.process import EntryProcess
 from bramleybend.direct.runner_list import RunnerList
+from bramleybend.direct.vm_discovery import VmDiscovery
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.platform.directory import Directory
 from bramleybend.platform.feeds import (
@@ -22,6 +23,7 @@
 from bramleybend.platform.runner_entry import decode_runner
 from bramleybend.platform.snapshot_store import SnapshotStore
 from bramleybend.platform.store_client import StoreClient, make_mirror_client
+from bramleybend.platform.vm_records import VmRecords
 
 
 class PlatformProcess:
@@ -47,6 +49,7 @@
         for feed in self.feeds:
             self.entry.follow_feed(feed)
         self.entry.spawn(self._make_last_known().run())
+        self.entry.spawn(self._make_discovery().run())
         await self.entry.start()
 
     async def stop(self) -> None:
@@ -72,6 +75,18 @@
         kept_pages = SnapshotStore(self.store)
         return LogBackup(logs, kept_pages, catalog, self.entry.events)
 
+    def _make_discovery(self) -> VmDiscovery:
+        manifests, _ = self.feeds
+        return VmDiscovery(
+            VmRecords(self.store),
+            self.entry.members,
+            self.entry.peers.contact,
+            manifests.is_leader,
+            self._clock,
+            self.entry.events,
+            self._rng,
+        )
+
     def _render_metrics(self) -> bytes:
         # Imported at the first scrape only; see `bramleybend.direct.meters`.
         exposition_module = import_module('bramleybend.direct.exposition')
--- a/bramleybend/platform/wire_names.py
+++ b/bramleybend/platform/wire_names.py
@@ -35,3 +35,4 @@
 MANIFEST_KEY: Final = 'config'
 RUNNER_TOPIC: Final = 'keyed.servers'
 SNAPSHOT_TOPIC: Final = 'keyed.bramleybend-last-known'  # this system's own
+VM_TOPIC: Final = 'keyed.bramleybend-vms'  # this system's own
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -13,6 +13,7 @@
 
 from bramleybend.clock import Clock, ManualClock
 from bramleybend.decisions.allotments import (
+    STARTUP_HOLD_S,
     AllotmentLedger,
     Allowance,
     Tolerance,
@@ -20,7 +21,12 @@
 )
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.containment import Containment
-from bramleybend.direct.members import HEARTBEAT_INTERVAL_S, Members, OwnVm
+from bramleybend.direct.members import (
+    HEARTBEAT_INTERVAL_S,
+    MEMBER_TTL_S,
+    Members,
+    OwnVm,
+)
 from bramleybend.direct.peer_message_handler import (
     PeerMessageHandler,
     SharedTables,
@@ -76,6 +82,8 @@
     rng: Random = field(default_factory=lambda: Random(7))  # draws the losses
     vms: dict[str, Vm] = field(default_factory=dict)  # by address
     cut: set[frozenset[str]] = field(default_factory=set)  # pairs of domains
+    # Whether VMs that restart read the register of all VMs at once.
+    has_register: bool = True
     messages: int = 0
     size: int = 0  # bytes
     cross_domain_bytes: int = 0  # bytes sent between domains
@@ -87,6 +95,8 @@
     ) -> Vm:
         """Start a VM; VMs 0 to `SEEDS` - 1 are the seed peers of all VMs."""
         vm = _make_vm(self, number, incarnation, capacity)
+        if incarnation != FIRST:
+            self._read_register(vm)
         self.vms[vm.address] = vm
         return vm
 
@@ -139,6 +149,16 @@
         at = self.clock.monotonic() + DELAY_S
         self._queue.append((at, payload, sender, receiver))
 
+    def _read_register(self, vm: Vm) -> None:
+        now = self.clock.monotonic()
+        if self.has_register:
+            registered = {
+                other.name: other.address for other in self.vms.values()
+            }
+            vm.members.expected.add(registered, {vm.name}, now + MEMBER_TTL_S)
+        else:
+            vm.members.expected.is_unknown_until = now + STARTUP_HOLD_S
+
     def _deliver(self) -> None:
         started_at = process_time()
         now = self.clock.monotonic()
