Let what VMs admit without hearing each other add up to one allotment

Cause: a start of a VM was named the first of the system, so each restart gave all bursts anew, and a VM that heard few others had half of a burst and of all that it didn't know to be used. Neither bound depends on the number of VMs. Class: a VM decides by its own view on what all VMs share, and nothing makes the parts add up to the whole.

Now a VM that hears a share of the VMs uses that share of the burst and of the spare half of the contracts' tolerance. Assumed debts are kept apart from known ones, so they are not reported.

The tests of assumed debts in test_allotments.py take no tolerance now, with the same assertions: what the tolerance covers is admitted, and bounded by a test of its own.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -17,13 +17,17 @@
 workspace keeps nearly empty would admit small requests but never a large one.
 So a workspace exceeds its allotment by one request at most, and repays it.
 
+All parts that VMs use without hearing each other add up to the whole: a VM uses
+its share of the burst and of the spare tolerance. So the bound holds for any
+partition of any number of VMs.
+
 A VM that restarts has lost its accounts, and all others may have lost theirs,
 too. Until a VM with older accounts reports the debts, it treats every burst as
-used. It admits nothing while VMs that start at the same time have yet to find
-each other: each would admit what the rate has repaid, as if it were alone.
+used and admits its share of the spare tolerance.
 
-Contracts tolerate more than the allotment. Requests beyond the allotment are
-admitted while runners are idle, since refusing them would help nobody.
+Contracts tolerate more than the allotment. Half of the tolerance is spare: it
+covers partitions, restarts, and the arrivals between two heartbeats. The other
+half is admitted while runners are idle, since refusing them would help nobody.
 """
 
 from collections.abc import Mapping
@@ -31,13 +35,8 @@
 from math import inf, isinf
 
 MIN_BURST_SHARE = 0.05  # of the burst; any small share works
-# Share of the burst that a VM may use even if it hears few others. Six VMs that
-# hear no other then admit three bursts at most, which the contracts' tolerance
-# covers.
-MIN_USABLE_BURST = 0.5
 # Share of the contracts' tolerance that is used for work on idle runners. The
-# rest covers what VMs admit without knowing of each other: the arrivals between
-# two heartbeats (0.2 s), and a partition that begins at that moment.
+# rest is spare: it covers what VMs admit without knowing of each other.
 IDLE_TOLERANCE_SHARE = 0.5
 # Two heartbeats, within which most VMs that start together hear each other.
 STARTUP_HOLD_S = 0.4
@@ -95,6 +94,9 @@
 class _Account:
     updated_at: float
     debt: float = 0
+    # Rest of a burst that may have been used before the accounts, not repaid
+    # yet; none: not estimated yet.
+    assumed: float | None = None
     tolerance_debt: float = 0
     used: float = 0  # by this VM
     over_allotment: float = 0  # by this VM
@@ -136,40 +138,28 @@
     ) -> AllotmentDecision:
         """Admit a request and count it, or return when to retry.
 
-        `share` is the share of all VMs that this VM hears, itself included.
+        `share` is the share of all VMs that this VM hears, itself included; 0
+        while their number is unknown.
         """
         account = self._account(workspace, now)
         self._repay_debt(account, allowance, now, share)
         needed = min(units, allowance.burst * MIN_BURST_SHARE)
-        left = allowance.burst - account.debt
-        if now < self._startup_ends_at():
-            # A constant delay keeps the retries as spread as the requests were.
-            # The time until the end of this phase would make all callers retry
-            # at once.
-            return AllotmentDecision(
-                is_admitted=False,
-                retry_after_s=STARTUP_HOLD_S,
-                debt=account.debt,
-            )
-        if left >= needed:
+        left = self._usable_burst(account, allowance, share) - account.debt
+        if left >= needed and share:
             account.debt += units
             account.used += units
             return AllotmentDecision(is_admitted=True)
-        # The tolerance also covers what silent VMs admit, so it isn't used
-        # while some VMs are silent.
+        # A VM that doesn't hear all others leaves the tolerance to them.
         if are_runners_idle and share >= 1:
-            if account.tolerance_debt + units <= self._idle_allowance(
-                allowance
-            ):
-                account.tolerance_debt += units
-                account.over_allotment += units
+            if self._take_idle_tolerance(account, allowance, units):
                 return AllotmentDecision(
                     is_admitted=True, is_over_allotment=True
                 )
-        rate = max(allowance.rate_per_s * share, 1)
         return AllotmentDecision(
             is_admitted=False,
-            retry_after_s=(needed - left) / rate,
+            retry_after_s=self._retry_after_s(
+                needed - left, allowance, now, share
+            ),
             debt=account.debt,
         )
 
@@ -220,6 +210,7 @@
             ours = min(account.used, account.debt)
             beyond = min(account.over_allotment, account.tolerance_debt)
             account.updated_at = max(account.updated_at, now)
+            account.assumed = None
             account.debt = max(owed.debt, ours)
             account.tolerance_debt = max(owed.tolerance_debt, beyond)
 
@@ -284,21 +275,57 @@
         now: float,
         share: float,
     ) -> None:
+        if account.assumed is None:
+            account.assumed = self._assumed_debt(
+                allowance.burst, allowance.rate_per_s, now
+            )
+            account.updated_at = max(
+                account.updated_at, self._startup_ends_at()
+            )
         elapsed_s = max(now - account.updated_at, 0)
         account.updated_at = max(now, account.updated_at)
-        silent_share = 1 - max(share, MIN_USABLE_BURST)
-        account.debt = max(
-            account.debt - elapsed_s * allowance.rate_per_s * share,
-            self._assumed_debt(allowance.burst, allowance.rate_per_s, now),
-            allowance.burst * silent_share,
-        )
+        units = elapsed_s * allowance.rate_per_s * share
+        account.debt = max(account.debt - max(units - account.assumed, 0), 0)
+        account.assumed = max(account.assumed - units, 0)
         idle_allowance = self._idle_allowance(allowance)
-        idle_allowance_per_s = idle_allowance / self.tolerance.window_s
+        repaid = elapsed_s * idle_allowance / self.tolerance.window_s
         account.tolerance_debt = max(
-            account.tolerance_debt - elapsed_s * idle_allowance_per_s,
-            self._assumed_debt(idle_allowance, idle_allowance_per_s, now),
+            account.tolerance_debt - repaid,
+            self._assumed_debt(
+                idle_allowance, idle_allowance / self.tolerance.window_s, now
+            ),
         )
 
+    def _usable_burst(
+        self, account: _Account, allowance: Allowance, share: float
+    ) -> float:
+        """Return the most of the burst that the VMs of this share may use."""
+        units = self.tolerance.units(allowance.rate_per_s, allowance.burst)
+        spare = units * (1 - IDLE_TOLERANCE_SHARE)
+        unused = allowance.burst - (account.assumed or 0)
+        return min(allowance.burst, share * (unused + spare))
+
+    def _take_idle_tolerance(
+        self, account: _Account, allowance: Allowance, units: float
+    ) -> bool:
+        """Use the tolerance for idle runners, if it fits."""
+        idle_allowance = self._idle_allowance(allowance)
+        if account.tolerance_debt + units > idle_allowance:
+            return False
+        account.tolerance_debt += units
+        account.over_allotment += units
+        return True
+
+    def _retry_after_s(
+        self, missing: float, allowance: Allowance, now: float, share: float
+    ) -> float:
+        if now < self._startup_ends_at() or not share:
+            # A constant delay keeps the retries as spread as the requests were.
+            # The time until the end of this phase would make all callers retry
+            # at once.
+            return STARTUP_HOLD_S
+        return missing / max(allowance.rate_per_s * share, 1)
+
     def _startup_ends_at(self) -> float:
         return self.complete_since + STARTUP_HOLD_S
 
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from bramleybend.decisions.allotments import (
+    STARTUP_HOLD_S,
     AccountReport,
     AllotmentLedger,
     Allowance,
@@ -12,6 +13,7 @@
 
 ALLOWANCE = Allowance(rate_per_s=1000, burst=2000)
 TOLERANCE = Tolerance(window_s=8, overage=0.1, slack=4000)
+NO_TOLERANCE = Tolerance(window_s=8)
 HEARTBEAT_S = 0.2
 STEP_S = 0.01  # of the simulation
 
@@ -248,7 +250,7 @@
     """Otherwise one VM that starts makes all others refuse its workspaces."""
     informed = AllotmentLedger()
     assert is_admitted(informed, 10, 100)
-    starter = make_allotment_ledger(TOLERANCE, 100, is_first_start=False)
+    starter = make_allotment_ledger(NO_TOLERANCE, 100, is_first_start=False)
     assert not is_admitted(starter, 2000, 100.45)
     informed.merge_report(
         'vm2/b', starter.reports(), 101, age_s=starter.age_s(101)
@@ -261,7 +263,7 @@
     """Otherwise a workspace is refused until a whole burst is repaid."""
     informed = AllotmentLedger()
     assert is_admitted(informed, 500, 100)
-    starter = make_allotment_ledger(TOLERANCE, 100, is_first_start=False)
+    starter = make_allotment_ledger(NO_TOLERANCE, 100, is_first_start=False)
     assert not is_admitted(starter, 10, 100.1)
     starter.adopt_accounts(informed.reports(), 100.1, informed.age_s(100.1))
     assert is_admitted(starter, 1450, 100.1)
@@ -270,8 +272,8 @@
 
 def test_vms_that_start_together_adopt_the_oldest_accounts() -> None:
     """Otherwise the VMs that start last refuse what the rate has repaid."""
-    first = make_allotment_ledger(TOLERANCE, 100, is_first_start=False)
-    last = make_allotment_ledger(TOLERANCE, 101, is_first_start=False)
+    first = make_allotment_ledger(NO_TOLERANCE, 100, is_first_start=False)
+    last = make_allotment_ledger(NO_TOLERANCE, 101, is_first_start=False)
     assert is_admitted(first, 0, 101)
     last.adopt_accounts(first.reports(), 101, first.age_s(101))
     assert last.age_s(101) == first.age_s(101)
@@ -280,7 +282,30 @@
 
 def test_starting_vm_without_peers_admits_what_the_rate_repays() -> None:
     """Otherwise a single VM refuses all requests after its restart."""
-    ledger = make_allotment_ledger(TOLERANCE, 100, is_first_start=False)
+    ledger = make_allotment_ledger(NO_TOLERANCE, 100, is_first_start=False)
     assert not is_admitted(ledger, 10, 100)
     assert not is_admitted(ledger, 2000, 100.4)
     assert is_admitted(ledger, 2000, 102.5)
+
+
+def test_restarted_vm_admits_only_the_spare_tolerance_at_once() -> None:
+    """Otherwise each restart admits a whole burst again."""
+    tolerance = Tolerance(window_s=8, slack=1000)
+    ledger = make_allotment_ledger(tolerance, 100, is_first_start=False)
+    admitted = sum(100 * is_admitted(ledger, 100, 100) for _ in range(20))
+    assert admitted == tolerance.slack / 2
+
+
+def test_vm_admits_its_share_while_it_hears_no_other() -> None:
+    """Otherwise VMs that lose each other admit more than one burst."""
+    tolerance = Tolerance(window_s=8, slack=1000)
+    ledger = AllotmentLedger(tolerance)
+    admitted = sum(10 * is_admitted(ledger, 10, 0, 1 / 4) for _ in range(200))
+    assert admitted <= (ALLOWANCE.burst + tolerance.slack / 2) / 4
+
+
+def test_vm_admits_nothing_while_the_number_of_vms_is_unknown() -> None:
+    """Otherwise each VM that starts admits a burst before it hears others."""
+    decision = AllotmentLedger().admit('w', ALLOWANCE, 10, 0, share=0)
+    assert not decision.is_admitted
+    assert decision.retry_after_s == STARTUP_HOLD_S
