Divide the tolerance for idle runners among the VMs

What is admitted beyond the allotment is not paid back within a window.

Now each VM has an equal part. Where a part is smaller than a request, as with 84 VMs, the rest of the part is the chance at which one request is admitted, so the parts are kept on average and idle runners are still used.

Ruled out: parts that may be overdrawn by one request, which let in 84 requests at once.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -28,11 +28,15 @@
 Contracts tolerate more than the allotment. Half of the tolerance is spare: it
 covers partitions, restarts, and the arrivals between two heartbeats. The other
 half is admitted while runners are idle, since refusing them would help nobody.
+VMs learn of each other's use of it too late to share one account, so each has
+an equal part. Where a part is smaller than a request, a request is admitted by
+chance, and the parts are kept on average.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from math import inf, isinf
+from random import Random
 
 MIN_BURST_SHARE = 0.05  # of the burst; any small share works
 # Share of the contracts' tolerance that is used for work on idle runners. The
@@ -100,6 +104,7 @@
     tolerance_debt: float = 0
     used: float = 0  # by this VM
     over_allotment: float = 0  # by this VM
+    idle_part_used: float = 0  # of this VM's part, not repaid yet
 
 
 @dataclass
@@ -123,6 +128,7 @@
     # Time from which the accounts are complete; earlier bursts are assumed to
     # be used. Minus infinity: nothing was admitted earlier.
     complete_since: float = -inf
+    rng: Random = field(default_factory=Random)
     _accounts: dict[str, _Account] = field(default_factory=dict)
     _peers: dict[str, _PeerAccounts] = field(default_factory=dict)
 
@@ -135,14 +141,15 @@
         share: float = 1,
         *,
         are_runners_idle: bool = False,
+        vms: int = 1,
     ) -> AllotmentDecision:
         """Admit a request and count it, or return when to retry.
 
-        `share` is the share of all VMs that this VM hears, itself included; 0
-        while their number is unknown.
+        `share` is the share of all `vms` that this VM hears, itself included;
+        0 while their number is unknown.
         """
         account = self._account(workspace, now)
-        self._repay_debt(account, allowance, now, share)
+        self._repay_debt(account, allowance, now, share, vms)
         needed = min(units, allowance.burst * MIN_BURST_SHARE)
         left = self._usable_burst(account, allowance, share) - account.debt
         if left >= needed and share:
@@ -151,7 +158,7 @@
             return AllotmentDecision(is_admitted=True)
         # A VM that doesn't hear all others leaves the tolerance to them.
         if are_runners_idle and share >= 1:
-            if self._take_idle_tolerance(account, allowance, units):
+            if self._take_idle_tolerance(account, allowance, units, vms):
                 return AllotmentDecision(
                     is_admitted=True, is_over_allotment=True
                 )
@@ -173,6 +180,7 @@
         if is_beyond:
             account.tolerance_debt -= units
             account.over_allotment -= units
+            account.idle_part_used -= units
         else:
             account.debt -= units
             account.used -= units
@@ -274,6 +282,7 @@
         allowance: Allowance,
         now: float,
         share: float,
+        vms: int,
     ) -> None:
         if account.assumed is None:
             account.assumed = self._assumed_debt(
@@ -295,6 +304,7 @@
                 idle_allowance, idle_allowance / self.tolerance.window_s, now
             ),
         )
+        account.idle_part_used = max(account.idle_part_used - repaid / vms, 0)
 
     def _usable_burst(
         self, account: _Account, allowance: Allowance, share: float
@@ -306,12 +316,20 @@
         return min(allowance.burst, share * (unused + spare))
 
     def _take_idle_tolerance(
-        self, account: _Account, allowance: Allowance, units: float
+        self, account: _Account, allowance: Allowance, units: float, vms: int
     ) -> bool:
-        """Use the tolerance for idle runners, if it fits."""
+        """Use this VM's part of the tolerance for idle runners, if it fits."""
         idle_allowance = self._idle_allowance(allowance)
         if account.tolerance_debt + units > idle_allowance:
             return False
+        part = idle_allowance / vms
+        left = max(part - account.idle_part_used, 0)
+        is_drawn = left < units
+        if is_drawn and self.rng.random() * units >= left:
+            # The chance is used up, as further draws would raise it.
+            account.idle_part_used += left
+            return False
+        account.idle_part_used += left if is_drawn else units
         account.tolerance_debt += units
         account.over_allotment += units
         return True
--- a/bramleybend/direct/admission.py
+++ b/bramleybend/direct/admission.py
@@ -157,6 +157,7 @@
             self._clock.monotonic(),
             self._live_share(),
             are_runners_idle=self._queues.queue_for(service).is_idle(),
+            vms=self._members.count(),
         )
 
     def _account_age_s(self) -> float:
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -1,6 +1,7 @@
 """Admission within allotments, over several VMs."""
 
 from dataclasses import dataclass, field
+from random import Random
 
 from bramleybend.decisions.allotments import (
     STARTUP_HOLD_S,
@@ -309,3 +310,21 @@
     decision = AllotmentLedger().admit('w', ALLOWANCE, 10, 0, share=0)
     assert not decision.is_admitted
     assert decision.retry_after_s == STARTUP_HOLD_S
+
+
+def test_parts_of_the_idle_tolerance_add_up_to_the_whole() -> None:
+    """Otherwise each of many VMs uses the same room of the tolerance."""
+    vms, units = 100, 500
+    ledgers = [
+        AllotmentLedger(TOLERANCE, rng=Random(number)) for number in range(vms)
+    ]
+    admitted = float(0)
+    for ledger in ledgers:
+        assert is_admitted(ledger, 2000, 0)
+        for _ in range(20):
+            decision = ledger.admit(
+                'w', ALLOWANCE, units, 0, are_runners_idle=True, vms=vms
+            )
+            admitted += units * decision.is_admitted
+    tolerated = TOLERANCE.units(ALLOWANCE.rate_per_s, ALLOWANCE.burst)
+    assert 0 < admitted <= tolerated / 2
--- a/tests/utils/allotment_demand.py
+++ b/tests/utils/allotment_demand.py
@@ -101,6 +101,7 @@
             now,
             vm.members.alive_fraction(now),
             are_runners_idle=self.are_runners_idle,
+            vms=vm.members.count(),
         )
         if verdict.is_admitted:
             self.admitted.append((now, self.units))
