--- a/bramleybend/direct/admission.py
+++ b/bramleybend/direct/admission.py
@@ -82,6 +82,11 @@
         self._clock = clock
         self._rng = rng
 
+    async def wait_until_informed(self, facts: RequestMetadata) -> None:
+        """Wait, if this VM has just started, for what admission depends on."""
+        await self._catalog.wait_until_complete(manifest_wait_s(facts))
+        await self._members.expected.wait_until_known(self._clock.monotonic())
+
     def admit(
         self, req: RawRequest, facts: RequestMetadata
     ) -> Admission | Reply:
--- a/bramleybend/direct/expected_vms.py
+++ b/bramleybend/direct/expected_vms.py
@@ -1,5 +1,6 @@
 """Registered VMs that this VM has not heard yet."""
 
+import asyncio
 from collections.abc import Container, Mapping
 from math import inf
 
@@ -13,6 +14,7 @@
         self._valid_until: dict[str, float] = {}  # by VM
         # Until then, VMs that are not known may exist.
         self.is_unknown_until = -inf
+        self._all_known = asyncio.Event()
 
     def __len__(self) -> int:
         """Return the number of VMs."""
@@ -30,11 +32,22 @@
     ) -> None:
         """Expect the VMs, by name, that are not known; now all are known."""
         self.is_unknown_until = -inf
+        self._all_known.set()
         for vm, address in addresses.items():
             if vm not in known:
                 self._addresses[vm] = address
                 self._valid_until[vm] = valid_until
 
+    async def wait_until_known(self, now: float) -> None:
+        """Wait until no unknown VMs may exist."""
+        if now >= self.is_unknown_until:
+            return
+        try:
+            async with asyncio.timeout(self.is_unknown_until - now):
+                await self._all_known.wait()
+        except TimeoutError:
+            return
+
     def addresses(self) -> list[str]:
         """Return the addresses of the VMs."""
         return list(self._addresses.values())
--- a/bramleybend/direct/request_handler.py
+++ b/bramleybend/direct/request_handler.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from bramleybend.direct.admission import Admission, manifest_wait_s
+from bramleybend.direct.admission import Admission
 from bramleybend.direct.attempt import Failure, WholeAnswer
 from bramleybend.direct.attempt_dispatcher import (
     CALLER_LEFT,
@@ -40,9 +40,7 @@
             await responder.send_reply(_shutdown_reply())
             return
         facts = self._components.header_codec.request_facts(req.headers)
-        await self._components.catalog.wait_until_complete(
-            manifest_wait_s(facts)
-        )
+        await self._components.admission_control.wait_until_informed(facts)
         admission = self._components.admission_control.admit(req, facts)
         if isinstance(admission, Reply):
             self._record_denied(facts.attempt_id, req.path, admission)
