--- a/tests/direct/cluster.py
+++ b/tests/direct/cluster.py
@@ -96,15 +96,46 @@
         self.store.put('keyed.op', 'config', declared)
 
     async def add_runner(
-        self, name: str, service: str, behave: Behaviour = answer_at_once
+        self,
+        name: str,
+        service: str,
+        behave: Behaviour = answer_at_once,
+        version: str = 'v1',
     ) -> RawRunner:
         """Start a runner and register it."""
-        runner = RawRunner(_RUNNER_HOST, name, behave)
+        runner = RawRunner(_RUNNER_HOST, name, behave, version=version)
         await runner.start()
         self.runners[name] = runner
         self.store.put('keyed.servers', name, runner.entry(service))
         return runner
 
+    async def remove_runner(self, name: str) -> None:
+        """Stop a runner and delete its entry."""
+        await self.runners[name].stop()
+        self.store.topic('keyed.servers').put(name, b'')
+
+    async def change_version(self, name: str, version: str) -> None:
+        """Replace the software of a runner, which keeps its name."""
+        runner = self.runners[name]
+        runner.version = version
+        self.store.put('keyed.servers', name, runner.entry(ENGINE))
+        await wait_until(
+            lambda: all(_version_of(vm, name) == version for vm in self.vms),
+            f'{name} is listed with {version}',
+        )
+
+    async def restart_vms(self) -> None:
+        """Kill all VMs at once and start them again at their addresses."""
+        cfgs = tuple(self.cfgs)
+        for vm in self.vms:
+            await vm.kill()
+        self.vms.clear()
+        for cfg in cfgs:
+            vm = make_platform_process(cfg, self.clock)
+            await vm.start()
+            self.vms.append(vm)
+        await self.wait_until_ready()
+
     async def add_vm(self) -> PlatformProcess:
         """Start an entry VM with the first one as its seed."""
         cfg = self._settings(len(self.vms) + 1)
@@ -175,6 +206,11 @@
         )
 
 
+def _version_of(vm: PlatformProcess, runner: str) -> str:
+    entry = vm.entry.catalog.used_runner(runner)
+    return getattr(entry, 'version', '')
+
+
 @dataclass
 class RawAnswer:
     """An answer as its caller received it."""
--- a/tests/utils/raw_runner.py
+++ b/tests/utils/raw_runner.py
@@ -94,6 +94,7 @@
     seen: list[ReceivedRequest] = field(default_factory=list)
     connections: int = 0
     port: int = 0
+    version: str = 'v1'  # of its software
     _server: asyncio.Server | None = None
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
 
@@ -118,7 +119,7 @@
             'service': service,
             'addr': f'{self.host}:{self.port}',
             'zone': 'walton',
-            'version': 'v1',
+            'version': self.version,
             'slots': 4,
             'state': state,
             'coldLeftMs': 0,
