Streams go on only at the software version that began them

Cause: a runner's version was not read, so a broken stream went on at any runner of its service, and Resumes was not read, so a take-up went to any runner, too. Class: a resume checked that a position fits, not what it is a position in. Elsewhere: nothing else goes on from earlier output; hedges and buffered retries start over.

Now a stream keeps to the version of the run that brought its first event. A VM that gets a take-up knows the version from its own streams; or, if one version alone has served for as long as callers come back and its list is current, it is that one; or from a log on the platform, in which one VM records the origins of all while several versions serve, some milliseconds after each placement. So a kill of all VMs loses few. An origin that is not known, of another workspace, or whose version no longer serves is answered 503, nothing run. While one version serves, no call is added; the log is trimmed once all are of one again.

Ruled out: versions by a hash of the attempt id (no store, but it would bind placement), an origin in each heartbeat (lost when all are killed).

--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -17,6 +17,8 @@
 from bramleybend.direct.placement import Placer
 from bramleybend.direct.replies import RawRequest
 from bramleybend.direct.runner_limits import RunnerLimits
+from bramleybend.direct.software_versions import SoftwareVersions
+from bramleybend.direct.stream_origins import StreamOrigins
 from bramleybend.events import EventLog
 
 
@@ -33,6 +35,8 @@
     possible_runs: int = 0  # attempts that may have run it
     refusal_count: int = 0  # by runners, `MOVED` ones not included
     last_event_id: str = ''  # id of the last event that was relayed
+    # Software version of the runners that may run it; none: any.
+    version: str | None = None
     last_failure: Failure | None = None
     runner_error_status: int | None = None  # the latest, 500 or above
     first_event_at: float | None = None  # monotonic
@@ -52,6 +56,12 @@
             self.answer_due_at, since + self.admission.route.event_timeout_s
         )
 
+    @property
+    def may_be_resumed(self) -> bool:
+        """Whether its stream may go on at another runner or in a take-up."""
+        route = self.admission.route
+        return route.streaming and route.resumable
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the caller must have its answer."""
         return self.answer_due_at - now
@@ -75,6 +85,8 @@
     channels: RunnerChannels
     header_codec: HeaderCodec
     resend_budget: ResendBudget
+    versions: SoftwareVersions
+    origins: StreamOrigins
     vm_count: Callable[[], int]
     event_tokens: Callable[[str], int]
     clock: Clock
--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -98,6 +98,27 @@
     moved_runner: str = ''
 
 
+class StreamOrigin(msgspec.Struct, array_like=True, frozen=True):
+    """The software version at which a caller's stream began."""
+
+    attempt_id: str  # of the caller's attempt that brings its first event
+    workspace: str
+    service: str
+    version: str
+
+
+class StreamsBegan(msgspec.Struct, tag='began', array_like=True):
+    """Asks the receiver to record origins for all VMs."""
+
+    origins: list[StreamOrigin]
+
+
+class StreamsRecorded(msgspec.Struct, tag='recorded', array_like=True):
+    """Tells that the origins of these attempts are recorded."""
+
+    attempt_ids: list[str]
+
+
 Message: TypeAlias = (
     Heartbeat
     | Digest
@@ -111,6 +132,8 @@
     | Withdrawn
     | PrefillDone
     | Ended
+    | StreamsBegan
+    | StreamsRecorded
 )
 
 encode: Final = msgspec.msgpack.Encoder().encode
--- a/bramleybend/direct/models.py
+++ b/bramleybend/direct/models.py
@@ -121,6 +121,7 @@
     domain: str
     slots: int
     state: RunnerState
+    version: str = ''  # of its software; empty if it states none
 
     @property
     def incarnation(self) -> str:
@@ -141,6 +142,9 @@
     max_output_tokens: int
     output_tokens_hint: int | None
     last_event_id: str  # ID of the last event that the caller has received
+    # The attempt that brought the first event of the stream that this request
+    # takes up.
+    resumed_attempt: str = ''
     # IDs of the prompt's parts that other requests may share.
     shared_parts: tuple[str, ...] = ()
 
--- a/bramleybend/direct/peer_message_handler.py
+++ b/bramleybend/direct/peer_message_handler.py
@@ -18,10 +18,15 @@
     WorkspaceTotals,
 )
 from bramleybend.direct.members import Member, Members
-from bramleybend.direct.messages import Message
+from bramleybend.direct.messages import (
+    Message,
+    StreamsBegan,
+    StreamsRecorded,
+)
 from bramleybend.direct.placement import Placer
 from bramleybend.direct.queues import Queues
 from bramleybend.direct.recipients import Receiver
+from bramleybend.direct.stream_recorder import StreamRecorder
 
 Readiness = Callable[[], tuple[bool, bool]]  # is ready, is leaving
 
@@ -61,6 +66,7 @@
         self._clock = clock
         self._spending_reports = SpendingReports()
         self.feeds: list[Feed] = []
+        self.stream_recorder: StreamRecorder | None = None
         # Returns the services whose runners this VM can't connect to.
         self.unreached: Callable[[], tuple[str, ...]] = tuple
 
@@ -117,8 +123,15 @@
         vm: str,
         reply: Callable[[Message], None],
     ) -> None:
-        """Pass any other message to the placer."""
-        self._placer.handle_message(message, vm, reply)
+        """Pass any other message to the placer or the stream recorder."""
+        recorder = self.stream_recorder
+        match message:
+            case StreamsBegan() if recorder is not None:
+                recorder.handle_began(message, reply)
+            case StreamsRecorded() if recorder is not None:
+                recorder.handle_recorded(message)
+            case _:
+                self._placer.handle_message(message, vm, reply)
 
     def on_direct_timeout(self, vm: str) -> None:
         """Handle that a VM no longer sends heartbeats directly to this one."""
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -33,11 +33,11 @@
 from bramleybend.direct.queues import make_queues
 from bramleybend.direct.request_handler import RequestHandler
 from bramleybend.direct.runner_access import RunnerAccess
+from bramleybend.direct.stream_origins import StreamLog
+from bramleybend.direct.stream_recorder import make_streams
 from bramleybend.direct.suspension import WatchedSleep
-from bramleybend.entry_settings import ENTRY_PROGRAM, EntrySettings
+from bramleybend.entry_settings import EntrySettings
 from bramleybend.events import EventLog
-from bramleybend.identity import make_identity
-from bramleybend.settings_parsing import FILE_FIELD, parse_program, variable_of
 
 SWEEP_EVERY_S: Final = 0.2
 # In a drain, requests are accepted for this long. Callers cache an answer of
@@ -65,12 +65,13 @@
         cfg: EntrySettings,
         clock: Clock,
         header_codec: HeaderCodec,
+        stream_log: StreamLog,
         rng: Random,
     ) -> None:
         """Build the components; nothing is started yet."""
         self._cfg = cfg
         self._clock = clock
-        self.identity = make_identity(cfg.vm, cfg.domain, cfg.address)
+        self.identity = cfg.make_identity()
         self.events = EventLog(
             cfg.vm, self.identity.incarnation, clock, max_kept_events=0
         )
@@ -137,6 +138,15 @@
             self.events,
         )
         self.peers.add_seeds(cfg.seed_addresses())
+        self._streams = make_streams(
+            self.catalog,
+            self.members,
+            stream_log,
+            self.peers.send,
+            clock,
+            self.events,
+        )
+        self._message_handler.stream_recorder = self._streams.recorder
         self.placer.send = self.peers.send
         self._request_handler = RequestHandler(
             self._make_components(header_codec, rng)
@@ -176,6 +186,9 @@
         self.spawn(self.peers.run())
         self.spawn(self._sweep_queues())
         self.spawn(self._queues.log.run())
+        self.spawn(
+            self._streams.recorder.run(is_first_start=self._cfg.first_start)
+        )
         self.events.record('started', **self._cfg.logged_fields())
 
     def follow_feed(self, feed: Feed) -> None:
@@ -192,8 +205,7 @@
 
     def reload(self) -> None:
         """Read new seeds from the settings; other settings don't change."""
-        variables = {variable_of(FILE_FIELD): self._cfg.settings}
-        match parse_program(ENTRY_PROGRAM, (), variables):
+        match self._cfg.read_again():
             case Ok(cfg):
                 self.peers.add_seeds(cfg.seed_addresses())
                 self.events.record('reloaded', seeds=cfg.seeds)
@@ -266,6 +278,8 @@
                     self._cfg.resend_window_s,
                 )
             ),
+            self._streams.versions,
+            self._streams.origins,
             self.members.count,
             self._tokens_per_event,
             self._clock,
@@ -312,6 +326,7 @@
         return self.is_ready(), self.is_leaving
 
     def _catalog_changed(self) -> None:
+        self._streams.versions.update()
         self._queues.update_runners()
         incarnations = self._access.update_runners()
         self._queues.limits.retain_only(incarnations)
--- a/bramleybend/direct/relay.py
+++ b/bramleybend/direct/relay.py
@@ -18,6 +18,7 @@
 from bramleybend.direct.placement import Placement, Placer
 from bramleybend.direct.replies import Reply
 from bramleybend.direct.responder import Responder
+from bramleybend.direct.software_versions import SoftwareVersions
 from bramleybend.direct.sse import Event
 
 EVENT_STREAM_TYPE: Final = 'text/event-stream'
@@ -32,10 +33,12 @@
         responder: Responder,
         header_codec: HeaderCodec,
         placer: Placer,
+        versions: SoftwareVersions,
         placement: Placement,
         clock: Clock,
     ) -> None:
         """Create a relay to a responder."""
+        self._versions = versions
         self._job = job
         self._responder = responder
         self._header_codec = header_codec
@@ -88,6 +91,10 @@
             if self._job.first_event_at is None:
                 self._job.first_event_at = self._clock.monotonic()
         self.event_count += 1
+        if self._job.version is None:
+            self._job.version = self._versions.version_of(
+                self._placement.runner
+            )
         # The head is sent with the first event: until then a failure can still
         # be answered with its own status, or the request can be retried.
         if not self._responder.has_begun:
--- a/bramleybend/direct/request_handler.py
+++ b/bramleybend/direct/request_handler.py
@@ -21,6 +21,9 @@
 from bramleybend.direct.responder import Responder
 
 MS_PER_SECOND: Final = 1000
+UNKNOWN_ORIGIN: Final = NoSlot(
+    'the version that began the stream is not known', retry_after_s=None
+)
 MIN_SERVER_ERROR_STATUS: Final = 500  # a runner answered with a failure
 
 
@@ -160,7 +163,10 @@
         return outcome
 
     async def _serve_stream(self, job: Job, responder: Responder) -> None:
-        reply = await self._run_stream(job, responder)
+        if await self._has_known_version(job):
+            reply = await self._run_stream(job, responder)
+        else:
+            reply = self._dispatcher.no_slot_reply(job, UNKNOWN_ORIGIN)
         passed_on = job.runner_error_status or HTTPStatus.OK
         if reply is None:
             self._record_answer(job, passed_on)
@@ -174,6 +180,25 @@
         else:
             await responder.send_reply(reply)
 
+    async def _has_known_version(self, job: Job) -> bool:
+        """Find at which version a stream that is taken up must go on."""
+        if not (job.may_be_resumed and job.facts.last_event_id):
+            return True
+        admission = job.admission
+        job.version = await self._components.origins.find_version(
+            job.facts.resumed_attempt, admission.workspace, admission.service
+        )
+        if job.version is None:
+            self._components.events.record(
+                'stream_origin_unknown',
+                req=job.facts.attempt_id,
+                resumes=job.facts.resumed_attempt,
+                versions=','.join(
+                    self._components.versions.recent(admission.service)
+                ),
+            )
+        return job.version is not None
+
     async def _run_stream(self, job: Job, responder: Responder) -> Reply | None:
         """Relay the stream to its end; return an error reply if that fails."""
         while True:
@@ -197,6 +222,7 @@
             responder,
             self._components.header_codec,
             self._components.placer,
+            self._components.versions,
             placement,
             self._components.clock,
         )
--- a/bramleybend/direct/slot_acquisition.py
+++ b/bramleybend/direct/slot_acquisition.py
@@ -6,6 +6,8 @@
 
 from bramleybend.decisions.actions import RunReport
 from bramleybend.direct.job import Components, Job
+from bramleybend.direct.messages import StreamOrigin
+from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.placement import NoSlot, Placement
 from bramleybend.models import SlotRequest
 
@@ -19,6 +21,9 @@
 PACE_RESERVE: Final = 0.3
 RECHECK_S: Final = 0.2  # while suspect content waits; about a heartbeat
 UNSENT: Final = 'unsent'
+VERSION_GONE: Final = NoSlot(
+    'no runner of the version that began the stream', retry_after_s=None
+)
 QUARANTINED: Final = NoSlot(
     'this content ended the runners that ran it', retry_after_s=None
 )
@@ -38,6 +43,8 @@
         given back: suspect content must not run beside other requests.
         """
         while True:
+            if self._is_version_gone(job):
+                return VERSION_GONE
             ask = self._ask(job)
             placement = await self._place(job, ask)
             if isinstance(placement, NoSlot):
@@ -45,7 +52,8 @@
             if self._is_refused(job):
                 self._return_slot(placement)
                 return QUARANTINED
-            if ask.suspect or not self._runs_alone(job):
+            if self._is_usable(job, ask, placement):
+                self._note_version(job, placement.runner)
                 self._record_placement(job, placement)
                 return placement
             self._return_slot(placement)
@@ -90,31 +98,83 @@
         entries = self._components.catalog.runners_by_service.get(
             job.admission.service, ()
         )
-        known = {entry.incarnation for entry in entries}
+        barred = self._barred_runners(job)
+        known = {entry.incarnation for entry in entries} - barred
         avoided = self._components.channels.connector.avoided()
         for excluded in (
             job.excluded | crashed | avoided,
             job.excluded | crashed,
         ):
             if not known <= excluded:
-                return excluded
+                return excluded | barred
         if job.possible_runs and known <= job.excluded:
-            return frozenset()
-        return job.excluded
+            return frozenset(barred)
+        return job.excluded | barred
 
     async def _place(self, job: Job, ask: SlotRequest) -> Placement | NoSlot:
-        """Wait for a slot; stop waiting once suspect content is refused."""
-        if not ask.suspect:
+        """Wait for a slot; stop waiting once there can be none."""
+        if not ask.suspect and job.version is None:
             return await self._components.placer.place(ask)
         placing = asyncio.create_task(self._components.placer.place(ask))
         try:
-            while not self._is_refused(job):
+            while not (self._is_refused(job) or self._is_version_gone(job)):
                 done, _ = await asyncio.wait((placing,), timeout=RECHECK_S)
                 if done:
                     return placing.result()
         finally:
             placing.cancel()
-        return QUARANTINED
+        return QUARANTINED if self._is_refused(job) else VERSION_GONE
+
+    def _note_version(self, job: Job, runner: RunnerEntry) -> None:
+        """Keep the version of a stream that may go on elsewhere.
+
+        While several versions serve, a stream keeps to that of its first run,
+        even before its first event: the record of its origin is written by
+        then.
+        """
+        if not job.may_be_resumed:
+            return
+        versions = self._components.versions
+        version = versions.version_of(runner)
+        if versions.is_mixed(job.admission.service):
+            job.version = version
+        facts = job.facts
+        is_take_up = bool(facts.last_event_id and facts.resumed_attempt)
+        self._components.origins.add(
+            StreamOrigin(
+                facts.resumed_attempt if is_take_up else facts.attempt_id,
+                job.admission.workspace,
+                job.admission.service,
+                version,
+            )
+        )
+
+    def _barred_runners(self, job: Job) -> set[str]:
+        if not job.may_be_resumed:
+            return set()
+        return self._components.versions.barred_runners(
+            job.admission.service, job.version
+        )
+
+    def _is_usable(
+        self, job: Job, ask: SlotRequest, placement: Placement
+    ) -> bool:
+        """Tell whether a job may still run at the runner of its slot.
+
+        The owner may know a runner that this VM didn't know when it asked.
+        """
+        if self._runs_alone(job) and not ask.suspect:
+            return False
+        return job.version is None or self._components.versions.may_join(
+            job.version, placement.runner
+        )
+
+    def _is_version_gone(self, job: Job) -> bool:
+        return job.version is not None and not (
+            self._components.versions.is_served(
+                job.admission.service, job.version
+            )
+        )
 
     def _return_slot(self, placement: Placement) -> None:
         self._components.placer.release(placement, RunReport(UNSENT))
@@ -140,6 +200,8 @@
             tokens=job.facts.prompt_tokens,
             output=job.facts.expected_output_tokens,
             runner=placement.runner.name,
+            version=placement.runner.version,
+            resumes=job.facts.resumed_attempt,
             owner=placement.owner.vm if placement.owner else 'own',
             waited_ms=ms_between(job.req.received_at, self._now()),
         )
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from result import Result
+
 from bramleybend.clients.message_bounds import (
     DEFAULT_EVENT_BYTES,
     DEFAULT_FILLER_BYTES,
@@ -18,6 +20,8 @@
     parse_share,
     parse_tier_share,
 )
+from bramleybend.errors import Problem
+from bramleybend.identity import Identity, make_identity
 from bramleybend.setting_parsers import (
     HostPort,
     address_metadata,
@@ -31,7 +35,12 @@
     setting_metadata,
     vm_name_metadata,
 )
-from bramleybend.settings_parsing import Program
+from bramleybend.settings_parsing import (
+    FILE_FIELD,
+    Program,
+    parse_program,
+    variable_of,
+)
 
 # Defaults taken from the users' contracts; each deployment sets its own.
 DRAIN_TIMEOUT_S: Final = 8
@@ -309,6 +318,15 @@
         """Return the memory budget for answers that are being read."""
         return AnswerMemory(self.memory_mb * MEGABYTE * self.answers_share)
 
+    def make_identity(self) -> Identity:
+        """Make the identity of a start of this VM."""
+        return make_identity(self.vm, self.domain, self.address)
+
+    def read_again(self) -> Result['EntrySettings', Problem]:
+        """Return the settings that the settings file holds now."""
+        variables = {variable_of(FILE_FIELD): self.settings}
+        return parse_program(ENTRY_PROGRAM, (), variables)
+
     def logged_fields(self) -> dict[str, str]:
         """Return the settings that the `started` event shows."""
         return {
--- a/bramleybend/platform/platform_dialect.py
+++ b/bramleybend/platform/platform_dialect.py
@@ -16,11 +16,11 @@
     ATTEMPT_ID,
     AUTHORIZATION,
     EXPECT_RUNNER,
-    KEY_SCHEME,
     LAST_EVENT_ID,
     LENGTH_HINT,
     NOT_EXECUTED,
     RESPONSE_STAMP,
+    RESUMES,
     SYSTEM_HEADERS,
     TIMEOUT_MS,
     TOKEN_COUNTS,
@@ -28,6 +28,7 @@
 )
 
 MILLISECONDS: Final = 1000
+KEY_SCHEME: Final = 'token '
 MISDIRECTED: Final = 421
 ENCODING: Final = 'content-encoding'
 RUNNER_LIMIT: Final = 'server-limit'
@@ -54,6 +55,7 @@
             if length_hint is None
             else int(length_hint),
             last_event_id=_header_text(headers, LAST_EVENT_ID),
+            resumed_attempt=_header_text(headers, RESUMES),
             shared_parts=shared_parts(headers),
         )
 
--- a/bramleybend/platform/platform_process.py
+++ b/bramleybend/platform/platform_process.py
@@ -23,6 +23,7 @@
 from bramleybend.platform.runner_entry import decode_runner
 from bramleybend.platform.snapshot_store import SnapshotStore
 from bramleybend.platform.store_client import StoreClient, make_mirror_client
+from bramleybend.platform.stream_records import StreamRecords
 from bramleybend.platform.vm_records import VmRecords
 
 
@@ -34,10 +35,16 @@
         self._cfg = cfg
         self._clock = clock
         self._rng = Random()
-        self.entry = EntryProcess(cfg, clock, make_header_codec(), self._rng)
+        self.store = StoreClient(cfg.store.host, cfg.store.port, clock)
+        self.entry = EntryProcess(
+            cfg,
+            clock,
+            make_header_codec(),
+            StreamRecords(self.store),
+            self._rng,
+        )
         self.stopping = self.entry.stop_requested
         self.reload = self.entry.reload
-        self.store = StoreClient(cfg.store.host, cfg.store.port, clock)
         self._mirror_clients: dict[str, StoreClient] = {}
         self.feeds = (self._make_manifest_feed(), self._make_runner_feed())
         self._listeners = self._make_listeners()
--- a/bramleybend/platform/store_client.py
+++ b/bramleybend/platform/store_client.py
@@ -54,6 +54,7 @@
 # change from the store in the remaining time.
 MIRROR_BODY_TIMEOUT_S: Final = 1.5
 STORE_BOUNDS: Final = MessageBounds(message_bytes=MAX_INFLATED_BYTES)
+RETAINED_ERRORS: Final = (*UNPACK_ERRORS, msgspec.MsgspecError)
 CALL_ERRORS: Final = (OSError, EOFError, h11.ProtocolError)
 
 
@@ -69,6 +70,11 @@
     has_more: bool = False
 
 
+class _GoneResponse(msgspec.Struct):
+    first: int  # oldest offset retained
+
+
+_gone_decoder: Final = msgspec.json.Decoder(_GoneResponse)
 _newest_decoder: Final = msgspec.json.Decoder(_NewestResponse)
 
 
@@ -144,6 +150,33 @@
         except UNPACK_ERRORS as exc:
             return Err(_decode_problem(exc))
 
+    async def fetch_retained(
+        self, topic: str, start: int
+    ) -> Result[Page, Problem]:
+        """Return the records from an offset on, or from the first retained."""
+        query = {'topic': topic, 'part': '0', 'from': str(start)}
+        response = await self._call('/log-read', query)
+        if isinstance(response, Err):
+            return response
+        status, body = response.ok_value
+        try:
+            if status != HTTPStatus.GONE:
+                return Ok(unpack_page(body, start))
+            first = _gone_decoder.decode(body).first
+        except RETAINED_ERRORS as exc:
+            return Err(_decode_problem(exc))
+        if first <= start:
+            return Err(_decode_problem(ValueError(f'first offset {first}')))
+        return await self.fetch_retained(topic, first)
+
+    async def trim(self, topic: str, before: int) -> Result[None, Problem]:
+        """Delete the records of a topic before an offset."""
+        body = msgspec.json.encode(
+            {'topic': topic, 'part': 0, 'before': before}
+        )
+        response = await self._call('/log-trim', {}, body=body)
+        return response.map(_discard_body)
+
     async def append_record(
         self, topic: str, key: str, content: bytes
     ) -> Result[None, Problem]:
@@ -181,7 +214,7 @@
         body: bytes = b'',
     ) -> Result[tuple[int, bytes], Problem]:
         self.call_count += 1
-        target = f'{path}?{urlencode(query)}'.encode()
+        target = f'{path}?{urlencode(query)}'.rstrip('?').encode()
         method = b'POST' if body else b'GET'
         outgoing = OutgoingRequest(method, target, self._headers, body)
         try:
--- a/bramleybend/platform/wire_names.py
+++ b/bramleybend/platform/wire_names.py
@@ -12,8 +12,8 @@
 PROMPT_PARTS: Final = 'x-bramleybend-prompt-prefix'
 LENGTH_HINT: Final = 'x-bramleybend-length-hint'
 LAST_EVENT_ID: Final = 'last-event-id'
+RESUMES: Final = 'resumes'
 AUTHORIZATION: Final = 'authorization'
-KEY_SCHEME: Final = 'token '
 
 # Only the system itself may set these. From a caller, they could reserve an
 # engine's memory or read the memory of another request there.
@@ -36,3 +36,4 @@
 RUNNER_TOPIC: Final = 'keyed.servers'
 SNAPSHOT_TOPIC: Final = 'keyed.bramleybend-last-known'  # this system's own
 VM_TOPIC: Final = 'keyed.bramleybend-vms'  # this system's own
+STREAM_TOPIC: Final = 'bramleybend-streams'  # this system's own
--- a/tests/utils/platform_store.py
+++ b/tests/utils/platform_store.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Any
 
 from tests.utils.http_server import (
     DropConnectionError,
@@ -65,6 +66,8 @@
 
     async def _handle(self, req: HttpRequest) -> HttpResponse:
         self.calls.append(req.path)
+        if req.path == '/log-trim':
+            return self._trim(json.loads(req.body))
         if self.silent or req.query['topic'] in self.silent_topics:
             await asyncio.sleep(60)
             raise DropConnectionError
@@ -85,6 +88,10 @@
         topic.put(name, body[5 + body[4] :])
         return json_response({'offset': offset, 'end': offset + 1})
 
+    def _trim(self, query: Mapping[str, Any]) -> HttpResponse:
+        self.topic(query['topic']).first = query['before']
+        return json_response({})
+
     def _newest(self, topic: Topic, after: str) -> HttpResponse:
         keys = sorted(key for key in topic.newest if key > after)
         items = [
