A VM that starts learns which versions served before it

One version now was taken for the only one of late.

Now a VM whose start is not the system's first reads the versions that the VMs knew before, from the backup of the list of runners that is kept anyway, and the streams of the first version are recorded as soon as a second one is seen, not 0.15 s later. Attempt ids are kept as digests, so callers' long ids fill neither memory nor records. A version that is no text counts as not stated.

Evidence: test_a_version_that_left_while_all_vms_were_down_is_known and test_a_long_attempt_id_takes_up_a_stream failed before.

--- a/bramleybend/direct/messages.py
+++ b/bramleybend/direct/messages.py
@@ -101,7 +101,7 @@
 class StreamOrigin(msgspec.Struct, array_like=True, frozen=True):
     """The software version at which a caller's stream began."""
 
-    attempt_id: str  # of the caller's attempt that brings its first event
+    attempt_key: str  # of the caller's attempt that brings its first event
     workspace: str
     service: str
     version: str
@@ -116,7 +116,7 @@
 class StreamsRecorded(msgspec.Struct, tag='recorded', array_like=True):
     """Tells that the origins of these attempts are recorded."""
 
-    attempt_ids: list[str]
+    attempt_keys: list[str]
 
 
 Message: TypeAlias = (
--- a/bramleybend/direct/slot_acquisition.py
+++ b/bramleybend/direct/slot_acquisition.py
@@ -9,6 +9,7 @@
 from bramleybend.direct.messages import StreamOrigin
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.placement import NoSlot, Placement
+from bramleybend.direct.stream_origins import key_of
 from bramleybend.models import SlotRequest
 
 # The time before a caller's timeout at which its answer must be sent.
@@ -142,7 +143,9 @@
         is_take_up = bool(facts.last_event_id and facts.resumed_attempt)
         self._components.origins.add(
             StreamOrigin(
-                facts.resumed_attempt if is_take_up else facts.attempt_id,
+                key_of(
+                    facts.resumed_attempt if is_take_up else facts.attempt_id
+                ),
                 job.admission.workspace,
                 job.admission.service,
                 version,
--- a/bramleybend/direct/software_versions.py
+++ b/bramleybend/direct/software_versions.py
@@ -6,6 +6,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable, Mapping
 from math import inf
 from typing import Final
 
@@ -34,6 +35,7 @@
         self._settled_at: dict[str, dict[str, float]] = defaultdict(dict)
         # Until then, versions that this VM never saw may have served.
         self.unseen_until = -inf
+        self.on_update: Callable[[], None] = _ignore_update
 
     def update(self) -> None:
         """Note the versions of the runners that are listed now."""
@@ -48,6 +50,14 @@
         for service in listed:
             self._note_new(service, listed[service], now)
         self._listed = listed
+        self.on_update()
+
+    def note_earlier(self, versions: Mapping[str, set[str]]) -> None:
+        """Note versions that other VMs knew before this one started."""
+        now = self._catalog.now()
+        for service, names in versions.items():
+            left = names - self._listed.get(service, set())
+            self._left_at[service].update(dict.fromkeys(left, now))
 
     def recent(self, service: str) -> set[str]:
         """Return the versions at which a stream may have begun."""
@@ -139,3 +149,7 @@
         settled_at = now + SETTLE_S if known else -inf
         for version in versions - known.keys():
             known[version] = settled_at
+
+
+def _ignore_update() -> None:
+    """Serve as the callback until another one is set."""
--- a/bramleybend/direct/stream_origins.py
+++ b/bramleybend/direct/stream_origins.py
@@ -9,11 +9,12 @@
 
 import asyncio
 import itertools
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final, Protocol
 
 from result import Err, Result
+from xxhash import xxh3_128_hexdigest
 
 from bramleybend.clock import Clock
 from bramleybend.direct.messages import StreamOrigin
@@ -47,6 +48,14 @@
     async def read(self, start: int) -> Result[StreamLogPage, Problem]:
         """Return the origins from an offset on."""
 
+    async def earlier_versions(
+        self,
+    ) -> Result[Mapping[str, set[str]] | None, Problem]:
+        """Return the versions that the VMs knew before, by service.
+
+        `None` if nothing is known.
+        """
+
     async def trim(self, end: int) -> Result[None, Problem]:
         """Delete the records before an offset."""
 
@@ -87,13 +96,13 @@
         must_record: bool = False,
     ) -> None:
         """Note the version at which a stream begins or goes on."""
-        before = self._known.get(origin.attempt_id)
+        before = self._known.get(origin.attempt_key)
         if before is not None and before.origin == origin:
             is_recorded = is_recorded or before.is_recorded
             must_record = must_record or before.must_record
         valid_until = self._clock.monotonic() + self._versions.memory_s()
         known = _Known(origin, valid_until, is_recorded, must_record)
-        self._known[origin.attempt_id] = known
+        self._known[origin.attempt_key] = known
         if self._must_record(known):
             self.has_unrecorded.set()
 
@@ -105,9 +114,9 @@
             if self._must_record(known)
         ]
 
-    def mark_recorded(self, attempt_id: str) -> None:
+    def mark_recorded(self, attempt_key: str) -> None:
         """Note that the log holds the origin of an attempt."""
-        known = self._known.get(attempt_id)
+        known = self._known.get(attempt_key)
         if known is not None:
             known.is_recorded = True
 
@@ -125,8 +134,9 @@
     ) -> str | None:
         """Return the version of a stream, or `None` if it isn't known."""
         pauses_s = iter((0, *itertools.repeat(READ_PAUSE_S, MAX_READS - 1)))
+        key = key_of(attempt_id)
         while True:
-            known = self._known.get(attempt_id)
+            known = self._known.get(key)
             if known is not None:
                 return _version_if_own(known.origin, workspace, service)
             only_version = self._versions.only_version(service)
@@ -163,6 +173,11 @@
         )
 
 
+def key_of(attempt_id: str) -> str:
+    """Return a short key for an attempt id, which its caller chose."""
+    return xxh3_128_hexdigest(attempt_id.encode())
+
+
 def _version_if_own(
     origin: StreamOrigin, workspace: str, service: str
 ) -> str | None:
--- a/bramleybend/direct/stream_recorder.py
+++ b/bramleybend/direct/stream_recorder.py
@@ -11,7 +11,7 @@
 from math import inf
 from typing import Final
 
-from result import Err
+from result import Err, Ok
 
 from bramleybend.clock import Clock
 from bramleybend.direct.catalog import Catalog
@@ -86,11 +86,11 @@
         """Take over the origins that another VM sends."""
         for origin in message.origins:
             self._origins.add(origin, must_record=True)
-            self._replies[origin.attempt_id] = reply
+            self._replies[origin.attempt_key] = reply
 
     def handle_recorded(self, message: StreamsRecorded) -> None:
         """Note which origins the writer has recorded."""
-        self._note_recorded(message.attempt_ids)
+        self._note_recorded(message.attempt_keys)
 
     async def _sleep(self) -> None:
         """Wait for an origin to record, or until unanswered ones are due."""
@@ -107,10 +107,20 @@
         self._versions.unseen_until = inf
         while not await self._origins.read_log():
             await asyncio.sleep(WRITER_TIMEOUT_S)
+        has_seen_all = not self._origins.has_records
+        match await self._origins.log.earlier_versions():
+            case Ok(dict() as versions):
+                self._versions.note_earlier(versions)
+            case Ok(_):
+                has_seen_all = False
+            case Err(problem):
+                has_seen_all = False
+                why = str(problem)
+                self._events.record('earlier_versions_unread', why=why)
         self._versions.unseen_until = (
-            self._clock.monotonic() + self._versions.memory_s()
-            if self._origins.has_records
-            else -inf
+            -inf
+            if has_seen_all
+            else self._clock.monotonic() + self._versions.memory_s()
         )
 
     async def _record(self, origins: list[StreamOrigin]) -> None:
@@ -127,7 +137,7 @@
             )
             return
         self._origins.has_records = True
-        self._confirm([origin.attempt_id for origin in origins])
+        self._confirm([origin.attempt_key for origin in origins])
 
     async def _trim_if_unneeded(self) -> None:
         """Delete the records once all streams are of one version again.
@@ -146,32 +156,32 @@
         due = [
             origin
             for origin in origins
-            if now - self._last_sent_at.get(origin.attempt_id, -inf)
+            if now - self._last_sent_at.get(origin.attempt_key, -inf)
             >= RESEND_AFTER_S
         ]
         for origin in due:
-            self._first_sent_at.setdefault(origin.attempt_id, now)
-            self._last_sent_at[origin.attempt_id] = now
+            self._first_sent_at.setdefault(origin.attempt_key, now)
+            self._last_sent_at[origin.attempt_key] = now
         if due:
             self._send(StreamsBegan(due), writer.address)
 
     def _is_overdue(self, origin: StreamOrigin) -> bool:
-        sent_at = self._first_sent_at.get(origin.attempt_id, inf)
+        sent_at = self._first_sent_at.get(origin.attempt_key, inf)
         return self._clock.monotonic() - sent_at > WRITER_TIMEOUT_S
 
-    def _confirm(self, attempt_ids: list[str]) -> None:
+    def _confirm(self, attempt_keys: list[str]) -> None:
         """Tell the VMs whose origins were recorded."""
-        self._note_recorded(attempt_ids)
-        for attempt_id in attempt_ids:
-            reply = self._replies.pop(attempt_id, None)
+        self._note_recorded(attempt_keys)
+        for attempt_key in attempt_keys:
+            reply = self._replies.pop(attempt_key, None)
             if reply is not None:
-                reply(StreamsRecorded([attempt_id]))
+                reply(StreamsRecorded([attempt_key]))
 
-    def _note_recorded(self, attempt_ids: list[str]) -> None:
-        for attempt_id in attempt_ids:
-            self._origins.mark_recorded(attempt_id)
-            self._first_sent_at.pop(attempt_id, None)
-            self._last_sent_at.pop(attempt_id, None)
+    def _note_recorded(self, attempt_keys: list[str]) -> None:
+        for attempt_key in attempt_keys:
+            self._origins.mark_recorded(attempt_key)
+            self._first_sent_at.pop(attempt_key, None)
+            self._last_sent_at.pop(attempt_key, None)
 
     def _writer(self) -> Member | None:
         """Return the VM that writes for all; `None` if it is this one."""
@@ -206,5 +216,7 @@
     """Make the parts; `recorder.run` is to be run as a task."""
     versions = SoftwareVersions(catalog)
     origins = StreamOrigins(versions, log, clock, events)
+    # Streams of the first version are recorded once there is a second.
+    versions.on_update = origins.has_unrecorded.set
     recorder = StreamRecorder(origins, versions, members, send, clock, events)
     return Streams(versions, origins, recorder)
--- a/bramleybend/platform/runner_entry.py
+++ b/bramleybend/platform/runner_entry.py
@@ -23,7 +23,7 @@
     state: str
     slots: int
     zone: str = ''
-    version: str | int = ''  # of its software
+    version: object = ''  # of its software
     # Start of the process, in Unix milliseconds. A new value under the same
     # key means a new process, without the requests and memory of the old one.
     born: int = 0
@@ -60,5 +60,5 @@
         wire.zone,
         wire.slots,
         _STATE_BY_NAME[wire.state],
-        str(wire.version),
+        wire.version if isinstance(wire.version, str) else '',
     )
--- a/tests/direct/cluster.py
+++ b/tests/direct/cluster.py
@@ -126,11 +126,18 @@
 
     async def restart_vms(self) -> None:
         """Kill all VMs at once and start them again at their addresses."""
-        cfgs = tuple(self.cfgs)
+        await self.kill_vms()
+        await self.start_vms_again()
+
+    async def kill_vms(self) -> None:
+        """Kill all VMs at once."""
         for vm in self.vms:
             await vm.kill()
         self.vms.clear()
-        for cfg in cfgs:
+
+    async def start_vms_again(self) -> None:
+        """Start all VMs at their addresses, after their first start."""
+        for cfg in self.cfgs:
             restarted = replace(cfg, first_start=False)
             vm = make_platform_process(restarted, self.clock)
             await vm.start()
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -27,6 +27,8 @@
 FIRST = 'attempt-1'
 STREAM_LOG = 'bramleybend-streams'
 RECORDED_S = 3
+RUNNER_LOG = 'keyed.servers'
+BACKUPS = 'keyed.bramleybend-last-known'
 
 
 async def break_after_one_event(seen: ReceivedRequest) -> None:
@@ -265,3 +267,37 @@
         await wait_until(
             lambda: log.first == len(log.records), 'the records are deleted'
         )
+
+
+async def test_a_version_that_left_while_all_vms_were_down_is_known() -> None:
+    """One version now must not be taken for the only one of late."""
+    async with running_cluster(vms=2) as cluster:
+        await cluster.add_runner(
+            'old-1', ENGINE, break_after_one_event, version=OLD
+        )
+        await begin_stream(cluster)
+        await wait_until(
+            lambda: RUNNER_LOG in cluster.store.topic(BACKUPS).newest,
+            'the list of runners is backed up',
+        )
+        await cluster.kill_vms()
+        await cluster.remove_runner('old-1')
+        await cluster.add_runner(
+            'new-1', ENGINE, stream_three_events, version=NEW
+        )
+        await cluster.start_vms_again()
+        answer = await take_up(cluster, 'attempt-2', Resumes=FIRST)
+        assert answer.status == 503
+        assert not resumed_at(cluster, NEW)
+
+
+async def test_a_long_attempt_id_takes_up_a_stream() -> None:
+    """Attempt ids of callers must not bound or fill the records."""
+    attempt = 'a' * 8000
+    async with mixed_cluster(vms=2) as cluster:
+        await add_old_runner(cluster, 'old-2')
+        await cluster.call('/check/x', attempt=attempt)
+        answer = await take_up(cluster, 'attempt-2', 1, Resumes=attempt)
+        assert answer.is_whole
+        records = cluster.store.topic(STREAM_LOG).records
+        assert all(len(content) < len(attempt) for _, content in records)
