Bound what other writers left in the store, and numbers in headers

Cause: the decoders' ranges were those of Python: integers without end, names of any length, and RecursionError for deep nesting, which no caller expected. A key that is no UTF-8 grows when it is decoded and then fits no record, which ended the backup's task and with it the process. Class: what another writer wrote was trusted to be of sane size. Elsewhere: manifest, VMs' datagrams, requests of tunnels, records of streams, and numbers in callers' headers (token counts of 1e400 or 2^64), all bounded now.

--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -176,7 +176,7 @@
     def _handle_datagram(self, payload: bytes, address: str) -> None:
         try:
             message = decode(payload)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             self._events.record('peer_unreadable', peer=address, why=str(exc))
             return
         now = self._clock.monotonic()
--- a/bramleybend/direct/tunnel_server.py
+++ b/bramleybend/direct/tunnel_server.py
@@ -35,6 +35,7 @@
 CONNECT_TIMEOUT_S: Final = 0.15
 # Each tunnel takes two descriptors and some buffers.
 MAX_TUNNELS: Final = 512
+REQUEST_ERRORS: Final = (FrameError, msgspec.MsgspecError, RecursionError)
 
 FindRunner = Callable[[str, str], RunnerEntry | None]  # service, incarnation
 
@@ -197,7 +198,7 @@
             return
         try:
             self._read_request(data)
-        except (FrameError, msgspec.MsgspecError) as exc:
+        except REQUEST_ERRORS as exc:
             self._server.log_invalid(self._address, str(exc))
             self.reset()
 
--- a/bramleybend/platform/manifest.py
+++ b/bramleybend/platform/manifest.py
@@ -53,7 +53,7 @@
     """Return the manifest, or a problem if any part of it is invalid."""
     try:
         wire = _decoder.decode(document)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         return Err(_manifest_problem(str(exc)))
     unknown_kinds = {route.kind for route in wire.routes}.difference(
         _REPEAT_BY_KIND
--- a/bramleybend/platform/manifest_wire.py
+++ b/bramleybend/platform/manifest_wire.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from bramleybend.platform.wire_types import Amount, Count
+
 
 class WireSplit(msgspec.Struct):
     """One service of a route that splits its traffic, and its weight."""
@@ -16,14 +18,14 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: Amount
     name: str = ''
     service: str = ''
     traffic_split: list[WireSplit] = []
-    target_latency_ms: float = 0
-    gap_target_ms: float = 0  # longest pause of a stream that is on time
+    target_latency_ms: Amount = 0
+    gap_target_ms: Amount = 0  # longest pause of a stream that is on time
     priority: int = 0
-    max_attempts: int = 1
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
 
@@ -31,24 +33,24 @@
 class WireEngine(msgspec.Struct):
     """Properties of a service whose runners are engines."""
 
-    stride: int = 1  # tokens in one event of a stream
+    stride: Count = 1  # tokens in one event of a stream
 
 
 class WireService(msgspec.Struct, rename='camel'):
     """A service that routes refer to by name."""
 
     name: str
-    max_conns: int = 0
+    max_conns: Count = 0
     engine: WireEngine | None = None
 
 
 class WireLimits(msgspec.Struct, rename='camel'):
     """Limits on callers' requests; 0 stands for the default."""
 
-    max_header_bytes: int = 0
-    max_body_bytes: int = 0
-    header_timeout_ms: float = 0
-    idle_timeout_ms: float = 0
+    max_header_bytes: Count = 0
+    max_body_bytes: Count = 0
+    header_timeout_ms: Amount = 0
+    idle_timeout_ms: Amount = 0
 
 
 class WireTenant(msgspec.Struct, rename='camel'):
@@ -58,15 +60,15 @@
     api_keys: list[str] = []
     priority: int | None = None
     unit: str = ''
-    plain_tokens: float = 0
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: Amount = 0
+    rate_per_s: Amount = 0
+    burst: Amount = 0
 
 
 class WireManifest(msgspec.Struct):
     """The whole manifest."""
 
-    version: int
+    version: Count
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
--- a/bramleybend/platform/platform_dialect.py
+++ b/bramleybend/platform/platform_dialect.py
@@ -26,6 +26,7 @@
     TOKEN_COUNTS,
     WORKSPACE,
 )
+from bramleybend.platform.wire_types import MAX_SAFE_INTEGER
 
 MILLISECONDS: Final = 1000
 KEY_SCHEME: Final = 'token '
@@ -129,7 +130,7 @@
         number = float(text)
     except ValueError:
         return None
-    return number if number >= 0 else None
+    return number if 0 <= number <= MAX_SAFE_INTEGER else None
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
--- a/bramleybend/platform/record_format.py
+++ b/bramleybend/platform/record_format.py
@@ -8,6 +8,7 @@
 RECORD_LENGTH: Final = struct.Struct('>I')  # precedes each record
 # The offset after the newest record, and the oldest offset retained.
 PAGE_HEADER: Final = struct.Struct('>QQ')
+MAX_KEY_BYTES: Final = 255
 UNPACK_ERRORS: Final = (struct.error, UnicodeDecodeError)
 
 
@@ -42,8 +43,11 @@
 
 
 def pack_record(key: str, content: bytes) -> bytes:
-    """Encode one keyed record, preceded by its length."""
-    key_bytes = key.encode()
+    """Encode one keyed record, preceded by its length.
+
+    A key that was not text grows when it is decoded; its end is cut off.
+    """
+    key_bytes = key.encode(errors='replace')[:MAX_KEY_BYTES]
     record = bytes((len(key_bytes),)) + key_bytes + content
     return RECORD_LENGTH.pack(len(record)) + record
 
--- a/bramleybend/platform/store_client.py
+++ b/bramleybend/platform/store_client.py
@@ -54,7 +54,8 @@
 # change from the store in the remaining time.
 MIRROR_BODY_TIMEOUT_S: Final = 1.5
 STORE_BOUNDS: Final = MessageBounds(message_bytes=MAX_INFLATED_BYTES)
-RETAINED_ERRORS: Final = (*UNPACK_ERRORS, msgspec.MsgspecError)
+JSON_ERRORS: Final = (msgspec.MsgspecError, RecursionError)
+RETAINED_ERRORS: Final = (*UNPACK_ERRORS, *JSON_ERRORS)
 CALL_ERRORS: Final = (OSError, EOFError, h11.ProtocolError)
 
 
@@ -203,7 +204,7 @@
             return response
         try:
             return Ok(_newest_decoder.decode(response.ok_value[1]))
-        except msgspec.MsgspecError as exc:
+        except JSON_ERRORS as exc:
             return Err(_decode_problem(exc))
 
     async def _call(
--- a/bramleybend/platform/stream_records.py
+++ b/bramleybend/platform/stream_records.py
@@ -76,6 +76,6 @@
 def _decode_record(content: bytes) -> Iterable[StreamOrigin]:
     try:
         return _decoder.decode(content)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         # Streams of an unreadable record are of unknown origin.
         return ()
