A granted runner that is leaving gets no request

Now it returns the slot and asks again without that runner, as with a runner that it doesn't know.

Evidence: test_an_owner_that_grants_a_leaving_runner_is_asked_again failed before. Ruled out: that the owner waits for its list after each freeze, as it can't tell a short one from a busy loop.

--- a/bramleybend/direct/placement.py
+++ b/bramleybend/direct/placement.py
@@ -30,7 +30,7 @@
     SlotRequestMessage,
     Withdrawn,
 )
-from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.models import RunnerEntry, RunnerState
 from bramleybend.direct.queues import Queues
 from bramleybend.direct.service_queue import exclude_runner
 from bramleybend.direct.slot_messages import (
@@ -308,7 +308,8 @@
         if isinstance(action, Refuse):
             return NoSlot(action.reason, action.retry_after.total_seconds())
         entry = self._catalog.used_runner(action.runner)
-        if entry is not None:
+        # An owner that was suspended grants by an outdated list of runners.
+        if entry is not None and entry.state is not RunnerState.LEAVING:
             return Placement(ask, entry, owner)
         self._release_at_owner(ask, RunReport('unknown_runner'), owner)
         return NoSlot('unknown_runner', UNKNOWN_RETRY_S)
--- a/tests/direct/test_asking_owners.py
+++ b/tests/direct/test_asking_owners.py
@@ -1,6 +1,7 @@
 """Which VM is asked for a slot at an engine."""
 
 import asyncio
+from dataclasses import replace
 from random import Random
 from typing import Final
 
@@ -47,7 +48,7 @@
             member = Member(vm, 'i', vm, f'{vm}:80', True, False, now, 0)
             member.capacity = capacity
             members.update(member)
-        catalog = Catalog(clock, events)
+        catalog = self.catalog = Catalog(clock, events)
         services = {SERVICE: DeclaredService(SERVICE, 10, True, 7)}
         catalog.apply_manifest(
             Manifest(1, {}, services, {}, requires_key=False)
@@ -110,6 +111,23 @@
     assert placed.owner is not None
 
 
+async def test_an_owner_that_grants_a_leaving_runner_is_asked_again(
+    asker: Asker,
+) -> None:
+    """An owner that was frozen must not have work sent to leaving runners."""
+    leaving = replace(RUNNER, name='r2', state=RunnerState.LEAVING)
+    asker.catalog.replace_runner_list({'r1': RUNNER, 'r2': leaving})
+    placing = asker.place()
+    await wait_until(lambda: len(asker.asks) == 1, 'an ask')
+    asker.grant('r2')
+    await wait_until(lambda: len(asker.asks) == 2, 'a second ask')
+    assert asker.asks[-1][0].excluded == ['r2']
+    asker.grant('r1')
+    placed = await placing
+    assert isinstance(placed, Placement)
+    assert placed.runner is RUNNER
+
+
 async def test_the_successor_of_a_silent_owner_is_asked(asker: Asker) -> None:
     """If VMs scheduled on their own, they would overload the same runners."""
     placing = asker.place()
