After a restart, the tolerance covers what it can of the burst

Now only the part of a burst that the tolerance doesn't cover is assumed, and what covers a restart covers no partition for a window.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -23,7 +23,7 @@
 
 A VM that restarts has lost its accounts, and all others may have lost theirs,
 too. Until a VM with older accounts reports the debts, it treats every burst as
-used and admits its share of the spare tolerance.
+used as far as the spare tolerance doesn't cover it.
 
 Contracts tolerate more than the allotment. Half of the tolerance is spare: it
 covers partitions, restarts, and the arrivals between two heartbeats. The other
@@ -151,7 +151,7 @@
         account = self._account(workspace, now)
         self._repay_debt(account, allowance, now, share, vms)
         needed = min(units, allowance.burst * MIN_BURST_SHARE)
-        left = self._usable_burst(account, allowance, share) - account.debt
+        left = self._usable_burst(account, allowance, now, share) - account.debt
         if left >= needed and share:
             account.debt += units
             account.used += units
@@ -285,8 +285,11 @@
         vms: int,
     ) -> None:
         if account.assumed is None:
+            # The spare tolerance covers the rest of the burst.
             account.assumed = self._assumed_debt(
-                allowance.burst, allowance.rate_per_s, now
+                max(allowance.burst - self._spare(allowance), 0),
+                allowance.rate_per_s,
+                now,
             )
             account.updated_at = max(
                 account.updated_at, self._startup_ends_at()
@@ -307,14 +310,20 @@
         account.idle_part_used = max(account.idle_part_used - repaid / vms, 0)
 
     def _usable_burst(
-        self, account: _Account, allowance: Allowance, share: float
+        self, account: _Account, allowance: Allowance, now: float, share: float
     ) -> float:
         """Return the most of the burst that the VMs of this share may use."""
-        units = self.tolerance.units(allowance.rate_per_s, allowance.burst)
-        spare = units * (1 - IDLE_TOLERANCE_SHARE)
+        spare = self._spare(allowance)
+        if now < self._startup_ends_at() + self.tolerance.window_s:
+            # It covers what was admitted before the restart.
+            spare -= min(spare, allowance.burst)
         unused = allowance.burst - (account.assumed or 0)
         return min(allowance.burst, share * (unused + spare))
 
+    def _spare(self, allowance: Allowance) -> float:
+        units = self.tolerance.units(allowance.rate_per_s, allowance.burst)
+        return units * (1 - IDLE_TOLERANCE_SHARE)
+
     def _take_idle_tolerance(
         self, account: _Account, allowance: Allowance, units: float, vms: int
     ) -> bool:
