Resets under a page that completes elsewhere don't have it refused

Cause: whole requests were judged by crashes alone, parts of prompts also by what completes. Crashing content never completes. Now both have the same rule: a break under content that completed in the last 30 s is no crash of its. A request that crashes its runners is still refused for good after the third.

Ruled out: to take back a crash if the runner is reached again at once, as an engine may end behind a listener that goes on (the tests of containment play that). Class: a verdict that nothing takes back.

--- a/bramleybend/decisions/part_quarantine.py
+++ b/bramleybend/decisions/content_quarantine.py
@@ -1,15 +1,16 @@
-"""Quarantine of parts of prompts that crash their runners.
+"""Quarantine of requests and parts of prompts that crash their runners.
 
 Load pattern: requests that share one part of their prompts, and little else,
-crash each runner that begins to answer them.
+crash each runner that begins to answer them; or the connections of many runners
+that serve one page are reset at once.
 Without it: each of these requests counts as a first crash, and they end a pool
-runner by runner.
+runner by runner; or the page is refused for good, although it is sound.
 
-A crash makes the parts of all requests in flight suspect, most of which are
-sound and shared by many requests. A crashing part never completes, so a part of
-any request that completed in the last `SOUND_S` is sound, and a record that
+A crash makes the content of all requests in flight suspect, most of which is
+sound and shared by many requests. Crashing content never completes, so content
+of any request that completed in the last `SOUND_S` is sound, and a record that
 another process sends of it is cleared for all. What is left after a few crashes
-is the crashing part.
+is the crashing content.
 """
 
 from collections import OrderedDict
@@ -22,19 +23,16 @@
 )
 
 SOUND_S = 30.0
-MAX_SOUND_PARTS = 10_000
-# Thousands of requests may share a part, and a new version of a model may cure
-# it. So a refusal ends, and single runs tell whether it was right.
-REFUSAL_TTL_S = 600.0
+MAX_SOUND = 10_000
 
 
-class PartQuarantine:
-    """One process's records of parts, shared with the others by gossip."""
+class ContentQuarantine:
+    """One process's records of content, shared with the others by gossip."""
 
-    def __init__(self) -> None:
-        """Start without records."""
-        self._registry = CrashRegistry(REFUSAL_TTL_S)
-        # When a request with a part last completed, the oldest first.
+    def __init__(self, refusal_ttl_s: float | None = None) -> None:
+        """Start without records; without a TTL, refusals last for good."""
+        self._registry = CrashRegistry(refusal_ttl_s)
+        # When a request with some content last completed, the oldest first.
         self._completed_at: OrderedDict[str, float] = OrderedDict()
 
     def record_crash(
@@ -50,7 +48,7 @@
             self._registry.record_finish(part, now)
             self._completed_at[part] = now
             self._completed_at.move_to_end(part)
-        while len(self._completed_at) > MAX_SOUND_PARTS:
+        while len(self._completed_at) > MAX_SOUND:
             self._completed_at.popitem(last=False)
 
     def withdraw(self, part: str, now: float) -> None:
--- a/bramleybend/direct/containment.py
+++ b/bramleybend/direct/containment.py
@@ -6,7 +6,7 @@
 Without containment, they take down a service, one runner after another,
 together with everything that runs beside them.
 
-`CrashRegistry` keeps the records of whole requests, `PartQuarantine` those of
+One `ContentQuarantine` keeps the records of whole requests, another those of
 parts. Here, a request gets a runner to itself only from its second crash on: on
 a day when runners drop many connections, every request whose connection dropped
 once would otherwise wait for an empty runner. An innocent request that was
@@ -21,12 +21,8 @@
 from xxhash import xxh64_hexdigest
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.part_quarantine import PartQuarantine
-from bramleybend.decisions.quarantine import (
-    ContentStatus,
-    CrashRecord,
-    CrashRegistry,
-)
+from bramleybend.decisions.content_quarantine import ContentQuarantine
+from bramleybend.decisions.quarantine import CrashRecord
 from bramleybend.direct.heartbeat_messages import CrashReport
 from bramleybend.direct.models import RequestMetadata, RunnerEntry
 from bramleybend.direct.replies import RawRequest
@@ -42,6 +38,9 @@
 MAX_BROADCAST_RECORDS: Final = 32
 # Of these, so many are always those of the most crashes. The others take turns.
 FIRST_RECORDS: Final = 16
+# Thousands of requests may share a part, and a new version of a model may cure
+# it. So its refusal ends, and single runs tell whether it was right.
+PART_REFUSAL_TTL_S: Final = 600.0
 PART_PREFIX: Final = 'p:'  # of a part's fingerprint
 
 
@@ -60,8 +59,8 @@
         """Create an empty set of records."""
         self._clock = clock
         self._events = events
-        self._requests = CrashRegistry()
-        self._parts = PartQuarantine()
+        self._requests = ContentQuarantine()
+        self._parts = ContentQuarantine(PART_REFUSAL_TTL_S)
         self._turn = 0  # of the records that take turns
 
     def identify(self, req: RawRequest, facts: RequestMetadata) -> ContentIds:
@@ -75,8 +74,7 @@
     def is_refused(self, content: ContentIds) -> bool:
         """Return whether content must not be run again."""
         now = self._clock.monotonic()
-        status = self._requests.status_of(content.whole, now)
-        return status is ContentStatus.REFUSED or any(
+        return self._requests.is_refused(content.whole, now) or any(
             self._parts.is_refused(part, now) for part in content.parts
         )
 
@@ -113,7 +111,7 @@
         Those of true crashes come back with the next one.
         """
         now = self._clock.monotonic()
-        self._requests.record_finish(content.whole, now)
+        self._requests.withdraw(content.whole, now)
         for part in content.parts:
             self._parts.withdraw(part, now)
         self._events.record(
@@ -123,7 +121,7 @@
     def record_completion(self, content: ContentIds) -> None:
         """Record a run of this content that completed."""
         now = self._clock.monotonic()
-        self._requests.record_finish(content.whole, now)
+        self._requests.record_completion((content.whole,), now)
         self._parts.record_completion(content.parts, now)
 
     def recent_news(self) -> list[CrashReport]:
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -276,3 +276,40 @@
             assert (await waiting).status == 503
         gate.set()
         assert (await other).is_whole
+
+
+async def test_a_page_whose_connections_are_reset_stays_served() -> None:
+    """Resets under a page that many ask for must not have it refused.
+
+    The connections of all runners that serve it are reset at once.
+    """
+    gate = asyncio.Event()
+    gate.set()
+    held: list[ReceivedRequest] = []
+
+    async def hold(seen: ReceivedRequest) -> None:
+        if gate.is_set():
+            await answer_at_once(seen)
+            return
+        held.append(seen)
+        await gate.wait()
+
+    async def ask(number: int) -> int:
+        answer = await cluster.call(
+            '/read/page', method='GET', body=b'', attempt=f'g{number}'
+        )
+        return answer.status
+
+    async with running_cluster() as cluster:
+        for number in range(REFUSAL_CRASHES):
+            await cluster.add_runner(f'r{number}', PLAIN, hold)
+        await cluster.wait_for_runners(PLAIN, REFUSAL_CRASHES)
+        assert await ask(0) == 200
+        gate.clear()
+        asking = [asyncio.create_task(ask(number)) for number in range(1, 13)]
+        await wait_until(lambda: len(held) == len(asking), 'all are held')
+        gate.set()
+        for seen in held:
+            seen.writer.transport.abort()
+        await asyncio.gather(*asking)
+        assert [await ask(number) for number in range(20, 30)] == [200] * 10
