A planned stop waits for answers that callers are still reading

Cause: a connection counted as busy while its handler ran, which ends once 64 kB or less are left to send, and was forgotten with its task. Class: bytes in a transport's buffer weren't counted as work. Now a connection is busy until its answer is sent, and is tracked until it is lost. Tunnels were right: they count until their transports are closed.

--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -80,12 +80,17 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that the caller no longer waits for."""
         super().connection_lost(exc)
+        self._ingress.forget(self)
         self._cancel_request()
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or served."""
-        return not self._has_request and not self.http.trailing_data[0]
+        """Whether no request is received or served, and all was sent."""
+        return not (
+            self._has_request
+            or self.http.trailing_data[0]
+            or self.transport.get_write_buffer_size()
+        )
 
     def check_received_bytes(self) -> None:
         """Raise if the received bytes of this request are mostly no content."""
@@ -295,13 +300,19 @@
 
     @property
     def busy_count(self) -> int:
-        """The number of connections with a request."""
+        """The number of connections with a request or an unsent answer."""
         return sum(not conn.is_idle for conn in self._connections)
 
     def track(self, conn: CallerConnection, task: asyncio.Task[None]) -> None:
-        """Track a connection until its task ends."""
+        """Track a connection until it is lost.
+
+        Its task may end before its last bytes are sent.
+        """
         self._connections[conn] = task
-        task.add_done_callback(lambda _: self._connections.pop(conn, None))
+
+    def forget(self, conn: CallerConnection) -> None:
+        """Stop tracking a connection."""
+        self._connections.pop(conn, None)
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
