Confirm origins that are sent again; give back slots that come late

An origin whose confirmation was lost was sent until its VM wrote it itself, although the log held it. A slot that was granted while its job turned out to have no runner any more was lost until its run's time was over.

--- a/bramleybend/direct/slot_acquisition.py
+++ b/bramleybend/direct/slot_acquisition.py
@@ -118,13 +118,15 @@
             return await self._components.placer.place(ask)
         placing = asyncio.create_task(self._components.placer.place(ask))
         try:
-            while not (self._is_refused(job) or self._is_version_gone(job)):
-                done, _ = await asyncio.wait((placing,), timeout=RECHECK_S)
-                if done:
-                    return placing.result()
+            while not placing.done():
+                if self._is_refused(job):
+                    return QUARANTINED
+                if self._is_version_gone(job):
+                    return VERSION_GONE
+                await asyncio.wait((placing,), timeout=RECHECK_S)
         finally:
             placing.cancel()
-        return QUARANTINED if self._is_refused(job) else VERSION_GONE
+        return placing.result()
 
     def _note_version(self, job: Job, runner: RunnerEntry) -> None:
         """Keep the version of a stream that may go on elsewhere.
--- a/bramleybend/direct/stream_origins.py
+++ b/bramleybend/direct/stream_origins.py
@@ -114,6 +114,11 @@
             if self._must_record(known)
         ]
 
+    def is_recorded(self, attempt_key: str) -> bool:
+        """Tell whether the log holds the origin of an attempt."""
+        known = self._known.get(attempt_key)
+        return known is not None and known.is_recorded
+
     def mark_recorded(self, attempt_key: str) -> None:
         """Note that the log holds the origin of an attempt."""
         known = self._known.get(attempt_key)
--- a/bramleybend/direct/stream_recorder.py
+++ b/bramleybend/direct/stream_recorder.py
@@ -86,7 +86,10 @@
         """Take over the origins that another VM sends."""
         for origin in message.origins:
             self._origins.add(origin, must_record=True)
-            self._replies[origin.attempt_key] = reply
+            if self._origins.is_recorded(origin.attempt_key):
+                reply(StreamsRecorded([origin.attempt_key]))
+            else:
+                self._replies[origin.attempt_key] = reply
 
     def handle_recorded(self, message: StreamsRecorded) -> None:
         """Note which origins the writer has recorded."""
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -301,3 +301,23 @@
         assert answer.is_whole
         records = cluster.store.topic(STREAM_LOG).records
         assert all(len(content) < len(attempt) for _, content in records)
+
+
+async def test_one_version_goes_on_after_all_vms_were_killed() -> None:
+    """A loss of all VMs must not end streams of the only version."""
+    async with running_cluster(vms=2) as cluster:
+        await cluster.add_runner(
+            'old-1', ENGINE, break_after_one_event, version=OLD
+        )
+        await begin_stream(cluster)
+        await add_old_runner(cluster, 'old-2')
+        await wait_until(
+            lambda: RUNNER_LOG in cluster.store.topic(BACKUPS).newest,
+            'the list of runners is backed up',
+        )
+        await cluster.restart_vms()
+        for number in range(4):
+            answer = await take_up(
+                cluster, f'again-{number}', vm=1, Resumes=FIRST
+            )
+            assert answer.is_whole
