Keep a stream that is tried again to the version that is recorded

A stream that was placed while one version served, and tried again before its first event once there were two, could go on at the new version while the old one stood in the log. Now it keeps to that of its last slot. What the recorder holds of a stream ends with it, and a log that is away is asked twice a second, not with each stream.

--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -37,6 +37,7 @@
     last_event_id: str = ''  # id of the last event that was relayed
     # Software version of the runners that may run it; none: any.
     version: str | None = None
+    placed_version: str | None = None  # of the runner of its last slot
     last_failure: Failure | None = None
     runner_error_status: int | None = None  # the latest, 500 or above
     first_event_at: float | None = None  # monotonic
--- a/bramleybend/direct/slot_acquisition.py
+++ b/bramleybend/direct/slot_acquisition.py
@@ -43,6 +43,7 @@
         Content may become suspect or refused while it waits. Then the slot is
         given back: suspect content must not run beside other requests.
         """
+        self._keep_recorded_version(job)
         while True:
             if self._is_version_gone(job):
                 return VERSION_GONE
@@ -128,19 +129,23 @@
             placing.cancel()
         return placing.result()
 
-    def _note_version(self, job: Job, runner: RunnerEntry) -> None:
-        """Keep the version of a stream that may go on elsewhere.
+    def _keep_recorded_version(self, job: Job) -> None:
+        """Keep a stream that is tried again to its version.
 
-        While several versions serve, a stream keeps to that of its first run,
-        even before its first event: the record of its origin is written by
-        then.
+        While several versions serve, the version of its first run is recorded
+        as its origin even before its first event.
         """
+        if job.version is None and job.placed_version is not None:
+            if self._components.versions.is_mixed(job.admission.service):
+                job.version = job.placed_version
+
+    def _note_version(self, job: Job, runner: RunnerEntry) -> None:
+        """Keep the version of a stream that may go on elsewhere."""
         if not job.may_be_resumed:
             return
         versions = self._components.versions
         version = versions.version_of(runner)
-        if versions.is_mixed(job.admission.service):
-            job.version = version
+        job.placed_version = version
         facts = job.facts
         is_take_up = bool(facts.last_event_id and facts.resumed_attempt)
         self._components.origins.add(
--- a/bramleybend/direct/stream_origins.py
+++ b/bramleybend/direct/stream_origins.py
@@ -88,6 +88,10 @@
         self.has_records = False  # the log may hold records to trim
         self.has_unrecorded = asyncio.Event()  # set when one is added
 
+    def __contains__(self, attempt_key: str) -> bool:
+        """Tell whether the origin of an attempt is known."""
+        return attempt_key in self._known
+
     def add(
         self,
         origin: StreamOrigin,
--- a/bramleybend/direct/stream_recorder.py
+++ b/bramleybend/direct/stream_recorder.py
@@ -35,6 +35,7 @@
 RESEND_AFTER_S: Final = 0.15
 # After this time without an answer of the writer, a VM writes by itself.
 WRITER_TIMEOUT_S: Final = 0.5
+RETRY_S: Final = 0.5  # after the log gave no answer
 TRIM_AFTER_S: Final = 2.0
 # Origins in one message or record.
 MAX_BATCH: Final = 200
@@ -78,7 +79,7 @@
             await self._read_at_start()
         while True:
             await self._sleep()
-            self._origins.remove_expired()
+            self._forget_expired()
             await self._record(self._origins.unrecorded()[:MAX_BATCH])
             await self._trim_if_unneeded()
 
@@ -105,11 +106,19 @@
             return
         self._origins.has_unrecorded.clear()
 
+    def _forget_expired(self) -> None:
+        """Forget the streams that can't be taken up any more."""
+        self._origins.remove_expired()
+        for kept in (self._first_sent_at, self._last_sent_at, self._replies):
+            for key in tuple(kept):
+                if key not in self._origins:
+                    kept.pop(key)
+
     async def _read_at_start(self) -> None:
         # Until the log is read, an origin may be missing.
         self._versions.unseen_until = inf
         while not await self._origins.read_log():
-            await asyncio.sleep(WRITER_TIMEOUT_S)
+            await asyncio.sleep(RETRY_S)
         has_seen_all = not self._origins.has_records
         match await self._origins.log.earlier_versions():
             case Ok(dict() as versions):
@@ -138,6 +147,7 @@
             self._events.record(
                 'stream_log_unwritten', why=str(appended.err_value)
             )
+            await asyncio.sleep(RETRY_S)
             return
         self._origins.has_records = True
         self._confirm([origin.attempt_key for origin in origins])
