--- a/bramleybend/direct/software_versions.py
+++ b/bramleybend/direct/software_versions.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from bramleybend.direct.catalog import Catalog
-from bramleybend.direct.models import RunnerEntry, RunnerState
+from bramleybend.direct.models import Manifest, RunnerEntry, RunnerState
 
 # Callers may come back for a stream for this long after its time limit.
 RETURN_MARGIN_S: Final = 2.0
@@ -33,6 +33,9 @@
         self._listed: dict[str, set[str]] = {}
         self._left_at: dict[str, dict[str, float]] = defaultdict(dict)
         self._settled_at: dict[str, dict[str, float]] = defaultdict(dict)
+        # Kept for the manifest in force, which may have thousands of routes.
+        self._timeouts_of: Manifest | None = None
+        self._longest_stream_s = float(0)
         # Until then, versions that this VM never saw may have served.
         self.unseen_until = -inf
         self.on_update: Callable[[], None] = _ignore_update
@@ -88,14 +91,18 @@
     def memory_s(self) -> float:
         """Return how long after a version has left its streams may be meant."""
         manifest = self._catalog.manifest
-        routes = manifest.routes.values() if manifest else ()
-        timeouts = (
-            route.timeout_s
-            for by_prefix in routes
-            for route in by_prefix
-            if route.streaming
-        )
-        return max(timeouts, default=0) + RETURN_MARGIN_S
+        if manifest is not None and manifest is not self._timeouts_of:
+            self._timeouts_of = manifest
+            self._longest_stream_s = max(
+                (
+                    route.timeout_s
+                    for by_prefix in manifest.routes.values()
+                    for route in by_prefix
+                    if route.streaming
+                ),
+                default=0,
+            )
+        return self._longest_stream_s + RETURN_MARGIN_S
 
     def barred_runners(self, service: str, version: str | None) -> set[str]:
         """Return the runners that may not run a stream of this version.
