--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -167,9 +167,19 @@
 
     def refund_allotment(self, job: Job) -> None:
         """Refund the job's units to its workspace's allotment, at most once."""
-        if job.is_charged:
-            job.is_charged = False
-            self._components.admission_control.refund(job.admission)
+        if not job.is_charged:
+            return
+        units = job.charged_units
+        job.is_charged = False
+        self._components.admission_control.refund(job.admission)
+        if units:
+            self._components.events.record(
+                'refunded',
+                req=job.facts.attempt_id,
+                workspace=job.admission.workspace,
+                units=units,
+                ms=self.ms_since(job.req.received_at),
+            )
 
     def failure_reply(self, job: Job, failure: Failure) -> Reply:
         """Return the answer to a job whose last attempt failed."""
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -67,6 +67,11 @@
         """Return the seconds until the caller must have its answer."""
         return self.answer_due_at - now
 
+    @property
+    def charged_units(self) -> int:
+        """Return the units that its tries took from the allotment so far."""
+        return int(self.admission.units) if self.is_charged else 0
+
     @property
     def may_be_running(self) -> bool:
         """Whether the request was sent to a runner and is not answered yet."""
--- a/bramleybend/direct/slot_acquisition.py
+++ b/bramleybend/direct/slot_acquisition.py
@@ -209,6 +209,7 @@
             service=job.admission.service,
             tokens=job.facts.prompt_tokens,
             output=job.facts.expected_output_tokens,
+            charged=job.charged_units,
             runner=placement.runner.name,
             version=placement.runner.version,
             resumes=job.facts.resumed_attempt,
--- a/tests/direct/cluster.py
+++ b/tests/direct/cluster.py
@@ -303,6 +303,24 @@
             return body, False
 
 
+async def publish_token_limit(
+    cluster: Cluster, per_s: float = 1000, burst: float = 1000, **more: Any
+) -> None:
+    """Limit the workspace to a rate and burst of tokens.
+
+    A request that names no tokens takes 100.
+    """
+    limit = {'unit': 'tokens', 'plainTokens': 100, 'ratePerS': per_s}
+    holder = {'name': 'school', 'apiKeys': [KEY], 'burst': burst, **limit}
+    cluster.publish(manifest(version=2, tenants=[holder], **more))
+    await wait_until(
+        lambda: all(
+            vm.entry.catalog.manifest_version() == 2 for vm in cluster.vms
+        ),
+        'the limit is in force',
+    )
+
+
 async def connect(host: str, port: int) -> RawCaller:
     """Open a connection."""
     return RawCaller(*await asyncio.open_connection(host, port))
--- a/tests/direct/test_event_log.py
+++ b/tests/direct/test_event_log.py
@@ -10,7 +10,7 @@
 from bramleybend.direct.process import SWEEP_EVERY_S
 from bramleybend.direct.traffic import LARGE_BYTES
 from bramleybend.event_loop_monitor import MIN_REPORTED_DELAY_S
-from tests.direct.cluster import PLAIN, running_cluster
+from tests.direct.cluster import PLAIN, publish_token_limit, running_cluster
 from tests.utils.peer_network import start_network
 from tests.utils.raw_runner import ReceivedRequest, answer_at_once
 from tests.utils.waiting import wait_until
@@ -107,3 +107,20 @@
     bursts = _events(caplog, 'peer_burst')
     assert bursts
     assert all(line['bytes'] >= LARGE_BYTES for line in bursts)
+
+
+async def test_what_a_request_was_charged_and_refunded_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Otherwise a log can't tell why a workspace ran more than its limit."""
+    caplog.set_level(logging.INFO)
+    async with running_cluster() as cluster:
+        await publish_token_limit(cluster)
+        await cluster.call('/read/x', X_Bramleybend_Deadline_Ms='300')
+        await cluster.add_runner('r1', PLAIN)
+        await cluster.wait_for_runners(PLAIN)
+        await cluster.call('/read/x')
+    (refunded,) = _events(caplog, 'refunded')
+    assert (refunded['workspace'], refunded['units']) == ('school', 100)
+    (placed,) = _events(caplog, 'placed')
+    assert placed['charged'] == 100
