Charge each further try of a request to its workspace's allotment (QUOTA)

Cause: units were taken once, at admission. Class: what is counted is a decision, not what it sets going. Why it works: a try is charged before it asks for a slot. Charges beyond the tries that may have run are refunded in one place at the end of the request. Weighed: a debt without a check (a failure of many runners at once goes beyond the tolerance by all that was in flight); a refusal at once (an accepted request of a busy workspace would mostly fail).

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -17,6 +17,10 @@
 workspace keeps nearly empty would admit small requests but never a large one.
 So a workspace exceeds its allotment by one request at most, and repays it.
 
+Each try of a request at a runner takes its units: what runs again takes as much
+from other workspaces. A further try is admitted while anything of the burst is
+left, so it goes before new requests, which have not been accepted yet.
+
 All parts that VMs use without hearing each other add up to the whole: a VM uses
 its share of the burst and of the spare tolerance. So the bound holds for any
 partition of any number of VMs.
@@ -82,17 +86,30 @@
     )
 
 
+@dataclass(frozen=True)
+class Charge:
+    """What one try of a request takes from an allotment."""
+
+    units: float
+    is_beyond: bool = False  # admitted beyond the allotment on idle runners
+
+
+NO_CHARGE = Charge(0)
+
+
 @dataclass(frozen=True)
 class AllotmentDecision:
     """The decision on a request."""
 
-    is_admitted: bool
-    is_over_allotment: bool = (
-        False  # admitted beyond the allotment on idle runners
-    )
+    charge: Charge | None  # none: it is refused
     retry_after_s: float = 0  # until the allotment has room again
     debt: float = 0  # units used of the burst, if refused
 
+    @property
+    def is_admitted(self) -> bool:
+        """Whether the request may run."""
+        return self.charge is not None
+
 
 @dataclass
 class _Account:
@@ -143,7 +160,7 @@
         are_runners_idle: bool = False,
         vms: int = 1,
     ) -> AllotmentDecision:
-        """Admit a request and count it, or return when to retry.
+        """Admit a request and charge its first try, or return when to retry.
 
         `share` is the share of all `vms` that this VM hears, itself included;
         0 while their number is unknown.
@@ -153,37 +170,52 @@
         needed = min(units, allowance.burst * MIN_BURST_SHARE)
         left = self._usable_burst(account, allowance, now, share) - account.debt
         if left >= needed and share:
-            account.debt += units
-            account.used += units
-            return AllotmentDecision(is_admitted=True)
+            return AllotmentDecision(_charge(account, units))
         # A VM that doesn't hear all others leaves the tolerance to them.
         if are_runners_idle and share >= 1:
             if self._take_idle_tolerance(account, allowance, units, vms):
-                return AllotmentDecision(
-                    is_admitted=True, is_over_allotment=True
-                )
+                return AllotmentDecision(Charge(units, is_beyond=True))
         return AllotmentDecision(
-            is_admitted=False,
+            charge=None,
             retry_after_s=self._retry_after_s(
                 needed - left, allowance, now, share
             ),
             debt=account.debt,
         )
 
-    def refund(
-        self, workspace: str, units: float, *, is_beyond: bool = False
-    ) -> None:
-        """Undo the admission of a request that did not run."""
+    def admit_further_try(
+        self,
+        workspace: str,
+        allowance: Allowance,
+        units: float,
+        now: float,
+        share: float,
+        vms: int,
+    ) -> AllotmentDecision:
+        """Charge a further try of a request, or return when to retry."""
+        account = self._account(workspace, now)
+        self._repay_debt(account, allowance, now, share, vms)
+        left = self._usable_burst(account, allowance, now, share) - account.debt
+        if left >= 0 and share:
+            return AllotmentDecision(_charge(account, units))
+        return AllotmentDecision(
+            charge=None,
+            retry_after_s=self._retry_after_s(-left, allowance, now, share),
+            debt=account.debt,
+        )
+
+    def refund(self, workspace: str, charge: Charge) -> None:
+        """Undo the charge of a try that did not run."""
         account = self._accounts.get(workspace)
         if account is None:
             return
-        if is_beyond:
-            account.tolerance_debt -= units
-            account.over_allotment -= units
-            account.idle_part_used -= units
+        if charge.is_beyond:
+            account.tolerance_debt -= charge.units
+            account.over_allotment -= charge.units
+            account.idle_part_used -= charge.units
         else:
-            account.debt -= units
-            account.used -= units
+            account.debt -= charge.units
+            account.used -= charge.units
 
     def reports(self) -> dict[str, AccountReport]:
         """Return the totals to report to the other VMs, by workspace."""
@@ -374,6 +406,12 @@
         return units * IDLE_TOLERANCE_SHARE / 2
 
 
+def _charge(account: _Account, units: float) -> Charge:
+    account.debt += units
+    account.used += units
+    return Charge(units)
+
+
 def make_allotment_ledger(
     tolerance: Tolerance, now: float, *, is_first_start: bool
 ) -> AllotmentLedger:
--- a/bramleybend/direct/admission.py
+++ b/bramleybend/direct/admission.py
@@ -16,9 +16,11 @@
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.allotments import (
+    NO_CHARGE,
     AllotmentDecision,
     AllotmentLedger,
     Allowance,
+    Charge,
 )
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.members import Members
@@ -51,15 +53,14 @@
 
 @dataclass(frozen=True)
 class Admission:
-    """An admitted request's route, service, workspace, tier and units."""
+    """An admitted request's route, service, workspace, tier and charge."""
 
     route: Route
     service: str
     workspace: str
     tier: Tier
-    units: float  # charged to the workspace's allotment; 0: no allotment
-    # Admitted beyond the allotment because runners are idle.
-    is_beyond_allotment: bool = False
+    charge: Charge = NO_CHARGE  # of its first try
+    allotment: Allotment | None = None  # of its workspace; none: unlimited
 
 
 class AdmissionControl:
@@ -106,14 +107,28 @@
             return self._denial(HTTPStatus.UNAUTHORIZED, 'the key is unknown')
         return self._check_allotment(route, holder, facts)
 
-    def refund(self, admission: Admission) -> None:
-        """Refund the units of a request that did not run."""
-        if admission.units:
-            self._allotments.refund(
-                admission.workspace,
-                admission.units,
-                is_beyond=admission.is_beyond_allotment,
-            )
+    def charge_further_try(
+        self, admission: Admission, facts: RequestMetadata
+    ) -> AllotmentDecision:
+        """Charge another try of an admitted request, or tell when to retry."""
+        manifest = self._catalog.manifest
+        holder = manifest.workspaces_by_key.get(facts.key) if manifest else None
+        allotment = holder.allotment if holder else admission.allotment
+        if allotment is None:
+            return AllotmentDecision(NO_CHARGE)
+        return self._allotments.admit_further_try(
+            admission.workspace,
+            Allowance(allotment.rate_per_s, allotment.burst),
+            facts.allotment_units(allotment),
+            self._clock.monotonic(),
+            self._live_share(),
+            self._members.count(),
+        )
+
+    def refund(self, workspace: str, charge: Charge) -> None:
+        """Refund the charge of a try that did not run."""
+        if charge.units:
+            self._allotments.refund(workspace, charge)
 
     def _check_allotment(
         self,
@@ -124,17 +139,17 @@
         service = choose_service(route.targets, self._rng)
         if holder is None or holder.allotment is None:
             workspace = holder.name if holder else ''
-            return Admission(route, service, workspace, route.tier, 0)
+            return Admission(route, service, workspace, route.tier)
         units = facts.allotment_units(holder.allotment)
         verdict = self._verdict(holder.name, holder.allotment, units, service)
-        if verdict.is_admitted:
+        if verdict.charge is not None:
             return Admission(
                 route,
                 service,
                 holder.name,
                 route.tier,
-                units,
-                verdict.is_over_allotment,
+                verdict.charge,
+                holder.allotment,
             )
         return own_reply(
             HTTPStatus.TOO_MANY_REQUESTS,
--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -149,7 +149,6 @@
                 HTTPStatus.BAD_GATEWAY,
                 'a runner failed it and no other was free; it may have run',
             )
-        self.refund_allotment(job)
         return own_reply(
             HTTPStatus.SERVICE_UNAVAILABLE,
             f'{refusal.reason}; nothing was run',
@@ -158,29 +157,12 @@
 
     def quarantined_reply(self, job: Job) -> Reply:
         """Return the answer to a job whose content is quarantined."""
-        self.refund_allotment(job)
         return own_reply(
             HTTPStatus.SERVICE_UNAVAILABLE,
             f'{QUARANTINED.reason}; nothing was run',
             inputs={'content': job.content.whole},
         )
 
-    def refund_allotment(self, job: Job) -> None:
-        """Refund the job's units to its workspace's allotment, at most once."""
-        if not job.is_charged:
-            return
-        units = job.charged_units
-        job.is_charged = False
-        self._components.admission_control.refund(job.admission)
-        if units:
-            self._components.events.record(
-                'refunded',
-                req=job.facts.attempt_id,
-                workspace=job.admission.workspace,
-                units=units,
-                ms=self.ms_since(job.req.received_at),
-            )
-
     def failure_reply(self, job: Job, failure: Failure) -> Reply:
         """Return the answer to a job whose last attempt failed."""
         if not job.possible_runs:
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bramleybend.clock import Clock
+from bramleybend.decisions.allotments import Charge
 from bramleybend.decisions.resends import ResendBudget
 from bramleybend.direct.admission import Admission, AdmissionControl
 from bramleybend.direct.attempt import Attempt, Failure
@@ -46,7 +47,8 @@
     current_attempt: Attempt | None = None  # the one in progress
     framing: str = ''  # of the latest answer; empty before the first
     cut_bytes: int = 0  # of an incomplete event at its end
-    is_charged: bool = True  # units count against the allotment
+    # Of its tries, in order; those beyond the possible runs are refunded.
+    charges: list[Charge] = field(default_factory=list)
     tried_runners: list[str] = field(default_factory=list)  # names, in order
 
     @property
@@ -70,7 +72,7 @@
     @property
     def charged_units(self) -> int:
         """Return the units that its tries took from the allotment so far."""
-        return int(self.admission.units) if self.is_charged else 0
+        return int(sum(charge.units for charge in self.charges))
 
     @property
     def may_be_running(self) -> bool:
--- a/bramleybend/direct/request_handler.py
+++ b/bramleybend/direct/request_handler.py
@@ -19,6 +19,7 @@
 from bramleybend.direct.relay import StreamRelay
 from bramleybend.direct.replies import RawRequest, Reply, own_reply
 from bramleybend.direct.responder import Responder
+from bramleybend.direct.try_charges import TryCharges
 
 MS_PER_SECOND: Final = 1000
 UNKNOWN_ORIGIN: Final = NoSlot(
@@ -34,6 +35,7 @@
         """Create a handler that uses the given components."""
         self._components = components
         self._dispatcher = AttemptDispatcher(components)
+        self._charges = TryCharges(components)
         self._background_tasks: set[asyncio.Task[Reply]] = set()
         self.is_shutting_down = False  # set during a planned stop
 
@@ -50,16 +52,13 @@
             await responder.send_reply(admission)
             return
         job = self._make_job(req, facts, admission)
-        if self._components.containment.is_refused(job.content):
-            reply = self._dispatcher.quarantined_reply(job)
-            self._record_denied(facts.attempt_id, req.path, reply)
-            await responder.send_reply(reply)
-            return
         try:
             await self._serve(job, responder)
         except asyncio.CancelledError:
             self._record_caller_left(job)
             raise
+        finally:
+            self._charges.refund_unused(job)
 
     def record_unreadable(self, reply: Reply) -> None:
         """Log and count a request that the ingress could not read."""
@@ -68,12 +67,12 @@
     def _make_job(
         self, req: RawRequest, facts: RequestMetadata, admission: Admission
     ) -> Job:
-        if admission.is_beyond_allotment:
+        if admission.charge.is_beyond:
             self._components.events.record(
                 'beyond_allotment',
                 req=facts.attempt_id,
                 workspace=admission.workspace,
-                units=int(admission.units),
+                units=int(admission.charge.units),
             )
         timeout_s = admission.route.timeout_s
         if facts.timeout_s is not None:
@@ -85,10 +84,21 @@
         )
         content = self._components.containment.identify(req, facts)
         answer_due_at = req.received_at + timeout_s
-        return Job(req, facts, admission, answer_due_at, content)
+        return Job(
+            req,
+            facts,
+            admission,
+            answer_due_at,
+            content,
+            charges=[admission.charge],
+        )
 
     async def _serve(self, job: Job, responder: Responder) -> None:
-        if job.admission.route.streaming:
+        if self._components.containment.is_refused(job.content):
+            reply = self._dispatcher.quarantined_reply(job)
+            self._record_denied(job.facts.attempt_id, job.req.path, reply)
+            await responder.send_reply(reply)
+        elif job.admission.route.streaming:
             await self._serve_stream(job, responder)
         else:
             await self._serve_buffered(job, responder)
@@ -254,6 +264,7 @@
             async with asyncio.timeout(
                 self._dispatcher.remaining_for_slot_s(job)
             ):
+                await self._charges.charge(job)
                 return await self._dispatcher.acquire_slot(job)
         except TimeoutError:
             return NoSlot('no slot came free in time', REFUSED_RETRY_AFTER_S)
@@ -301,8 +312,6 @@
 
     def _record_caller_left(self, job: Job) -> None:
         job.caller_left_at = self._dispatcher.now()
-        if not (job.possible_runs or job.may_be_running):
-            self._dispatcher.refund_allotment(job)
         stage = 'placed' if job.tried_runners else 'queued'
         self._components.meters.count(
             'callers_left', job.admission.service, stage
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -8,6 +8,7 @@
     AccountReport,
     AllotmentLedger,
     Allowance,
+    Charge,
     Tolerance,
     make_allotment_ledger,
 )
@@ -179,12 +180,11 @@
     """A workspace keeps its whole allotment for the next busy time."""
     ledger = AllotmentLedger(TOLERANCE)
     assert is_admitted(ledger, 2000, 0)
-    assert ledger.admit(
-        'w', ALLOWANCE, 900, 0, are_runners_idle=True
-    ).is_over_allotment
+    decision = ledger.admit('w', ALLOWANCE, 900, 0, are_runners_idle=True)
+    assert decision.charge == Charge(900, is_beyond=True)
     assert is_admitted(ledger, 1000, 1)
     assert not is_admitted(ledger, 1000, 1)
-    ledger.refund('w', 900, is_beyond=True)
+    ledger.refund('w', decision.charge)
     assert ledger.reports()['w'].over_allotment == 0
 
 
@@ -228,7 +228,7 @@
     """A refused request is refunded."""
     ledger = AllotmentLedger()
     assert is_admitted(ledger, 2000, 0)
-    ledger.refund('w', 2000)
+    ledger.refund('w', Charge(2000))
     assert is_admitted(ledger, 2000, 0)
     assert ledger.reports()['w'].used == 2000
 
--- a/tests/direct/test_allotments_on_many_vms.py
+++ b/tests/direct/test_allotments_on_many_vms.py
@@ -50,3 +50,13 @@
     demand.restart(range(VMS), down_s=1, within_s=within_s)
     demand.run(5)
     assert demand.max_units_in_window() <= demand.max_tolerated_units()
+
+
+@pytest.mark.parametrize('failing_share', [0.2, 0.5, 1])
+def test_further_tries_keep_the_tolerance(failing_share: float) -> None:
+    """Tries of all VMs after runs that broke off must not add to a limit."""
+    demand = busy_fleet(times=3)
+    demand.run(2)
+    demand.failing_share = failing_share
+    demand.run(8)
+    assert demand.max_units_in_window() <= demand.max_tolerated_units()
--- a/tests/utils/allotment_demand.py
+++ b/tests/utils/allotment_demand.py
@@ -7,6 +7,7 @@
 from bramleybend.decisions.allotments import Allowance, Tolerance
 from tests.utils.peer_network import STEP_S, Network, Vm
 
+RUN_S = 0.5  # until a run breaks off
 # While no VM is up, callers queue at most this many seconds of demand.
 MAX_BACKLOG_S = 1.0
 
@@ -21,10 +22,13 @@
     per_s: float  # demand in units per second
     units: float  # cost of one request
     are_runners_idle: bool = False
+    failing_share: float = 0  # of the first tries; each is tried once more
     # Time and units of each admitted request.
     admitted: list[tuple[float, float]] = field(default_factory=list)
     # Time and VM name of each refused request.
     refused: list[tuple[float, str]] = field(default_factory=list)
+    # When each failing run breaks off, and its VM.
+    _failing: list[tuple[float, Vm]] = field(default_factory=list)
     _unsent_units: float = 0
     _rng: Random = field(default_factory=lambda: Random(3))
 
@@ -33,6 +37,7 @@
         end = self.network.clock.monotonic() + seconds
         while self.network.clock.monotonic() < end:
             self.network.run(STEP_S)
+            self._try_again()
             self._unsent_units += self.per_s * STEP_S
             self._send()
 
@@ -105,9 +110,29 @@
         )
         if verdict.is_admitted:
             self.admitted.append((now, self.units))
+            if self._rng.random() < self.failing_share:
+                self._failing.append((now + RUN_S, vm))
         else:
             self.refused.append((now, vm.name))
 
+    def _try_again(self) -> None:
+        now = self.network.clock.monotonic()
+        broken = [(at, vm) for at, vm in self._failing if at <= now]
+        self._failing = [(at, vm) for at, vm in self._failing if at > now]
+        for at, vm in broken:
+            verdict = vm.allotments.admit_further_try(
+                'busy',
+                self.allowance,
+                self.units,
+                now,
+                vm.members.alive_fraction(now),
+                vm.members.count(),
+            )
+            if verdict.is_admitted:
+                self.admitted.append((now, self.units))
+            elif vm.is_up:
+                self._failing.append((at, vm))
+
     def _running_vms(self, numbers: Iterable[int]) -> list[Vm]:
         names = {f'entry-{number}' for number in numbers}
         return [vm for vm in self.network.running_vms() if vm.name in names]
