Refund a try only as far as its units are still owed (QUOTA)

Cause: a request is charged when it comes and refunded when it gets no slot, up to its time limit later. Meanwhile the rate repaid its units and others were admitted on them; the refund admitted as much again. With each round of waiting requests the rate of admissions grew by the rate, and when slots came free all of it ran. Ruled out: a debt below zero, as the next repayment lifts it. Why it works: debts are repaid in the order of their charges; a charge keeps the total of repayments at which it is repaid, and a refund gives back what lies beyond. Refunds shift later charges, which is not followed: a refund may then give back too much, at most the charges that are not repaid yet.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -21,6 +21,10 @@
 from other workspaces. A further try is admitted while anything of the burst is
 left, so it goes before new requests, which have not been accepted yet.
 
+A try that did not run is refunded as far as its units are still owed. What the
+rate has repaid while the request waited was admitted to others in that time; if
+it were given back, too, the requests of an outage would be admitted twice.
+
 All parts that VMs use without hearing each other add up to the whole: a VM uses
 its share of the burst and of the spare tolerance. So the bound holds for any
 partition of any number of VMs.
@@ -92,6 +96,9 @@
 
     units: float
     is_beyond: bool = False  # admitted beyond the allotment on idle runners
+    # The account's total of repaid units at which it is repaid, in the order
+    # of the charges.
+    repaid_at: float = 0
 
 
 NO_CHARGE = Charge(0)
@@ -118,6 +125,7 @@
     # Rest of a burst that may have been used before the accounts, not repaid
     # yet; none: not estimated yet.
     assumed: float | None = None
+    repaid: float = 0  # units by which debts could be repaid so far
     tolerance_debt: float = 0
     used: float = 0  # by this VM
     over_allotment: float = 0  # by this VM
@@ -205,7 +213,7 @@
         )
 
     def refund(self, workspace: str, charge: Charge) -> None:
-        """Undo the charge of a try that did not run."""
+        """Undo the charge of a try that did not run, as far as it is owed."""
         account = self._accounts.get(workspace)
         if account is None:
             return
@@ -214,8 +222,9 @@
             account.over_allotment -= charge.units
             account.idle_part_used -= charge.units
         else:
-            account.debt -= charge.units
-            account.used -= charge.units
+            owed = min(max(charge.repaid_at - account.repaid, 0), charge.units)
+            account.debt -= owed
+            account.used -= owed
 
     def reports(self) -> dict[str, AccountReport]:
         """Return the totals to report to the other VMs, by workspace."""
@@ -329,7 +338,9 @@
         elapsed_s = max(now - account.updated_at, 0)
         account.updated_at = max(now, account.updated_at)
         units = elapsed_s * allowance.rate_per_s * share
-        account.debt = max(account.debt - max(units - account.assumed, 0), 0)
+        repaid_units = max(units - account.assumed, 0)
+        account.repaid += repaid_units
+        account.debt = max(account.debt - repaid_units, 0)
         account.assumed = max(account.assumed - units, 0)
         idle_allowance = self._idle_allowance(allowance)
         repaid = elapsed_s * idle_allowance / self.tolerance.window_s
@@ -409,7 +420,7 @@
 def _charge(account: _Account, units: float) -> Charge:
     account.debt += units
     account.used += units
-    return Charge(units)
+    return Charge(units, repaid_at=account.repaid + account.debt)
 
 
 def make_allotment_ledger(
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -227,12 +227,28 @@
 def test_request_that_did_not_run_is_not_counted() -> None:
     """A refused request is refunded."""
     ledger = AllotmentLedger()
-    assert is_admitted(ledger, 2000, 0)
-    ledger.refund('w', Charge(2000))
+    charge = ledger.admit('w', ALLOWANCE, 2000, 0).charge
+    assert charge is not None
+    ledger.refund('w', charge)
     assert is_admitted(ledger, 2000, 0)
     assert ledger.reports()['w'].used == 2000
 
 
+def test_only_what_is_still_owed_is_refunded() -> None:
+    """Otherwise what the rate repaid is admitted twice."""
+    ledger = AllotmentLedger()
+    first = ledger.admit('w', ALLOWANCE, 1000, 0).charge
+    second = ledger.admit('w', ALLOWANCE, 1000, 0).charge
+    assert first is not None
+    assert second is not None
+    assert is_admitted(ledger, 1500, 1.5)
+    assert ledger.reports()['w'].debt == 2000
+    ledger.refund('w', first)
+    assert ledger.reports()['w'].debt == 2000
+    ledger.refund('w', second)
+    assert ledger.reports()['w'].debt == 1500
+
+
 def test_restarted_peer_is_not_counted_twice() -> None:
     """A restarted peer's total begins at zero; only its increase counts."""
     ledger = AllotmentLedger()
