Tests: refunds are checked on the account; failures draw from their own generator

test_a_caller_that_leaves_the_queue_uses_up_no_allotment counted calls of refund with a mock; a workspace without an allotment has nothing to refund any more. It now limits the workspace and checks the units of its account.

--- a/tests/direct/cluster.py
+++ b/tests/direct/cluster.py
@@ -165,6 +165,13 @@
             'all VMs ready',
         )
 
+    async def wait_until_ready_at(self, count: int) -> None:
+        """Wait until the first VM lists this many addresses for callers."""
+        await wait_until(
+            lambda: len(self.vms[0].entry.front_addresses()) == count,
+            f'{count} VMs ready',
+        )
+
     async def wait_for_runners(self, service: str, count: int = 1) -> None:
         """Wait until each VM knows `count` runners of a service."""
         await wait_until(
--- a/tests/direct/test_left_callers.py
+++ b/tests/direct/test_left_callers.py
@@ -15,6 +15,7 @@
     KEY,
     PLAIN,
     Cluster,
+    publish_token_limit,
     running_cluster,
 )
 from tests.utils.raw_runner import (
@@ -155,9 +156,7 @@
     async with running_cluster() as cluster:
         runner = await cluster.add_runner('r1', PLAIN, books)
         await cluster.wait_for_runners(PLAIN)
-        refund = Mock()
-        components = cluster.vms[0].entry._request_handler._components
-        components.admission_control.refund = refund  # type: ignore[method-assign]
+        await publish_token_limit(cluster, per_s=1, burst=100 * 2 * SLOTS)
         callers = [await cluster.connect() for _ in range(2 * SLOTS)]
         for number, caller in enumerate(callers):
             await caller.send('/book/x', attempt=f'a{number}')
@@ -165,7 +164,8 @@
         for caller in callers:
             caller.close()
         await asyncio.sleep(2 * STOP_S + DELAY_S)
-        assert refund.call_count == SLOTS
+        account = cluster.vms[0].entry._allotments.reports()['school']
+        assert account.used == pytest.approx(100 * SLOTS, abs=2 * SLOTS)
 
 
 async def test_no_runner_is_blamed_for_a_caller_that_left_before_the_write() -> (
--- a/tests/direct/test_program.py
+++ b/tests/direct/test_program.py
@@ -2,43 +2,13 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from pathlib import Path
 
-from tests.direct.cluster import PLAIN, Cluster, connect, running_cluster
-from tests.utils.processes import Process
+from tests.direct.cluster import PLAIN, connect, running_cluster
+from tests.direct.program import program
 from tests.utils.waiting import wait_until
 
 
-@asynccontextmanager
-async def program(cluster: Cluster, folder: Path) -> AsyncIterator[Process]:
-    """Run the program in place of the cluster's only VM."""
-    await cluster.vms.pop().kill()
-    cfg = cluster.cfgs[0]
-    settings = folder / 'settings.conf'
-    settings.write_text(
-        f'BRAMLEYBEND_VM=entry-9\nBRAMLEYBEND_DOMAIN=walton\n'
-        f'BRAMLEYBEND_ADDRESS={cfg.address}\n'
-        f'BRAMLEYBEND_FRONT={cfg.front.host}:{cfg.front.port}\n'
-        f'BRAMLEYBEND_READY={cfg.ready.host}:{cfg.ready.port}\n'
-        f'BRAMLEYBEND_DIRECTORY={cfg.directory.host}:{cfg.directory.port}\n'
-        f'BRAMLEYBEND_PEER_PORT={cfg.peer_port}\n'
-        f'BRAMLEYBEND_STORE={cfg.store.host}:{cfg.store.port}\n'
-        'BRAMLEYBEND_SEEDS=\nOTHER=x\n'
-    )
-    process = Process(
-        'entry-9',
-        ['tests.direct.entry_process', str(settings)],
-        folder / 'entry.log',
-    )
-    await process.start()
-    try:
-        yield process
-    finally:
-        await process.kill()
-
-
 async def test_a_caller_that_comes_while_the_program_loads_is_served(
     tmp_path: Path,
 ) -> None:
--- a/tests/utils/allotment_demand.py
+++ b/tests/utils/allotment_demand.py
@@ -30,6 +30,7 @@
     # When each failing run breaks off, and its VM.
     _failing: list[tuple[float, Vm]] = field(default_factory=list)
     _unsent_units: float = 0
+    _failure_rng: Random = field(default_factory=lambda: Random(4))
     _rng: Random = field(default_factory=lambda: Random(3))
 
     def run(self, seconds: float) -> None:
@@ -110,7 +111,7 @@
         )
         if verdict.is_admitted:
             self.admitted.append((now, self.units))
-            if self._rng.random() < self.failing_share:
+            if self.failing_share > self._failure_rng.random():
                 self._failing.append((now + RUN_S, vm))
         else:
             self.refused.append((now, vm.name))
