Failing test: a VM that wakes joins streams of two versions (ORDER)

Two VMs, the second a process of its own that gets SIGSTOP for 5 s while a runner of v2 joins the one of v1; streams begin through the first VM, which is then killed; their callers take them up at the second before SIGCONT: 4 of 4 streams of v2 went on at v1. Taken up 0.02 and 0.2 s after SIGCONT: none.

--- /dev/null
+++ b/tests/direct/test_standstill.py
@@ -0,0 +1,102 @@
+"""A VM that stands still while others go on, and then wakes."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.direct.cluster import ENGINE, Cluster, RawCaller, running_cluster
+from tests.direct.program import program
+from tests.utils.processes import Process
+from tests.utils.raw_runner import (
+    ReceivedRequest,
+    chunk,
+    event,
+    stream_three_events,
+)
+from tests.utils.waiting import wait_until
+
+OLD, NEW = 'v1', 'v2'
+STREAMS = 8  # more than the old runner has slots
+HEARD_S = 1.5  # heartbeats that list the old runner alone
+RECORDED_S = 0.3  # until their origins are in the log
+
+
+async def hold_after_one_event(seen: ReceivedRequest) -> None:
+    """Send one event of a new stream and hold it; end one that goes on."""
+    if 'last-event-id' in seen.headers:
+        await stream_three_events(seen)
+        return
+    seen.writer.write(seen.stream_head() + chunk(event(1)))
+    await seen.closed.wait()
+
+
+async def begin_streams(
+    cluster: Cluster, callers: list[RawCaller]
+) -> list[str]:
+    """Begin streams at the first VM; return those that the new runner has."""
+    for number in range(STREAMS):
+        callers.append(await cluster.connect())
+        await callers[-1].send('/check/x', attempt=f'a{number}')
+    new = cluster.runners['new']
+    await wait_until(lambda: bool(new.seen), 'a stream began at the new runner')
+    await asyncio.sleep(RECORDED_S)
+    return [seen.attempt for seen in new.seen]
+
+
+async def take_up_on_waking(
+    cluster: Cluster, stopped: Process, attempts: list[str], after_s: float
+) -> None:
+    """Take streams up at the second VM, which stands still, and wake it."""
+    callers = [await cluster.connect(1) for _ in attempts]
+    for number, (caller, attempt) in enumerate(
+        zip(callers, attempts, strict=True)
+    ):
+        if after_s and not number:
+            stopped.send_signal(signal.SIGCONT)
+            await asyncio.sleep(after_s)
+        await caller.send(
+            '/check/x',
+            attempt=f'again-{attempt}',
+            Last_Event_Id='1',
+            Resumes=attempt,
+        )
+    stopped.send_signal(signal.SIGCONT)
+    answers = [await caller.answer() for caller in callers]
+    for caller in callers:
+        caller.close()
+    assert {answer.status for answer in answers} <= {200, 503}
+
+
+@pytest.mark.parametrize('after_s', [0, 0.02, 0.2])
+async def test_a_vm_that_wakes_joins_no_versions(
+    tmp_path: Path, after_s: float
+) -> None:
+    """A VM that wakes must not take what waited in its sockets for new."""
+    async with running_cluster(vms=2) as cluster:
+        await cluster.add_runner('old', ENGINE, hold_after_one_event, OLD)
+        await cluster.wait_for_runners(ENGINE)
+        async with program(cluster, tmp_path) as process:
+            await wait_until(
+                lambda: 'event=runner ' in process.log_text(), 'the runner'
+            )
+            await cluster.wait_until_ready_at(2)
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(HEARD_S)
+            await cluster.add_runner('new', ENGINE, hold_after_one_event, NEW)
+            await cluster.wait_for_runners(ENGINE, 2)
+            await asyncio.sleep(3)
+            callers: list[RawCaller] = []
+            begun_at_new = await begin_streams(cluster, callers)
+            assert begun_at_new
+            await cluster.kill_vms()
+            for caller in callers:
+                caller.close()
+            await take_up_on_waking(cluster, process, begun_at_new, after_s)
+        joined = [
+            seen
+            for seen in cluster.runners['old'].seen
+            if seen.attempt.startswith('again-')
+        ]
+        assert not joined
