Count the age of datagrams from when they may have arrived (ORDER)

Cause: a heartbeat tells the age of what its sender knows; the reader counted that age from the moment of reading. What had waited in the socket of a VM that stood still made its old list of runners current, its VMs alive, their runs and limits new. Class: an age that leaves out the way and the wait. Why it works: a VM notes when it last saw its socket empty, in each heartbeat interval at least. What it reads had not arrived earlier, so it is taken to have arrived then, unless that is under 0.3 s ago. Feeds, members, reported runs, limits and digests count from it. Weighed: a second check of the version when the slot comes. The version is that of a stream that began before the take-up came; if the list was current then, a version that joins while it waits changes nothing, and a check would refuse streams of the old version.

--- a/bramleybend/direct/digests.py
+++ b/bramleybend/direct/digests.py
@@ -208,7 +208,7 @@
         ]
 
     def read(
-        self, digest: Digest, now: float
+        self, digest: Digest, received_at: float, now: float
     ) -> tuple[list[DigestEntry], list[int]]:
         """Read a digest; returns its news and the profile keys to request."""
         for profile in digest.profiles:
@@ -216,7 +216,8 @@
         spent = {news.key: news for news in digest.relayed_totals}
         known = [alive for alive in digest.alive if alive.key in self._profiles]
         entries = (
-            self._entry(alive, spent.get(alive.key), now) for alive in known
+            self._entry(alive, spent.get(alive.key), received_at, now)
+            for alive in known
         )
         unknown = [
             alive.key
@@ -227,7 +228,11 @@
         return news, self._keys_to_request(unknown, now)
 
     def _entry(
-        self, alive: VmLiveness, spent: RelayedTotals | None, now: float
+        self,
+        alive: VmLiveness,
+        spent: RelayedTotals | None,
+        received_at: float,
+        now: float,
     ) -> DigestEntry | None:
         """Return the news of a VM, or `None` if there is none.
 
@@ -236,7 +241,7 @@
         profile = self._profiles[alive.key]
         if profile.vm == self._members.own.vm:
             return None
-        at = now - alive.age_ms * MILLISECOND
+        at = received_at - alive.age_ms * MILLISECOND
         known = self._members.get(profile.vm)
         if known is not None and known.refresh(alive.key, at, now):
             return DigestEntry(profile, at, None, spent) if spent else None
--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -119,9 +119,14 @@
             self.store_schedule.is_store_answering,
         )
 
-    def handle_news(self, vm: str, address: str, news: FeedStatus) -> None:
-        """Handle the progress that another VM's heartbeat reports."""
-        confirmed_at = self._clock.monotonic() - news.age_s
+    def handle_news(
+        self, vm: str, address: str, news: FeedStatus, heard_at: float
+    ) -> None:
+        """Handle the progress that another VM's heartbeat reports.
+
+        `heard_at` is the monotonic time at which it was heard.
+        """
+        confirmed_at = heard_at - news.age_s
         self._peers.update(
             vm,
             PeerProgress(address, news.end, confirmed_at, news.can_read_store),
--- a/bramleybend/direct/peer_message_handler.py
+++ b/bramleybend/direct/peer_message_handler.py
@@ -92,13 +92,15 @@
             self._allotments.age_s(now),
         )
 
-    def handle_heartbeat(self, beat: Heartbeat, address: str) -> None:
-        """Apply a heartbeat."""
+    def handle_heartbeat(
+        self, beat: Heartbeat, address: str, heard_at: float
+    ) -> None:
+        """Apply a heartbeat that was heard at a monotonic time."""
         vm, incarnation = beat.profile.vm, beat.profile.incarnation
         for news in beat.feeds:
             for feed in self.feeds:
                 if feed.settings.name == news.name:
-                    feed.handle_news(vm, address, news)
+                    feed.handle_news(vm, address, news, heard_at)
         if beat.tells_all:
             self._allotments.adopt_accounts(
                 _parse_spendings(beat.totals),
@@ -107,9 +109,9 @@
             )
         self._apply_spendings(_peer_id(vm, incarnation), beat)
         self._containment.merge_news(beat.crashes)
-        self._runner_limits.merge(beat.limits)
+        self._runner_limits.merge(beat.limits, heard_at)
         if beat.runs is not None:
-            self._apply_runs(vm, beat.runs)
+            self._apply_runs(vm, beat.runs, heard_at)
 
     def handle_relayed_totals(
         self, profile: Profile, spent: RelayedTotals
@@ -177,18 +179,22 @@
             age_s=news.accounts_s,
         )
 
-    def _apply_runs(self, vm: str, runs: Iterable[ReportedRun]) -> None:
+    def _apply_runs(
+        self, vm: str, runs: Iterable[ReportedRun], heard_at: float
+    ) -> None:
         by_service: dict[str, list[ReportedRun]] = defaultdict(list)
         for run in runs:
             by_service[run.service].append(run)
         for service in by_service:
             self._queues.queue_for(service)
         for service, queue in self._queues:
-            queue.update_reported_runs(vm, by_service.get(service, ()))
+            queue.update_reported_runs(
+                vm, by_service.get(service, ()), heard_at
+            )
 
     def _release_runs(self, vm: str) -> None:
         for _, queue in self._queues:
-            queue.update_reported_runs(vm, ())
+            queue.update_reported_runs(vm, (), self._clock.monotonic())
 
 
 class SpendingReports:
--- a/bramleybend/direct/peers.py
+++ b/bramleybend/direct/peers.py
@@ -14,10 +14,11 @@
 
 from bramleybend.clock import Clock
 from bramleybend.direct.datagrams import (
-    Datagram,
     Endpoint,
+    ReceivedDatagrams,
     bind_socket,
-    pending_datagrams,
+    receive_from,
+    receive_nothing,
 )
 from bramleybend.direct.digests import DigestEntry, Digests, make_member
 from bramleybend.direct.heartbeat_messages import (
@@ -50,8 +51,10 @@
     def make_heartbeat(self, receiver: Receiver) -> Heartbeat:
         """Return this VM's heartbeat for a receiver."""
 
-    def handle_heartbeat(self, beat: Heartbeat, address: str) -> None:
-        """Handle a heartbeat from an address."""
+    def handle_heartbeat(
+        self, beat: Heartbeat, address: str, heard_at: float
+    ) -> None:
+        """Handle a heartbeat from an address, heard at a monotonic time."""
 
     def handle_relayed_totals(
         self, profile: Profile, spent: RelayedTotals
@@ -96,7 +99,7 @@
         self._events = events
         self._vm_by_address: dict[str, str] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self._read_pending: Callable[[], Iterable[Datagram]] = tuple
+        self.received = ReceivedDatagrams(receive_nothing, clock)
         self._rounds = 0
         # When the last digests of all VMs and of this VM's domain were sent.
         self._digest_at = float(0)
@@ -111,7 +114,9 @@
         sock = bind_socket(address, self._port)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, sock=sock)
-        self._read_pending = partial(pending_datagrams, sock)
+        self.received = ReceivedDatagrams(
+            partial(receive_from, sock), self._clock
+        )
 
     async def run(self) -> None:
         """Send heartbeats and digests until cancelled."""
@@ -121,6 +126,7 @@
 
     def send_round(self) -> None:
         """Send one round of heartbeats and digests."""
+        self.received.read(self._handle_datagram)
         now = self._clock.monotonic()
         for expired in self._members.remove_expired(now):
             self._report_lost(expired)
@@ -162,8 +168,7 @@
         the decisions on the ones before.
         """
         self._handle_datagram(data, addr[0])
-        for payload, sender in self._read_pending():
-            self._handle_datagram(payload, sender[0])
+        self.received.read(self._handle_datagram)
 
     def error_received(self, exc: Exception) -> None:
         """Log a failed send or receive.
@@ -245,16 +250,19 @@
         if profile.vm == self._members.own.vm:
             return
         now = self._clock.monotonic()
+        heard_at = self.received.received_since()
         self._vm_by_address[address] = profile.vm
         timeout_s = (
             HEARTBEAT_TIMEOUT_S
             + (heartbeat.interval_beats - 1) * HEARTBEAT_INTERVAL_S
         )
-        self._direct_until[profile.vm] = now + timeout_s
+        self._direct_until[profile.vm] = heard_at + timeout_s
         before = self._members.get(profile.vm)
         key = self._digests.add_profile(profile, now)
-        is_new = self._update_member(make_member(profile, key, now, timeout_s))
-        self._digests.update_totals(profile.vm, heartbeat, now, now)
+        is_new = self._update_member(
+            make_member(profile, key, heard_at, timeout_s)
+        )
+        self._digests.update_totals(profile.vm, heartbeat, heard_at, now)
         if self._recipients.subscribe(
             profile.vm, address, heartbeat.requested_digests, now
         ):
@@ -264,11 +272,13 @@
             # A VM that has just started gets this VM's heartbeat at once, not
             # one interval later. It holds the debts of all workspaces.
             self.contact(address)
-        self._handler.handle_heartbeat(heartbeat, address)
+        self._handler.handle_heartbeat(heartbeat, address, heard_at)
 
     def _handle_digest(self, digest: Digest, address: str) -> None:
         now = self._clock.monotonic()
-        entries, unknown_keys = self._digests.read(digest, now)
+        entries, unknown_keys = self._digests.read(
+            digest, self.received.received_since(), now
+        )
         for entry in entries:
             self._handle_entry(entry, now)
         if unknown_keys:
--- a/bramleybend/direct/runner_limits.py
+++ b/bramleybend/direct/runner_limits.py
@@ -80,11 +80,10 @@
             return
         self._update(runner, _Limit(per_s, self.now()))
 
-    def merge(self, news: Iterable[RunnerLimit]) -> None:
-        """Merge the limits in another VM's heartbeat."""
-        now = self.now()
+    def merge(self, news: Iterable[RunnerLimit], heard_at: float) -> None:
+        """Merge the limits in a heartbeat that was heard at that time."""
         for report in news:
-            limit = _Limit(report.per_s, now - report.age_s)
+            limit = _Limit(report.per_s, heard_at - report.age_s)
             known = self._limits.get(report.runner)
             if known is None or known.answered_at < limit.answered_at:
                 self._update(report.runner, limit)
--- a/bramleybend/direct/service_queue.py
+++ b/bramleybend/direct/service_queue.py
@@ -192,9 +192,9 @@
         )
 
     def update_reported_runs(
-        self, vm: str, runs: Iterable[ReportedRun]
+        self, vm: str, runs: Iterable[ReportedRun], heard_at: float
     ) -> None:
-        """Replace the runs that a VM reports for this service."""
+        """Replace the runs that a VM reported at a time for this service."""
         now = self._clock.monotonic()
         current = {run.request_id: run for run in runs}
         before = self._reported_runs.get(vm, frozenset())
@@ -213,7 +213,7 @@
                     )
                 )
         self._reported_runs[vm] = frozenset(current)
-        self._reported_at[vm] = now
+        self._reported_at[vm] = heard_at
 
     def drop_expired(self) -> None:
         """Drop requests, grants and runs that their VM stopped confirming."""
@@ -232,7 +232,7 @@
             self.withdraw(request_id)
         for vm, at in tuple(self._reported_at.items()):
             if now - at > REPORTED_RUNS_TTL_S and self._reported_runs[vm]:
-                self.update_reported_runs(vm, ())
+                self.update_reported_runs(vm, (), now)
 
     def _clear_times(self, request_id: str) -> None:
         self._requested_at.pop(request_id, None)
--- a/tests/direct/test_allotments_on_many_vms.py
+++ b/tests/direct/test_allotments_on_many_vms.py
@@ -60,3 +60,13 @@
     demand.failing_share = failing_share
     demand.run(8)
     assert demand.max_units_in_window() <= demand.max_tolerated_units()
+
+
+@pytest.mark.parametrize('frozen', [12, 34, 60])
+def test_vms_that_wake_keep_the_tolerance(frozen: int) -> None:
+    """VMs that wake must not take their old accounts for new ones."""
+    demand = busy_fleet(times=5)
+    demand.run(1)
+    demand.freeze(range(0, frozen), seconds=5)
+    demand.run(3)
+    assert demand.max_units_in_window() <= demand.max_tolerated_units()
--- a/tests/direct/test_limit_news.py
+++ b/tests/direct/test_limit_news.py
@@ -79,13 +79,25 @@
 ) -> None:
     """Delayed news doesn't replace a newer limit."""
     limits.update_from_answer('r', '3', clock.monotonic())
-    limits.merge([RunnerLimit('r', 1, 2.0), RunnerLimit('other', 5, 0.1)])
+    news = [RunnerLimit('r', 1, 2.0), RunnerLimit('other', 5, 0.1)]
+    limits.merge(news, clock.monotonic())
     assert limits.in_force() == {'r': 3, 'other': 5}
     clock.advance(1)
-    limits.merge([RunnerLimit('r', None, 0.5)])
+    limits.merge([RunnerLimit('r', None, 0.5)], clock.monotonic())
     assert limits.in_force() == {'other': 5}
 
 
+def test_a_limit_that_waited_in_a_socket_replaces_no_newer_one(
+    limits: RunnerLimits, clock: ManualClock
+) -> None:
+    """A VM that wakes reads old news after its runner's newest answer."""
+    heard_at = clock.monotonic()
+    clock.advance(5)
+    limits.update_from_answer('r', '3', clock.monotonic())
+    limits.merge([RunnerLimit('r', 9, 0.1)], heard_at)
+    assert limits.in_force() == {'r': 3}
+
+
 def test_the_end_of_a_limit_is_sent_for_a_while(
     limits: RunnerLimits, clock: ManualClock
 ) -> None:
@@ -117,5 +129,5 @@
         limits.update_from_answer(f'runner-{number}', '2', 0)
     for _ in range(25):
         clock.advance(HEARTBEAT_INTERVAL_S)
-        other.merge(limits.limits_to_send())
+        other.merge(limits.limits_to_send(), clock.monotonic())
     assert len(other.in_force()) == MAX_LIMITS_PER_HEARTBEAT + 8
--- a/tests/direct/test_owner_batches.py
+++ b/tests/direct/test_owner_batches.py
@@ -168,7 +168,7 @@
     news = ReportedRun('a', SERVICE, 'r1', 2, 'w', 100, 50)
     for _ in range(6):
         clock.advance(0.3)
-        queue.update_reported_runs('vm', [news])
+        queue.update_reported_runs('vm', [news], clock.monotonic())
         queue.drop_expired()
         await asyncio.sleep(0)
 
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -8,6 +8,7 @@
 
 from tests.direct.cluster import ENGINE, Cluster, RawCaller, running_cluster
 from tests.direct.program import program
+from tests.utils.peer_network import start_network
 from tests.utils.processes import Process
 from tests.utils.raw_runner import (
     ReceivedRequest,
@@ -100,3 +101,17 @@
             if seen.attempt.startswith('again-')
         ]
         assert not joined
+
+
+def test_heartbeats_that_waited_make_nobody_alive() -> None:
+    """A VM that wakes would act as if it heard VMs that may be gone."""
+    network = start_network(6)
+    vm, *others = network.running_vms()
+    vm.is_frozen = True
+    network.run(3)
+    for other in others:
+        other.is_up = False
+    network.run(2)
+    vm.is_frozen = False
+    network.read_unread(vm)
+    assert not vm.members.alive(network.clock.monotonic())
--- a/tests/failures/test_large_manifest.py
+++ b/tests/failures/test_large_manifest.py
@@ -157,7 +157,9 @@
         for number, relay in enumerate(relays):
             news = FeedStatus(MANIFEST_TOPIC, 2, 0, can_read_store=True)
             for follower in followers:
-                follower.feed.handle_news(f'hub-{number}', relay.host, news)
+                follower.feed.handle_news(
+                    f'hub-{number}', relay.host, news, SystemClock().monotonic()
+                )
         await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
 
--- a/tests/utils/allotment_demand.py
+++ b/tests/utils/allotment_demand.py
@@ -63,6 +63,22 @@
             capacity = stopped_vms[f'entry-{number}'].members.own.capacity
             self.network.add(number, f'after-{stopped_at:.2f}', capacity)
 
+    def freeze(self, numbers: Sequence[int], seconds: float) -> None:
+        """Freeze VMs; what is sent to them waits, `MAX_BACKLOG_S` at most."""
+        frozen = self._running_vms(numbers)
+        for vm in frozen:
+            vm.is_frozen = True
+        self.run(seconds)
+        backlog = self.per_s * min(seconds, MAX_BACKLOG_S) / self.units
+        waiting = round(backlog / len(self.network.vms) / 2)
+        for vm in frozen:
+            vm.is_frozen = False
+            for _ in range(waiting):
+                self._request_admission(vm)
+            self.network.read_unread(vm)
+            for _ in range(waiting):
+                self._request_admission(vm)
+
     def is_admitted_by(self, vm: Vm) -> bool:
         """Send one more request to a VM; return whether it is admitted."""
         before = len(self.refused)
@@ -87,7 +103,7 @@
         return allotted + self.tolerance.units(rate, burst)
 
     def _send(self) -> None:
-        up = self.network.running_vms()
+        up = [vm for vm in self.network.running_vms() if not vm.is_frozen]
         if not up:
             self._unsent_units = min(
                 self._unsent_units, self.per_s * MAX_BACKLOG_S
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -21,6 +21,7 @@
 )
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.containment import Containment
+from bramleybend.direct.datagrams import Datagram, ReceivedDatagrams
 from bramleybend.direct.members import (
     HEARTBEAT_INTERVAL_S,
     MEMBER_TTL_S,
@@ -42,6 +43,7 @@
 STEP_S = 0.01
 DOMAINS = 3
 SEEDS = 3
+SOCKET_DATAGRAMS = 200  # that wait at a frozen VM; further ones are lost
 FIRST = '1'  # incarnation of the VMs at the system's first start
 ALLOWANCE = Allowance(rate_per_s=50_000, burst=100_000)
 
@@ -57,6 +59,9 @@
     peers: Peers
     next_beat_at: float
     is_up: bool = True
+    is_frozen: bool = False
+    # Datagrams that wait in its socket, and who sent them.
+    unread: deque[Datagram] = field(default_factory=deque)
     is_ready: bool = True
 
     def state(self) -> tuple[bool, bool]:
@@ -149,6 +154,11 @@
         at = self.clock.monotonic() + DELAY_S
         self._queue.append((at, payload, sender, receiver))
 
+    def read_unread(self, vm: Vm) -> None:
+        """Let a VM that woke read what waits in its socket."""
+        if vm.unread:
+            vm.peers.datagram_received(*vm.unread.popleft())
+
     def _read_register(self, vm: Vm) -> None:
         now = self.clock.monotonic()
         if self.has_register:
@@ -165,7 +175,10 @@
         while self._queue and self._queue[0][0] <= now:
             _, payload, sender, receiver = self._queue.popleft()
             vm = self.vms.get(receiver)
-            if vm is not None and vm.is_up:
+            if vm is not None and vm.is_frozen:
+                if len(vm.unread) < SOCKET_DATAGRAMS:
+                    vm.unread.append((payload, (sender, PORT)))
+            elif vm is not None and vm.is_up:
                 vm.peers.datagram_received(payload, (sender, PORT))
         self.seconds += process_time() - started_at
 
@@ -173,7 +186,7 @@
         started_at = process_time()
         now = self.clock.monotonic()
         for vm in self.running_vms():
-            if vm.next_beat_at <= now:
+            if vm.next_beat_at <= now and not vm.is_frozen:
                 vm.next_beat_at += HEARTBEAT_INTERVAL_S
                 vm.peers.send_round()
         self.seconds += process_time() - started_at
@@ -243,9 +256,15 @@
         members, queues.engine_services, listener, PORT, clock, events
     )
     peers.add_seeds(address_of(seed) for seed in range(SEEDS))
+    unread: deque[Datagram] = deque()
+    peers.received = ReceivedDatagrams(
+        lambda: unread.popleft() if unread else None, clock
+    )
     peers.connection_made(_Socket(network, address))
     first_beat = clock.monotonic() + Random(number).uniform(
         0, HEARTBEAT_INTERVAL_S
     )
-    vm = Vm(name, address, members, allotments, peers, first_beat)
+    vm = Vm(
+        name, address, members, allotments, peers, first_beat, unread=unread
+    )
     return vm
