--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -254,9 +254,9 @@
     return job.runner_error_status is not None
 
 
-def timeout_failure(attempt: Attempt) -> Failure:
+def timeout_failure(attempt: Attempt, reason: str) -> Failure:
     """Return the failure of an attempt that ran out of time."""
     run_status = (
         RunStatus.MAY_HAVE_RUN if attempt.is_sent else RunStatus.NOT_RUN
     )
-    return Failure(run_status, TIMEOUT, FailureCause.NONE)
+    return Failure(run_status, reason, FailureCause.NONE)
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -13,10 +13,10 @@
     STARTUP_HOLD_S,
     make_allotment_ledger,
 )
-from bramleybend.decisions.resends import ResendBudget, ResendLimits
 from bramleybend.direct.admission import AdmissionControl
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.containment import Containment
+from bramleybend.direct.drain import Drain
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.header_codec import HeaderCodec
 from bramleybend.direct.ingress import Ingress
@@ -40,16 +40,6 @@
 from bramleybend.events import EventLog
 
 SWEEP_EVERY_S: Final = 0.2
-# In a drain, requests are accepted for this long. Callers cache an answer of
-# the directory for up to three times its lifetime, and until then may send
-# requests on open connections.
-ACCEPT_REQUESTS_S: Final = 2.6
-# In a drain, new connections are accepted for this long, as callers may not
-# have asked the directory again.
-ACCEPT_CONNECTIONS_S: Final = 1.6
-DRAIN_POLL_S: Final = 0.05
-# A drain ends this long before the platform kills the process.
-KILL_MARGIN_S: Final = 0.5
 # Share of the connections that a runner accepts from all VMs together. The rest
 # is left for VMs that start and for connections that only one end has closed.
 CONNECTION_SHARE: Final = 0.8
@@ -214,20 +204,16 @@
 
     async def drain(self) -> None:
         """Withdraw from the directory, then wait for requests in flight."""
-        started_at = self._clock.monotonic()
-        self.events.record('stopping', in_flight=self.ingress.busy_count)
         self.is_leaving = True
-        self.ingress.is_draining = True
         self.peers.send_round()
-        await asyncio.sleep(ACCEPT_CONNECTIONS_S)
-        self.ingress.stop_listening()
-        await asyncio.sleep(max(ACCEPT_REQUESTS_S - ACCEPT_CONNECTIONS_S, 0))
-        self._request_handler.is_shutting_down = True
-        self.ingress.close_idle()
-        drain_until = started_at + self._cfg.drain_timeout_s - KILL_MARGIN_S
-        while self._is_busy() and self._clock.monotonic() < drain_until:
-            await asyncio.sleep(DRAIN_POLL_S)
-        self.events.record('stopped', in_flight=self.ingress.busy_count)
+        drain = Drain(
+            self.ingress,
+            self._request_handler,
+            self._is_busy,
+            self._clock,
+            self.events,
+        )
+        await drain.run(self._cfg.drain_timeout_s)
 
     async def close(self) -> None:
         """Close connections and cancel tasks at once."""
@@ -271,13 +257,7 @@
             self._queues.limits,
             self._access.channels,
             header_codec,
-            ResendBudget(
-                ResendLimits(
-                    self._cfg.resend_ratio,
-                    self._cfg.resend_extra,
-                    self._cfg.resend_window_s,
-                )
-            ),
+            self._cfg.resend_budget(),
             self._streams.versions,
             self._streams.origins,
             self.members.count,
--- a/bramleybend/direct/request_handler.py
+++ b/bramleybend/direct/request_handler.py
@@ -6,25 +6,27 @@
 from typing import Final
 
 from bramleybend.direct.admission import Admission
-from bramleybend.direct.attempt import Failure, WholeAnswer
+from bramleybend.direct.attempt import TIMEOUT, Failure, WholeAnswer
 from bramleybend.direct.attempt_dispatcher import (
     CALLER_LEFT,
     REFUSED_RETRY_AFTER_S,
     AttemptDispatcher,
     timeout_failure,
 )
+from bramleybend.direct.deadlines import Deadlines
 from bramleybend.direct.job import Components, Job
 from bramleybend.direct.models import RequestMetadata
 from bramleybend.direct.placement import NoSlot, Placement
 from bramleybend.direct.relay import StreamRelay
 from bramleybend.direct.replies import RawRequest, Reply, own_reply
+from bramleybend.direct.request_log import RequestLog
 from bramleybend.direct.responder import Responder
 from bramleybend.direct.try_charges import TryCharges
 
-MS_PER_SECOND: Final = 1000
 UNKNOWN_ORIGIN: Final = NoSlot(
     'the version that began the stream is not known', retry_after_s=None
 )
+STOPPING: Final = 'this VM is stopping'
 MIN_SERVER_ERROR_STATUS: Final = 500  # a runner answered with a failure
 
 
@@ -36,33 +38,49 @@
         self._components = components
         self._dispatcher = AttemptDispatcher(components)
         self._charges = TryCharges(components)
+        self._log = RequestLog(components)
         self._background_tasks: set[asyncio.Task[Reply]] = set()
-        self.is_shutting_down = False  # set during a planned stop
+        self._is_shutting_down = False
+        self._slot_waits = Deadlines()
+        self._runs = Deadlines()
 
     async def handle(self, req: RawRequest, responder: Responder) -> None:
         """Admit and serve one request, or answer why it was rejected."""
-        if self.is_shutting_down:
+        if self._is_shutting_down:
             await responder.send_reply(_shutdown_reply())
             return
         facts = self._components.header_codec.request_facts(req.headers)
         await self._components.admission_control.wait_until_informed(facts)
         admission = self._components.admission_control.admit(req, facts)
         if isinstance(admission, Reply):
-            self._record_denied(facts.attempt_id, req.path, admission)
+            self._log.record_denied(facts.attempt_id, req.path, admission)
             await responder.send_reply(admission)
             return
         job = self._make_job(req, facts, admission)
         try:
             await self._serve(job, responder)
         except asyncio.CancelledError:
-            self._record_caller_left(job)
+            job.caller_left_at = self._dispatcher.now()
+            self._log.record_caller_left(job)
             raise
         finally:
             self._charges.refund_unused(job)
 
+    def shut_down(self, place_for_s: float) -> None:
+        """Reject new requests, and those that get no slot within a time."""
+        self._is_shutting_down = True
+        self._slot_waits.end_within(place_for_s)
+
+    def end_runs(self) -> None:
+        """Answer the requests that are still at runners.
+
+        They may have run; one of which nothing was relayed yet is told so.
+        """
+        self._runs.end_within(0)
+
     def record_unreadable(self, reply: Reply) -> None:
         """Log and count a request that the ingress could not read."""
-        self._record_denied('', '', reply)
+        self._log.record_denied('', '', reply)
 
     def _make_job(
         self, req: RawRequest, facts: RequestMetadata, admission: Admission
@@ -96,7 +114,7 @@
     async def _serve(self, job: Job, responder: Responder) -> None:
         if self._components.containment.is_refused(job.content):
             reply = self._dispatcher.quarantined_reply(job)
-            self._record_denied(job.facts.attempt_id, job.req.path, reply)
+            self._log.record_denied(job.facts.attempt_id, job.req.path, reply)
             await responder.send_reply(reply)
         elif job.admission.route.streaming:
             await self._serve_stream(job, responder)
@@ -108,7 +126,7 @@
             reply = await self._run_buffered(job)
         else:
             reply = await self._run_uncancelled(job)
-        self._record_answer(job, reply.status, reply.reason)
+        self._log.record_answer(job, reply.status, reply.reason)
         await responder.send_reply(reply)
 
     async def _run_uncancelled(self, job: Job) -> Reply:
@@ -153,7 +171,7 @@
         started_at = self._dispatcher.now()
         outcome: WholeAnswer | Failure = CALLER_LEFT
         try:
-            async with asyncio.timeout(self._dispatcher.remaining_s(job)):
+            async with self._runs.limit(self._dispatcher.remaining_s(job)):
                 head = await attempt.send(
                     partial(
                         self._dispatcher.make_outgoing, job, placement.runner
@@ -166,7 +184,9 @@
                     job.framing = head.framing
                     outcome = await attempt.read_whole(head)
         except TimeoutError:
-            outcome = timeout_failure(attempt)
+            outcome = timeout_failure(
+                attempt, STOPPING if self._runs.has_ended else TIMEOUT
+            )
         finally:
             attempt.drop_connection()
             self._dispatcher.finish_attempt(job, placement, outcome, started_at)
@@ -179,9 +199,9 @@
             reply = self._dispatcher.no_slot_reply(job, UNKNOWN_ORIGIN)
         passed_on = job.runner_error_status or HTTPStatus.OK
         if reply is None:
-            self._record_answer(job, passed_on)
+            self._log.record_answer(job, passed_on)
             return
-        self._record_answer(job, reply.status, reply.reason)
+        self._log.record_answer(job, reply.status, reply.reason)
         if responder.has_begun:
             # Part of the answer was already sent, so the connection is closed
             # without the end of the message: the caller must not take it for
@@ -238,7 +258,7 @@
         )
         outcome: Failure | None = CALLER_LEFT
         try:
-            async with asyncio.timeout(self._dispatcher.remaining_s(job)):
+            async with self._runs.limit(self._dispatcher.remaining_s(job)):
                 head = await attempt.send(
                     partial(
                         self._dispatcher.make_outgoing, job, placement.runner
@@ -251,7 +271,9 @@
                     else await relay.run(attempt, head)
                 )
         except TimeoutError:
-            outcome = timeout_failure(attempt)
+            outcome = timeout_failure(
+                attempt, STOPPING if self._runs.has_ended else TIMEOUT
+            )
         finally:
             attempt.drop_connection()
             self._dispatcher.finish_attempt(
@@ -261,12 +283,14 @@
 
     async def _acquire_slot(self, job: Job) -> Placement | NoSlot:
         try:
-            async with asyncio.timeout(
+            async with self._slot_waits.limit(
                 self._dispatcher.remaining_for_slot_s(job)
             ):
                 await self._charges.charge(job)
                 return await self._dispatcher.acquire_slot(job)
         except TimeoutError:
+            if self._slot_waits.has_ended:
+                return NoSlot(STOPPING, retry_after_s=0)
             return NoSlot('no slot came free in time', REFUSED_RETRY_AFTER_S)
 
     def _should_rerun(self, job: Job, status: int) -> bool:
@@ -277,69 +301,11 @@
             return False
         return self._dispatcher.take_rerun(job)
 
-    def _record_denied(self, attempt_id: str, path: str, reply: Reply) -> None:
-        self._components.meters.count('denied', int(reply.status))
-        self._components.events.record(
-            'denied',
-            req=attempt_id,
-            status=int(reply.status),
-            path=path,
-            why=reply.reason,
-            **reply.inputs,
-        )
-
-    def _record_answer(self, job: Job, status: int, reason: str = '') -> None:
-        self._update_answer_meters(job, status)
-        failure = job.last_failure
-        first_at = job.first_event_at
-        self._components.events.record(
-            'answered',
-            req=job.facts.attempt_id,
-            route=job.admission.route.name,
-            workspace=job.admission.workspace,
-            tier=int(job.admission.tier),
-            work=int(job.facts.expected_work),
-            status=int(status),
-            runners=','.join(job.tried_runners),
-            why=failure.reason if failure else reason,
-            framing=job.framing,
-            cut_bytes=job.cut_bytes,
-            first_event_ms=''
-            if first_at is None
-            else int((first_at - job.req.received_at) * MS_PER_SECOND),
-            ms=self._dispatcher.ms_since(job.req.received_at),
-        )
-
-    def _record_caller_left(self, job: Job) -> None:
-        job.caller_left_at = self._dispatcher.now()
-        stage = 'placed' if job.tried_runners else 'queued'
-        self._components.meters.count(
-            'callers_left', job.admission.service, stage
-        )
-        self._components.events.record(
-            'caller_left',
-            req=job.facts.attempt_id,
-            stage=stage,
-            runners=','.join(job.tried_runners),
-            ms=self._dispatcher.ms_since(job.req.received_at),
-        )
-
-    def _update_answer_meters(self, job: Job, status: int) -> None:
-        meters = self._components.meters
-        service, tier = job.admission.service, int(job.admission.tier)
-        cause = job.last_failure.run_status if job.last_failure else 'none'
-        meters.count('answers', service, tier, int(status), cause)
-        elapsed_s = self._dispatcher.now() - job.req.received_at
-        meters.observe('answer_seconds', elapsed_s, service, tier)
-        if job.first_event_at is not None:
-            elapsed_s = job.first_event_at - job.req.received_at
-            meters.observe('first_event_seconds', elapsed_s, service, tier)
-
 
 def _shutdown_reply() -> Reply:
     return own_reply(
         HTTPStatus.SERVICE_UNAVAILABLE,
-        'this VM is stopping; nothing was run',
+        f'{STOPPING}; nothing was run',
         0,
         must_close=True,
     )
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -13,6 +13,7 @@
 )
 from bramleybend.decisions.allotments import Tolerance
 from bramleybend.decisions.overload import OverloadBounds
+from bramleybend.decisions.resends import ResendBudget, ResendLimits
 from bramleybend.direct.answer_memory import AnswerMemory
 from bramleybend.entry_setting_parsers import (
     parse_bool,
@@ -304,6 +305,14 @@
             self.allotment_slack,
         )
 
+    def resend_budget(self) -> ResendBudget:
+        """Return an unused budget of requests sent to a second runner."""
+        return ResendBudget(
+            ResendLimits(
+                self.resend_ratio, self.resend_extra, self.resend_window_s
+            )
+        )
+
     def overload(self) -> OverloadBounds:
         """Return the settings that apply under overload."""
         return OverloadBounds(self.min_tier_share, self.standing_queue_s)
