--- a/tests/direct/test_allotments_on_many_vms.py
+++ b/tests/direct/test_allotments_on_many_vms.py
@@ -62,11 +62,24 @@
     assert demand.max_units_in_window() <= demand.max_tolerated_units()
 
 
-@pytest.mark.parametrize('frozen', [12, 34, 60])
-def test_vms_that_wake_keep_the_tolerance(frozen: int) -> None:
-    """VMs that wake must not take their old accounts for new ones."""
-    demand = busy_fleet(times=5)
-    demand.run(1)
-    demand.freeze(range(0, frozen), seconds=5)
-    demand.run(3)
+@pytest.mark.parametrize(
+    ('frozen', 'seconds'), [(9, 1.5), (34, 0.6), (60, 0.6)]
+)
+def test_vms_keep_the_tolerance_while_hubs_stand_still(
+    frozen: int, seconds: float
+) -> None:
+    """VMs that don't hear of each other must not use the rate each."""
+    demand = busy_fleet(times=7.5)
+    demand.run(8)
+    demand.freeze(range(frozen), seconds)
+    demand.run(4)
+    assert demand.max_units_in_window() <= demand.max_tolerated_units()
+
+
+def test_vms_keep_the_tolerance_when_all_hubs_are_killed() -> None:
+    """For a second, the others believe that they hear all VMs."""
+    demand = busy_fleet(times=7.5)
+    demand.run(8)
+    demand.restart(range(STRONG), down_s=1.5, within_s=0.3)
+    demand.run(4)
     assert demand.max_units_in_window() <= demand.max_tolerated_units()
