What idle runners take beyond an allotment leaves room for overshoots (QUOTA)

With others, 84 VMs and eight times the rate: 9.72 to 10.97 s of the rate in 8 s, 4 of 15 over the 10.28 tolerated; five times: up to 10.55. Cause: half of the tolerance is used on idle runners, whatever VMs that decide at the same time use of the other half before they hear of each other. Change: what the known debt exceeds the burst by counts against the part for idle runners. Tried and not kept: from the rate on, requests are admitted by the share of the burst that is left. The waves got smaller but not the worst (10.49), and a workspace that stays just below its rate was refused (test_a_workspace_within_its_allotment_is_never_refused).

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -372,7 +372,9 @@
     ) -> bool:
         """Use this VM's part of the tolerance for idle runners, if it fits."""
         idle_allowance = self._idle_allowance(allowance)
-        if account.tolerance_debt + units > idle_allowance:
+        # VMs that decided at the same time may have used part of it already.
+        overshoot = max(account.debt - allowance.burst, 0)
+        if overshoot + account.tolerance_debt + units > idle_allowance:
             return False
         part = idle_allowance / vms
         left = max(part - account.idle_part_used, 0)
