Keep free what the other VMs probably admitted since their last news (QUOTA)

Cause: a VM counts another as heard until its heartbeat is overdue, up to 1.05 s through hubs. When all hubs are killed or stand still, 84 VMs hear nobody for that time, believe that they hear all, and each uses what the rate repays. A VM that stood still for less than a heartbeat's time limit does the same when it wakes. Class: a decision on news whose age is not counted. Why it works: repaid units are kept free as far as the others admitted at their recent rate for the mean age of their news. It is bounded by what was repaid in that time, so a workspace below its rate, which owes nothing, keeps its burst.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -29,6 +29,11 @@
 its share of the burst and of the spare tolerance. So the bound holds for any
 partition of any number of VMs.
 
+The news of the other VMs is some tenths of a second old, and older while hubs are
+down. Until it arrives, a VM assumes that they admitted at their recent rate what
+the allotment has repaid since. Otherwise all VMs would use the repaid units at
+once, each for itself.
+
 A VM that restarts has lost its accounts, and all others may have lost theirs,
 too. Until a VM with older accounts reports the debts, it treats every burst as
 used as far as the spare tolerance doesn't cover it.
@@ -43,15 +48,22 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from math import inf, isinf
+from math import inf, isinf, log
 from random import Random
 
+from bramleybend.decisions.decaying_sum import DecayingSum
+from bramleybend.decisions.recent_sum import RecentSum
+
 MIN_BURST_SHARE = 0.05  # of the burst; any small share works
 # Share of the contracts' tolerance that is used for work on idle runners. The
 # rest is spare: it covers what VMs admit without knowing of each other.
 IDLE_TOLERANCE_SHARE = 0.5
 # Two heartbeats, within which most VMs that start together hear each other.
 STARTUP_HOLD_S = 0.4
+# Half-life of the rate at which the other VMs admit.
+RATE_HALF_LIFE_S = 1.0
+# VMs that were not heard for longer count as silent.
+MAX_NEWS_AGE_S = 2.0
 # A peer's accounts count as older only beyond this difference: the same
 # accounts arrive with the delay of the network and of a busy VM.
 MIN_AGE_LEAD_S = 0.2
@@ -78,6 +90,20 @@
     burst: float
 
 
+@dataclass(frozen=True)
+class FleetView:
+    """What a VM knows of all VMs at the time of a decision."""
+
+    # Of the VMs, those that this VM hears, itself included; 0 while their
+    # number is unknown.
+    share: float = 1
+    vms: int = 1
+    news_age_s: float = 0  # mean age of the news of the other VMs
+
+
+ALONE = FleetView()
+
+
 @dataclass(frozen=True)
 class AccountReport:
     """One VM's report on a workspace's account, in units."""
@@ -130,6 +156,13 @@
     used: float = 0  # by this VM
     over_allotment: float = 0  # by this VM
     idle_part_used: float = 0  # of this VM's part, not repaid yet
+    # Of the units that other VMs reported; tells their rate.
+    reported: DecayingSum = field(
+        default_factory=lambda: DecayingSum(RATE_HALF_LIFE_S)
+    )
+    repayments: RecentSum = field(
+        default_factory=lambda: RecentSum(MAX_NEWS_AGE_S)
+    )
 
 
 @dataclass
@@ -163,30 +196,24 @@
         allowance: Allowance,
         units: float,
         now: float,
-        share: float = 1,
+        view: FleetView = ALONE,
         *,
         are_runners_idle: bool = False,
-        vms: int = 1,
     ) -> AllotmentDecision:
-        """Admit a request and charge its first try, or return when to retry.
-
-        `share` is the share of all `vms` that this VM hears, itself included;
-        0 while their number is unknown.
-        """
+        """Admit a request and charge its first try, or return when to retry."""
         account = self._account(workspace, now)
-        self._repay_debt(account, allowance, now, share, vms)
         needed = min(units, allowance.burst * MIN_BURST_SHARE)
-        left = self._usable_burst(account, allowance, now, share) - account.debt
-        if left >= needed and share:
+        left = self._left(account, allowance, now, view)
+        if left >= needed and view.share:
             return AllotmentDecision(_charge(account, units))
         # A VM that doesn't hear all others leaves the tolerance to them.
-        if are_runners_idle and share >= 1:
-            if self._take_idle_tolerance(account, allowance, units, vms):
+        if are_runners_idle and view.share >= 1:
+            if self._take_idle_tolerance(account, allowance, units, view.vms):
                 return AllotmentDecision(Charge(units, is_beyond=True))
         return AllotmentDecision(
             charge=None,
             retry_after_s=self._retry_after_s(
-                needed - left, allowance, now, share
+                needed - left, allowance, now, view.share
             ),
             debt=account.debt,
         )
@@ -197,18 +224,18 @@
         allowance: Allowance,
         units: float,
         now: float,
-        share: float,
-        vms: int,
+        view: FleetView = ALONE,
     ) -> AllotmentDecision:
         """Charge a further try of a request, or return when to retry."""
         account = self._account(workspace, now)
-        self._repay_debt(account, allowance, now, share, vms)
-        left = self._usable_burst(account, allowance, now, share) - account.debt
-        if left >= 0 and share:
+        left = self._left(account, allowance, now, view)
+        if left >= 0 and view.share:
             return AllotmentDecision(_charge(account, units))
         return AllotmentDecision(
             charge=None,
-            retry_after_s=self._retry_after_s(-left, allowance, now, share),
+            retry_after_s=self._retry_after_s(
+                -left, allowance, now, view.share
+            ),
             debt=account.debt,
         )
 
@@ -300,6 +327,7 @@
                 )
             else:
                 account.debt += spending.used - last.used
+                account.reported.add(spending.used - last.used, now)
                 account.tolerance_debt += (
                     spending.over_allotment - last.over_allotment
                 )
@@ -317,13 +345,24 @@
             self._accounts[workspace] = account
         return account
 
+    def _left(
+        self,
+        account: _Account,
+        allowance: Allowance,
+        now: float,
+        view: FleetView,
+    ) -> float:
+        """Return what is left of the burst, once debts are repaid."""
+        self._repay_debt(account, allowance, now, view)
+        usable = self._usable_burst(account, allowance, now, view.share)
+        return usable - account.debt - _unreported(account, view, now)
+
     def _repay_debt(
         self,
         account: _Account,
         allowance: Allowance,
         now: float,
-        share: float,
-        vms: int,
+        view: FleetView,
     ) -> None:
         if account.assumed is None:
             # The spare tolerance covers the rest of the burst.
@@ -337,9 +376,10 @@
             )
         elapsed_s = max(now - account.updated_at, 0)
         account.updated_at = max(now, account.updated_at)
-        units = elapsed_s * allowance.rate_per_s * share
+        units = elapsed_s * allowance.rate_per_s * view.share
         repaid_units = max(units - account.assumed, 0)
         account.repaid += repaid_units
+        account.repayments.add(min(repaid_units, account.debt), now)
         account.debt = max(account.debt - repaid_units, 0)
         account.assumed = max(account.assumed - units, 0)
         idle_allowance = self._idle_allowance(allowance)
@@ -350,7 +390,9 @@
                 idle_allowance, idle_allowance / self.tolerance.window_s, now
             ),
         )
-        account.idle_part_used = max(account.idle_part_used - repaid / vms, 0)
+        account.idle_part_used = max(
+            account.idle_part_used - repaid / view.vms, 0
+        )
 
     def _usable_burst(
         self, account: _Account, allowance: Allowance, now: float, share: float
@@ -419,6 +461,18 @@
         return units * IDLE_TOLERANCE_SHARE / 2
 
 
+def _unreported(account: _Account, view: FleetView, now: float) -> float:
+    """Return what the other VMs probably admitted since their last news.
+
+    It is no more than what was repaid since: while a debt isn't repaid, they
+    admit nothing, either.
+    """
+    since = now - view.news_age_s
+    repaid = account.repayments.since(since)
+    per_s = account.reported.value(since) * log(2) / RATE_HALF_LIFE_S
+    return min(max(per_s, 0) * view.news_age_s, repaid)
+
+
 def _charge(account: _Account, units: float) -> Charge:
     account.debt += units
     account.used += units
--- a/bramleybend/direct/admission.py
+++ b/bramleybend/direct/admission.py
@@ -21,6 +21,7 @@
     AllotmentLedger,
     Allowance,
     Charge,
+    FleetView,
 )
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.members import Members
@@ -121,8 +122,7 @@
             Allowance(allotment.rate_per_s, allotment.burst),
             facts.allotment_units(allotment),
             self._clock.monotonic(),
-            self._live_share(),
-            self._members.count(),
+            self._fleet_view(),
         )
 
     def refund(self, workspace: str, charge: Charge) -> None:
@@ -151,6 +151,7 @@
                 verdict.charge,
                 holder.allotment,
             )
+        view = self._fleet_view()
         return own_reply(
             HTTPStatus.TOO_MANY_REQUESTS,
             'the workspace is over its allotment; nothing was run',
@@ -162,7 +163,8 @@
                 'rate_per_s': f'{holder.allotment.rate_per_s:.0f}',
                 'burst': f'{holder.allotment.burst:.0f}',
                 'accounts_s': f'{self._account_age_s():.2f}',
-                'vms_heard': f'{self._live_share():.2f}',
+                'vms_heard': f'{view.share:.2f}',
+                'news_age_s': f'{view.news_age_s:.2f}',
                 'retry_after_s': f'{verdict.retry_after_s:.2f}',
             },
         )
@@ -175,16 +177,15 @@
             Allowance(allotment.rate_per_s, allotment.burst),
             units,
             self._clock.monotonic(),
-            self._live_share(),
+            self._fleet_view(),
             are_runners_idle=self._queues.queue_for(service).is_idle(),
-            vms=self._members.count(),
         )
 
     def _account_age_s(self) -> float:
         return self._allotments.age_s(self._clock.monotonic())
 
-    def _live_share(self) -> float:
-        return self._members.alive_fraction(self._clock.monotonic())
+    def _fleet_view(self) -> FleetView:
+        return self._members.fleet_view(self._clock.monotonic())
 
     def _denial(self, status: HTTPStatus, reason: str) -> Reply:
         inputs = self._manifest_inputs()
--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -22,6 +22,7 @@
 from heapq import nlargest
 from typing import Final, TypeAlias
 
+from bramleybend.decisions.allotments import FleetView
 from bramleybend.direct.expected_vms import ExpectedVms
 from bramleybend.direct.ranks import hash_of, rank_of
 
@@ -174,14 +175,13 @@
             if member.ready and not member.leaving
         ]
 
-    def alive_fraction(self, now: float) -> float:
-        """Return the fraction of the VMs that are alive, with this one.
-
-        It is 0 while other VMs may exist that this VM doesn't know.
-        """
-        if now < self.expected.is_unknown_until:
-            return 0
-        return (len(self.alive(now)) + 1) / self.count()
+    def fleet_view(self, now: float) -> FleetView:
+        """Return what a decision on behalf of all VMs is based on."""
+        ages_s = [now - member.last_heard_at for member in self.alive(now)]
+        vms = self.count()
+        is_known = now >= self.expected.is_unknown_until
+        share = (len(ages_s) + 1) / vms if is_known else 0
+        return FleetView(share, vms, sum(ages_s) / max(vms - 1, 1))
 
     def count(self) -> int:
         """Return the number of known VMs, with this one."""
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -9,6 +9,7 @@
     AllotmentLedger,
     Allowance,
     Charge,
+    FleetView,
     Tolerance,
     make_allotment_ledger,
 )
@@ -45,7 +46,7 @@
                     ALLOWANCE,
                     units,
                     now,
-                    1 / self.vms if self.is_partitioned else 1,
+                    FleetView(1 / self.vms if self.is_partitioned else 1),
                     are_runners_idle=self.are_runners_idle,
                 )
                 if decision.is_admitted:
@@ -93,7 +94,8 @@
 
     The runners have no idle slots.
     """
-    return ledger.admit('w', ALLOWANCE, units, now, share).is_admitted
+    view = FleetView(share)
+    return ledger.admit('w', ALLOWANCE, units, now, view).is_admitted
 
 
 def test_a_workspace_within_its_allotment_is_never_refused() -> None:
@@ -249,6 +251,20 @@
     assert ledger.reports()['w'].debt == 1500
 
 
+def test_repaid_units_wait_for_late_news() -> None:
+    """VMs that don't hear of each other must not each use the whole rate."""
+    ledger = AllotmentLedger()
+    used = 0
+    for tenth in range(60):
+        used += 100
+        report = {'w': AccountReport(used=used)}
+        ledger.merge_report('vm2/a', report, tenth * 0.1)
+    assert is_admitted(ledger, 2000, 6)
+    late = FleetView(vms=2, news_age_s=1)
+    assert not ledger.admit('w', ALLOWANCE, 500, 7, late).is_admitted
+    assert is_admitted(ledger, 500, 7)
+
+
 def test_restarted_peer_is_not_counted_twice() -> None:
     """A restarted peer's total begins at zero; only its increase counts."""
     ledger = AllotmentLedger()
@@ -323,7 +339,7 @@
 
 def test_vm_admits_nothing_while_the_number_of_vms_is_unknown() -> None:
     """Otherwise each VM that starts admits a burst before it hears others."""
-    decision = AllotmentLedger().admit('w', ALLOWANCE, 10, 0, share=0)
+    decision = AllotmentLedger().admit('w', ALLOWANCE, 10, 0, FleetView(0))
     assert not decision.is_admitted
     assert decision.retry_after_s == STARTUP_HOLD_S
 
@@ -334,12 +350,13 @@
     ledgers = [
         AllotmentLedger(TOLERANCE, rng=Random(number)) for number in range(vms)
     ]
+    view = FleetView(vms=vms)
     admitted = float(0)
     for ledger in ledgers:
         assert is_admitted(ledger, 2000, 0)
         for _ in range(20):
             decision = ledger.admit(
-                'w', ALLOWANCE, units, 0, are_runners_idle=True, vms=vms
+                'w', ALLOWANCE, units, 0, view, are_runners_idle=True
             )
             admitted += units * decision.is_admitted
     tolerated = TOLERANCE.units(ALLOWANCE.rate_per_s, ALLOWANCE.burst)
--- a/tests/utils/allotment_demand.py
+++ b/tests/utils/allotment_demand.py
@@ -121,9 +121,8 @@
             self.allowance,
             self.units,
             now,
-            vm.members.alive_fraction(now),
+            vm.members.fleet_view(now),
             are_runners_idle=self.are_runners_idle,
-            vms=vm.members.count(),
         )
         if verdict.is_admitted:
             self.admitted.append((now, self.units))
@@ -142,8 +141,7 @@
                 self.allowance,
                 self.units,
                 now,
-                vm.members.alive_fraction(now),
-                vm.members.count(),
+                vm.members.fleet_view(now),
             )
             if verdict.is_admitted:
                 self.admitted.append((now, self.units))
