--- a/tests/direct/test_endless_answers.py
+++ b/tests/direct/test_endless_answers.py
@@ -37,6 +37,7 @@
     PROCESSOR_S,
     READ,
 )
+from tests.utils.path_cuts import PathState
 from tests.utils.raw_runner import Behaviour, ReceivedRequest, chunk, event
 from tests.utils.waiting import wait_until
 
@@ -219,6 +220,54 @@
         await wait_until(bad.closed.is_set, 'the connection closed')
 
 
+@pytest.mark.parametrize('case', [*HEADS, *FRAMING, *WITHOUT_EVENTS, UNFRAMED])
+async def test_an_answer_without_end_is_bounded_through_a_tunnel(
+    case: str,
+) -> None:
+    """Neither the VM of the caller nor the helper may keep all bytes."""
+    async with running_cluster(vms=2) as cluster:
+        await add_runners(cluster, sends(case))
+        cluster.paths.set_state(0, PathState.REFUSED)
+        async with asyncio.timeout(2 * PROMPT_S):
+            answer = await cluster.call('/draft/x')
+        assert answer.status == 502 or not answer.is_whole
+        bad = cluster.runners['bad'].seen[0]
+        await wait_until(bad.closed.is_set, 'the connection closed')
+        tunnels = cluster.vms[1].entry._access.tunnels
+        await wait_until(lambda: not tunnels.open_count, 'no tunnel open')
+
+
+@pytest.mark.parametrize('is_cut', [False, True])
+async def test_a_stream_that_its_caller_does_not_read_stops_its_runner(
+    is_cut: bool,  # noqa: FBT001
+) -> None:
+    """Events without end must not pile up for a caller that reads nothing."""
+    sent = 0
+
+    async def counts(seen: ReceivedRequest) -> None:
+        nonlocal sent
+        seen.writer.write(seen.stream_head())
+        while not seen.closed.is_set():
+            payload = chunk(event(1) * 1000)
+            seen.writer.write(payload)
+            await seen.writer.drain()
+            sent += len(payload)
+            await asyncio.sleep(0)
+
+    async with running_cluster(vms=2) as cluster:
+        await add_runners(cluster, counts)
+        if is_cut:
+            cluster.paths.set_state(0, PathState.REFUSED)
+        caller = await cluster.connect()
+        caller.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await caller.send('/draft/x')
+        await asyncio.sleep(2)
+        before = sent
+        await asyncio.sleep(1)
+        assert before == sent
+        caller.close()
+
+
 @pytest.mark.parametrize(
     'case',
     ['many headers', 'trailers', 'comments', 'events', UNFRAMED],
