Bound the bodies of all requests in progress together

Cause: a body has a limit, all bodies had none. Change: the memory of answers is now that of messages, one pool for answers and one for the bodies of requests, a fifth of the memory each; beyond it 503, nothing was run.

--- a/bramleybend/direct/channels.py
+++ b/bramleybend/direct/channels.py
@@ -8,7 +8,7 @@
 
 from bramleybend.clients.channel import Channel
 from bramleybend.clients.message_bounds import MessageBounds
-from bramleybend.direct.answer_memory import AnswerMemory
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.models import RunnerEntry
 
 # Runners with a free connection that a slot request names.
@@ -42,7 +42,7 @@
     """The VM's connections to runners, pooled by incarnation."""
 
     def __init__(
-        self, connector: Connector, bounds: MessageBounds, memory: AnswerMemory
+        self, connector: Connector, bounds: MessageBounds, memory: MessageMemory
     ) -> None:
         """Create empty pools."""
         self.connector = connector
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -21,6 +21,7 @@
     MessageTooLongError,
 )
 from bramleybend.clock import Clock
+from bramleybend.direct.message_memory import MemoryFullError, MessageMemory
 from bramleybend.direct.models import IngressLimits
 from bramleybend.direct.replies import RawRequest, Reply, own_reply
 from bramleybend.direct.responder import Responder
@@ -30,6 +31,9 @@
 
 # Longer than a slow client needs for the largest permitted body.
 BODY_TIMEOUT_S: Final = 10.0
+# Other requests of the usual size have ended by then.
+MEMORY_RETRY_AFTER_S: Final = 0.5
+UNLIMITED: Final = MessageMemory(inf)
 # How long input is still read before a connection is closed; without it, the
 # caller may lose the last answer.
 DISCARD_INPUT_S: Final = 0.5
@@ -59,6 +63,7 @@
         self._ingress = ingress
         self._limits = limits
         self._meter = MessageMeter(REQUEST_BOUNDS)
+        self._memory = ingress.memory.reserve()
         self._task: asyncio.Task[None] | None = None
         self._unsent: list[bytes] = []
         self._has_request = False
@@ -146,6 +151,7 @@
             logger.exception('internal error while serving a request')
             self.abort()
         finally:
+            self._memory.release()
             self.end_incomplete()
 
     async def _serve_request(self) -> bool:
@@ -165,6 +171,7 @@
                 await self._ingress.handler(req, responder)
         finally:
             self._has_request = False
+            self._memory.release()
         return not responder.is_incomplete and self._start_next_cycle()
 
     async def _reject(self, exc: h11.RemoteProtocolError) -> bool:
@@ -195,6 +202,13 @@
                 body = await self._read_body()
         except TimeoutError:
             return _request_timeout_reply()
+        except MemoryFullError as exc:
+            return own_reply(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                f'{exc}; nothing was run',
+                MEMORY_RETRY_AFTER_S,
+                must_close=True,
+            )
         except MessageTooLongError as exc:
             return own_reply(HTTPStatus.BAD_REQUEST, str(exc), must_close=True)
         finally:
@@ -232,6 +246,7 @@
             self._meter.add_content(len(event.data))
             if size > self._limits.body_bytes:
                 return None
+            self._memory.resize(size)
         return b''.join(parts)
 
     async def _discard_remaining_input(self) -> None:
@@ -256,6 +271,7 @@
             return False
         self.http.start_next_cycle()
         self._meter = MessageMeter(REQUEST_BOUNDS)
+        self._memory = self._ingress.memory.reserve()
         self.received_bytes = len(self.http.trailing_data[0])
         return True
 
@@ -269,11 +285,14 @@
         limits: Callable[[], IngressLimits],
         clock: Clock,
         on_unreadable: OnUnreadable = _ignore_reply,
+        memory: MessageMemory = UNLIMITED,
     ) -> None:
         """Create an ingress that passes requests to `handler`.
 
         `on_unreadable` is called with the answers to those it could not read.
+        `memory` is what the bodies of all requests in progress may take.
         """
+        self.memory = memory
         self.handler = handler
         self.on_unreadable = on_unreadable
         self.limits = limits
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -146,6 +146,7 @@
             self._ingress_limits,
             clock,
             self._request_handler.record_unreadable,
+            cfg.request_memory(),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
--- a/bramleybend/direct/runner_access.py
+++ b/bramleybend/direct/runner_access.py
@@ -9,7 +9,7 @@
 from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import Clock
 from bramleybend.decisions.runner_paths import RunnerPaths
-from bramleybend.direct.answer_memory import AnswerMemory
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.containment import Containment
@@ -37,7 +37,7 @@
         events: EventLog,
         rng: Random,
         bounds: MessageBounds,
-        memory: AnswerMemory,
+        memory: MessageMemory,
     ) -> None:
         """Build the parts; `start` opens the port for tunnels."""
         self._catalog = catalog
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -14,7 +14,7 @@
 from bramleybend.decisions.allotments import Tolerance
 from bramleybend.decisions.overload import OverloadBounds
 from bramleybend.decisions.resends import ResendBudget, ResendLimits
-from bramleybend.direct.answer_memory import AnswerMemory
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.entry_setting_parsers import (
     parse_bool,
     parse_positive_int,
@@ -54,6 +54,7 @@
 MEMORY_MB: Final = 300
 MEGABYTE: Final = 1_000_000
 ANSWERS_SHARE: Final = 0.2
+REQUESTS_SHARE: Final = 0.2
 # One unit of capacity. VMs with less than two units have the lowest level and
 # are the last to get work that one VM does for all.
 CAPACITY_CORES: Final = 0.25
@@ -237,6 +238,15 @@
             '300',
         ),
     )
+    requests_share: float = field(
+        default=REQUESTS_SHARE,
+        metadata=setting_metadata(
+            parse_share,
+            'share of that memory that the bodies of requests in progress may '
+            'take',
+            '0.2',
+        ),
+    )
     answers_share: float = field(
         default=ANSWERS_SHARE,
         metadata=setting_metadata(
@@ -323,9 +333,13 @@
             self.answer_bytes, self.event_bytes, self.filler_bytes
         )
 
-    def answer_memory(self) -> AnswerMemory:
+    def answer_memory(self) -> MessageMemory:
         """Return the memory budget for answers that are being read."""
-        return AnswerMemory(self.memory_mb * MEGABYTE * self.answers_share)
+        return MessageMemory(self.memory_mb * MEGABYTE * self.answers_share)
+
+    def request_memory(self) -> MessageMemory:
+        """Return the memory budget for the bodies of requests."""
+        return MessageMemory(self.memory_mb * MEGABYTE * self.requests_share)
 
     def make_identity(self) -> Identity:
         """Make the identity of a start of this VM."""
--- a/tests/direct/test_attempt.py
+++ b/tests/direct/test_attempt.py
@@ -9,7 +9,7 @@
 
 from bramleybend.clients.channel import Channel, OutgoingRequest
 from bramleybend.clock import SystemClock
-from bramleybend.direct.answer_memory import AnswerMemory
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.attempt import Attempt, Failure, RunStatus
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.models import RunnerEntry, RunnerState
@@ -28,7 +28,7 @@
     def __init__(self) -> None:
         """Start without connections."""
         self.was_returned = False
-        self.memory = AnswerMemory(0)
+        self.memory = MessageMemory(0)
 
     async def acquire(self, runner: RunnerEntry) -> Channel:
         """Return a connection after a delay."""
--- a/tests/utils/runner_channels.py
+++ b/tests/utils/runner_channels.py
@@ -4,7 +4,7 @@
 
 from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import SystemClock
-from bramleybend.direct.answer_memory import AnswerMemory
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.members import Members, OwnVm
@@ -23,6 +23,6 @@
         events,
         Random(1),
         MessageBounds(),
-        AnswerMemory(0),
+        MessageMemory(0),
     )
     return access.channels
