One request beyond the burst leaves the tolerance for idle runners whole

Cause: a request may use more than is left of the burst, and that counted as an overshoot of VMs that decide at the same time; so idle runners took nothing beyond the allotment. Change: one request is taken off the overshoot.

--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -415,7 +415,8 @@
         """Use this VM's part of the tolerance for idle runners, if it fits."""
         idle_allowance = self._idle_allowance(allowance)
         # VMs that decided at the same time may have used part of it already.
-        overshoot = max(account.debt - allowance.burst, 0)
+        # One request may exceed the burst in any case.
+        overshoot = max(account.debt - allowance.burst - units, 0)
         if overshoot + account.tolerance_debt + units > idle_allowance:
             return False
         part = idle_allowance / vms
