A reload while the program loads no longer ends it

Cause: SIGHUP ends a process by default, and its handler is set behind 0.45 s of imports. Change: the signal is ignored from the program's first step on; settings are read later, so nothing is missed. The window left is the start of the interpreter.

--- a/tests/direct/entry_process.py
+++ b/tests/direct/entry_process.py
@@ -8,33 +8,36 @@
 import os
 import signal
 import sys
+from importlib import import_module
 from pathlib import Path
 from types import FrameType
 
-from bramleybend.cli.entry_vm import run
-from tests.utils.path_cuts import PathCuts, PathState, current_vm
+from bramleybend.cli.entry_vm import ignore_reloads, run
 
 OWN = 0
 
 
 def _install_path_cuts(settings: str, runner_host: str) -> None:
-    cuts = PathCuts(runner_host)
+    # Imported after the program's first step, as its libraries take a while.
+    path_cuts = import_module('tests.utils.path_cuts')
+    cuts = path_cuts.PathCuts(runner_host)
     cuts.install_for_all_loops()
-    current_vm.set(OWN)
+    path_cuts.current_vm.set(OWN)
 
     control = Path(f'{settings}.path')
 
     def set_state(number: int, frame: FrameType | None) -> None:
-        cuts.set_state(OWN, PathState(control.read_text()))
+        cuts.set_state(OWN, path_cuts.PathState(control.read_text()))
 
     signal.signal(signal.SIGUSR1, set_state)
     # Before this, the signal would end the process.
-    control.write_text(PathState.INTACT)
+    control.write_text(path_cuts.PathState.INTACT)
 
 
 if __name__ == '__main__':
     sys.argv, (settings, *hosts) = sys.argv[:1], sys.argv[1:]
     os.environ['BRAMLEYBEND_SETTINGS'] = settings
+    ignore_reloads()
     if hosts:
         _install_path_cuts(settings, hosts[0])
     run()
