Read on after a long message, to notice the end of its connection

Looked for elsewhere: a booking got 502 as its runner had closed the connection behind a long answer before. Cause: a connection stops reading at 64 KiB unread, and went on only when the parser wanted more. A message that had come whole was parsed without that, so reading stayed paused while it was handled, or while its connection lay idle; an end isn't noticed then.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -242,6 +242,7 @@
             self.abort()
             return False
         self.http.start_next_cycle()
+        self.read_on()
         self._is_busy = False
         self._last_used_at = self._clock.monotonic()
         return True
--- a/bramleybend/clients/h11_protocol.py
+++ b/bramleybend/clients/h11_protocol.py
@@ -130,6 +130,12 @@
         self._data_available.clear()
         await self._data_available.wait()
 
+    def read_on(self) -> None:
+        """Read while a message is handled, to notice the connection's end."""
+        self._unread_bytes = len(self.http.trailing_data[0])
+        if self._unread_bytes <= HIGH_WATER_BYTES:
+            self.transport.resume_reading()
+
     async def write(self, payload: bytes) -> None:
         """Write, then wait while the transport's write buffer is full."""
         if self.connection_error is not None:
--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -163,6 +163,7 @@
         if req is None or self._has_left:
             return False
         self._has_request = True
+        self.read_on()
         try:
             if isinstance(req, Reply):
                 self._ingress.on_unreadable(req)
--- a/tests/direct/test_large_requests.py
+++ b/tests/direct/test_large_requests.py
@@ -1,16 +1,18 @@
-"""Many large requests at once, from callers that stay within the limits."""
+"""Large requests and answers, within the limits."""
 
 import asyncio
 from collections import Counter
 
 from bramleybend.entry_settings import MEGABYTE, REQUESTS_SHARE
 from tests.direct.cluster import PLAIN, Cluster, manifest, running_cluster
-from tests.utils.raw_runner import ReceivedRequest, answer_at_once
+from tests.utils.raw_runner import ReceivedRequest, answer_at_once, chunk
 from tests.utils.waiting import wait_until
 
 BODY = bytes(2 * MEGABYTE)
 MEMORY_MB = 100
 UPLOADS = 40
+CHUNK_BYTES = 512
+CHUNKS = 180  # 92 kB, more than a connection reads at once
 
 
 async def permit_large_bodies(cluster: Cluster) -> None:
@@ -54,6 +56,27 @@
         await wait_until(lambda: memory.free_bytes == unused, 'all released')
 
 
+async def test_a_connection_that_ends_after_a_large_answer_is_not_used_again() -> (
+    None
+):
+    """A connection that stays paused after its answer has no end."""
+
+    async def answers_and_closes(seen: ReceivedRequest) -> None:
+        parts = chunk(b'x' * CHUNK_BYTES) * CHUNKS + chunk(b'')
+        seen.writer.write(seen.stream_head() + parts)
+        await seen.writer.drain()
+        seen.writer.close()
+
+    async with running_cluster() as cluster:
+        runner = await cluster.add_runner('r1', PLAIN, answers_and_closes)
+        await cluster.wait_for_runners(PLAIN)
+        for number in range(5):
+            answer = await cluster.call('/book/x', attempt=f'a{number}')
+            assert answer.status == 200
+            await asyncio.sleep(0.1)
+        assert len(runner.seen) == 5
+
+
 async def test_callers_that_leave_in_a_body_free_its_memory() -> None:
     """Memory that is not given back would refuse all later requests."""
     async with running_cluster(memory_mb=MEMORY_MB) as cluster:
--- a/tests/direct/test_left_callers.py
+++ b/tests/direct/test_left_callers.py
@@ -31,6 +31,8 @@
 STOP_S: Final = 0.5
 DELAY_S: Final = 0.2
 SLOTS: Final = 4
+CHUNK_BYTES: Final = 512
+CHUNKS: Final = 180  # 92 kB, more than a connection reads at once
 
 
 def _send_and_disconnect(cluster: Cluster, target: str) -> None:
@@ -146,6 +148,39 @@
         received.read()
 
 
+async def test_a_caller_that_leaves_after_a_long_body_is_noticed() -> None:
+    """A connection that stays paused after its request has no end."""
+    are_free = asyncio.Event()
+
+    async def holds(seen: ReceivedRequest) -> None:
+        await are_free.wait()
+        await answer_at_once(seen)
+
+    async with running_cluster() as cluster:
+        runner = await cluster.add_runner('r1', PLAIN, holds)
+        await cluster.wait_for_runners(PLAIN)
+        callers = [await cluster.connect() for _ in range(SLOTS + 1)]
+        for number, caller in enumerate(callers[:SLOTS]):
+            await caller.send('/book/x', attempt=f'a{number}')
+        await wait_until(lambda: len(runner.seen) == SLOTS, 'full slots')
+        head = (
+            f'POST /book/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Bramleybend-Attempt-Id: left\r\nAuthorization: Token {KEY}\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        body = chunk(b'x' * CHUNK_BYTES) * CHUNKS + chunk(b'')
+        callers[-1].writer.write(head.encode() + body)
+        await callers[-1].writer.drain()
+        await asyncio.sleep(DELAY_S)
+        callers[-1].close()
+        await asyncio.sleep(DELAY_S)
+        are_free.set()
+        answers = [await caller.answer() for caller in callers[:SLOTS]]
+        assert [answer.status for answer in answers] == [200] * SLOTS
+        await asyncio.sleep(STOP_S)
+        assert len(runner.seen) == SLOTS
+
+
 async def test_a_caller_that_leaves_the_queue_uses_up_no_allotment() -> None:
     """Units are refunded for requests that never ran."""
 
