--- a/bramleybend/decisions/allotments.py
+++ b/bramleybend/decisions/allotments.py
@@ -48,11 +48,19 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from math import inf, isinf, log
+from math import inf, isinf
 from random import Random
 
-from bramleybend.decisions.decaying_sum import DecayingSum
-from bramleybend.decisions.recent_sum import RecentSum
+from bramleybend.decisions.allotment_account import Account, PeerAccounts
+from bramleybend.decisions.allotment_models import (
+    ALONE,
+    AccountReport,
+    AllotmentDecision,
+    Allowance,
+    Charge,
+    FleetView,
+    Tolerance,
+)
 
 MIN_BURST_SHARE = 0.05  # of the burst; any small share works
 # Share of the contracts' tolerance that is used for work on idle runners. The
@@ -60,124 +68,11 @@
 IDLE_TOLERANCE_SHARE = 0.5
 # Two heartbeats, within which most VMs that start together hear each other.
 STARTUP_HOLD_S = 0.4
-# Half-life of the rate at which the other VMs admit.
-RATE_HALF_LIFE_S = 1.0
-# VMs that were not heard for longer count as silent.
-MAX_NEWS_AGE_S = 2.0
 # A peer's accounts count as older only beyond this difference: the same
 # accounts arrive with the delay of the network and of a busy VM.
 MIN_AGE_LEAD_S = 0.2
 
 
-@dataclass(frozen=True)
-class Tolerance:
-    """The overuse that the contracts tolerate, over all VMs."""
-
-    window_s: float = 1  # length of any time span that is checked
-    overage: float = 0  # share of the allotment in a window
-    slack: float = 0  # units in a window
-
-    def units(self, rate_per_s: float, burst: float) -> float:
-        """Return the units by which a window may exceed the allotment."""
-        return self.overage * (rate_per_s * self.window_s + burst) + self.slack
-
-
-@dataclass(frozen=True)
-class Allowance:
-    """The current allotment of a workspace, in units."""
-
-    rate_per_s: float
-    burst: float
-
-
-@dataclass(frozen=True)
-class FleetView:
-    """What a VM knows of all VMs at the time of a decision."""
-
-    # Of the VMs, those that this VM hears, itself included; 0 while their
-    # number is unknown.
-    share: float = 1
-    vms: int = 1
-    news_age_s: float = 0  # mean age of the news of the other VMs
-
-
-ALONE = FleetView()
-
-
-@dataclass(frozen=True)
-class AccountReport:
-    """One VM's report on a workspace's account, in units."""
-
-    used: float = 0  # admitted by that VM since it started
-    over_allotment: float = 0  # admitted by that VM beyond the allotment
-    debt: float = 0  # used of the burst over all VMs, not repaid yet
-    tolerance_debt: float = (
-        0  # used of the tolerance over all VMs, not repaid yet
-    )
-
-
-@dataclass(frozen=True)
-class Charge:
-    """What one try of a request takes from an allotment."""
-
-    units: float
-    is_beyond: bool = False  # admitted beyond the allotment on idle runners
-    # The account's total of repaid units at which it is repaid, in the order
-    # of the charges.
-    repaid_at: float = 0
-
-
-NO_CHARGE = Charge(0)
-
-
-@dataclass(frozen=True)
-class AllotmentDecision:
-    """The decision on a request."""
-
-    charge: Charge | None  # none: it is refused
-    retry_after_s: float = 0  # until the allotment has room again
-    debt: float = 0  # units used of the burst, if refused
-
-    @property
-    def is_admitted(self) -> bool:
-        """Whether the request may run."""
-        return self.charge is not None
-
-
-@dataclass
-class _Account:
-    updated_at: float
-    debt: float = 0
-    # Rest of a burst that may have been used before the accounts, not repaid
-    # yet; none: not estimated yet.
-    assumed: float | None = None
-    repaid: float = 0  # units by which debts could be repaid so far
-    tolerance_debt: float = 0
-    used: float = 0  # by this VM
-    over_allotment: float = 0  # by this VM
-    idle_part_used: float = 0  # of this VM's part, not repaid yet
-    # Of the units that other VMs reported; tells their rate.
-    reported: DecayingSum = field(
-        default_factory=lambda: DecayingSum(RATE_HALF_LIFE_S)
-    )
-    repayments: RecentSum = field(
-        default_factory=lambda: RecentSum(MAX_NEWS_AGE_S)
-    )
-
-
-@dataclass
-class _PeerAccounts:
-    """The totals that one peer reported."""
-
-    reports: dict[str, AccountReport] = field(default_factory=dict)
-    is_complete: bool = False  # workspaces that are missing have used nothing
-
-    def last_totals(self, workspace: str) -> AccountReport | None:
-        """Return a workspace's last reported totals, if known."""
-        unspent = AccountReport() if self.is_complete else None
-        return self.reports.get(workspace, unspent)
-
-
 @dataclass
 class AllotmentLedger:
     """The accounts of all workspaces at one VM."""
@@ -187,8 +82,8 @@
     # be used. Minus infinity: nothing was admitted earlier.
     complete_since: float = -inf
     rng: Random = field(default_factory=Random)
-    _accounts: dict[str, _Account] = field(default_factory=dict)
-    _peers: dict[str, _PeerAccounts] = field(default_factory=dict)
+    _accounts: dict[str, Account] = field(default_factory=dict)
+    _peers: dict[str, PeerAccounts] = field(default_factory=dict)
 
     def admit(
         self,
@@ -205,7 +100,7 @@
         needed = min(units, allowance.burst * MIN_BURST_SHARE)
         left = self._left(account, allowance, now, view)
         if left >= needed and view.share:
-            return AllotmentDecision(_charge(account, units))
+            return AllotmentDecision(account.charge(units))
         # A VM that doesn't hear all others leaves the tolerance to them.
         if are_runners_idle and view.share >= 1:
             if self._take_idle_tolerance(account, allowance, units, view.vms):
@@ -230,7 +125,7 @@
         account = self._account(workspace, now)
         left = self._left(account, allowance, now, view)
         if left >= 0 and view.share:
-            return AllotmentDecision(_charge(account, units))
+            return AllotmentDecision(account.charge(units))
         return AllotmentDecision(
             charge=None,
             retry_after_s=self._retry_after_s(
@@ -242,16 +137,8 @@
     def refund(self, workspace: str, charge: Charge) -> None:
         """Undo the charge of a try that did not run, as far as it is owed."""
         account = self._accounts.get(workspace)
-        if account is None:
-            return
-        if charge.is_beyond:
-            account.tolerance_debt -= charge.units
-            account.over_allotment -= charge.units
-            account.idle_part_used -= charge.units
-        else:
-            owed = min(max(charge.repaid_at - account.repaid, 0), charge.units)
-            account.debt -= owed
-            account.used -= owed
+        if account is not None:
+            account.refund(charge)
 
     def reports(self) -> dict[str, AccountReport]:
         """Return the totals to report to the other VMs, by workspace."""
@@ -310,7 +197,7 @@
         a peer whose accounts are younger than its own, it takes only what that
         peer itself admitted: the rest of that peer's debts may be only assumed.
         """
-        accounts = self._peers.setdefault(peer, _PeerAccounts())
+        accounts = self._peers.setdefault(peer, PeerAccounts())
         is_younger = now - age_s > self.complete_since + MIN_AGE_LEAD_S
         for workspace, spending in reported.items():
             account = self._account(workspace, now)
@@ -326,8 +213,7 @@
                     account.tolerance_debt, spending.tolerance_debt
                 )
             else:
-                account.debt += spending.used - last.used
-                account.reported.add(spending.used - last.used, now)
+                account.add_reported(spending.used - last.used, now)
                 account.tolerance_debt += (
                     spending.over_allotment - last.over_allotment
                 )
@@ -338,16 +224,16 @@
         """Remove a peer that has ended."""
         self._peers.pop(peer, None)
 
-    def _account(self, workspace: str, now: float) -> _Account:
+    def _account(self, workspace: str, now: float) -> Account:
         account = self._accounts.get(workspace)
         if account is None:
-            account = _Account(now)
+            account = Account(now)
             self._accounts[workspace] = account
         return account
 
     def _left(
         self,
-        account: _Account,
+        account: Account,
         allowance: Allowance,
         now: float,
         view: FleetView,
@@ -355,11 +241,11 @@
         """Return what is left of the burst, once debts are repaid."""
         self._repay_debt(account, allowance, now, view)
         usable = self._usable_burst(account, allowance, now, view.share)
-        return usable - account.debt - _unreported(account, view, now)
+        return usable - account.debt - account.unreported(view, now)
 
     def _repay_debt(
         self,
-        account: _Account,
+        account: Account,
         allowance: Allowance,
         now: float,
         view: FleetView,
@@ -378,9 +264,7 @@
         account.updated_at = max(now, account.updated_at)
         units = elapsed_s * allowance.rate_per_s * view.share
         repaid_units = max(units - account.assumed, 0)
-        account.repaid += repaid_units
-        account.repayments.add(min(repaid_units, account.debt), now)
-        account.debt = max(account.debt - repaid_units, 0)
+        account.repay(repaid_units, now)
         account.assumed = max(account.assumed - units, 0)
         idle_allowance = self._idle_allowance(allowance)
         repaid = elapsed_s * idle_allowance / self.tolerance.window_s
@@ -395,7 +279,7 @@
         )
 
     def _usable_burst(
-        self, account: _Account, allowance: Allowance, now: float, share: float
+        self, account: Account, allowance: Allowance, now: float, share: float
     ) -> float:
         """Return the most of the burst that the VMs of this share may use."""
         spare = self._spare(allowance)
@@ -410,7 +294,7 @@
         return units * (1 - IDLE_TOLERANCE_SHARE)
 
     def _take_idle_tolerance(
-        self, account: _Account, allowance: Allowance, units: float, vms: int
+        self, account: Account, allowance: Allowance, units: float, vms: int
     ) -> bool:
         """Use this VM's part of the tolerance for idle runners, if it fits."""
         idle_allowance = self._idle_allowance(allowance)
@@ -462,24 +346,6 @@
         return units * IDLE_TOLERANCE_SHARE / 2
 
 
-def _unreported(account: _Account, view: FleetView, now: float) -> float:
-    """Return what the other VMs probably admitted since their last news.
-
-    It is no more than what was repaid since: while a debt isn't repaid, they
-    admit nothing, either.
-    """
-    since = now - view.news_age_s
-    repaid = account.repayments.since(since)
-    per_s = account.reported.value(since) * log(2) / RATE_HALF_LIFE_S
-    return min(max(per_s, 0) * view.news_age_s, repaid)
-
-
-def _charge(account: _Account, units: float) -> Charge:
-    account.debt += units
-    account.used += units
-    return Charge(units, repaid_at=account.repaid + account.debt)
-
-
 def make_allotment_ledger(
     tolerance: Tolerance, now: float, *, is_first_start: bool
 ) -> AllotmentLedger:
--- a/bramleybend/direct/admission.py
+++ b/bramleybend/direct/admission.py
@@ -15,14 +15,14 @@
 from typing import Final
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.allotments import (
+from bramleybend.decisions.allotment_models import (
     NO_CHARGE,
     AllotmentDecision,
-    AllotmentLedger,
     Allowance,
     Charge,
     FleetView,
 )
+from bramleybend.decisions.allotments import AllotmentLedger
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.members import Members
 from bramleybend.direct.models import (
--- a/bramleybend/direct/job.py
+++ b/bramleybend/direct/job.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.allotments import Charge
+from bramleybend.decisions.allotment_models import Charge
 from bramleybend.decisions.resends import ResendBudget
 from bramleybend.direct.admission import Admission, AdmissionControl
 from bramleybend.direct.attempt import Attempt, Failure
--- a/bramleybend/direct/members.py
+++ b/bramleybend/direct/members.py
@@ -22,7 +22,7 @@
 from heapq import nlargest
 from typing import Final, TypeAlias
 
-from bramleybend.decisions.allotments import FleetView
+from bramleybend.decisions.allotment_models import FleetView
 from bramleybend.direct.expected_vms import ExpectedVms
 from bramleybend.direct.ranks import hash_of, rank_of
 
--- a/bramleybend/direct/peer_message_handler.py
+++ b/bramleybend/direct/peer_message_handler.py
@@ -7,7 +7,8 @@
 from typing import Final
 
 from bramleybend.clock import Clock
-from bramleybend.decisions.allotments import AccountReport, AllotmentLedger
+from bramleybend.decisions.allotment_models import AccountReport
+from bramleybend.decisions.allotments import AllotmentLedger
 from bramleybend.direct.containment import Containment
 from bramleybend.direct.feed import Feed
 from bramleybend.direct.heartbeat_messages import (
--- a/bramleybend/direct/runner_access.py
+++ b/bramleybend/direct/runner_access.py
@@ -9,13 +9,13 @@
 from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import Clock
 from bramleybend.decisions.runner_paths import RunnerPaths
-from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.containment import Containment
 from bramleybend.direct.crash_check import CrashCheck
 from bramleybend.direct.helper_choice import HelperChoice
 from bramleybend.direct.members import Members
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.models import RunnerEntry, RunnerState
 from bramleybend.direct.runner_connector import RunnerConnector
 from bramleybend.direct.tunnel_channel import TUNNEL_PORT_OFFSET
--- a/bramleybend/direct/runner_connector.py
+++ b/bramleybend/direct/runner_connector.py
@@ -20,10 +20,10 @@
 from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import Clock
 from bramleybend.decisions.runner_paths import RunnerPaths
+from bramleybend.direct.connection_race import Way, race
 from bramleybend.direct.helper_choice import MAX_HELPERS, HelperChoice
 from bramleybend.direct.members import Member
 from bramleybend.direct.models import RunnerEntry
-from bramleybend.direct.connection_race import Way, race
 from bramleybend.direct.tunnel_channel import TunnelRefusedError, open_tunnel
 from bramleybend.events import EventLog
 
--- a/bramleybend/entry_settings.py
+++ b/bramleybend/entry_settings.py
@@ -11,7 +11,7 @@
     DEFAULT_MESSAGE_BYTES,
     MessageBounds,
 )
-from bramleybend.decisions.allotments import Tolerance
+from bramleybend.decisions.allotment_models import Tolerance
 from bramleybend.decisions.overload import OverloadBounds
 from bramleybend.decisions.resends import ResendBudget, ResendLimits
 from bramleybend.direct.message_memory import MessageMemory
--- a/tests/decisions/test_allotments.py
+++ b/tests/decisions/test_allotments.py
@@ -3,14 +3,16 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from bramleybend.decisions.allotments import (
-    STARTUP_HOLD_S,
+from bramleybend.decisions.allotment_models import (
     AccountReport,
-    AllotmentLedger,
     Allowance,
     Charge,
     FleetView,
     Tolerance,
+)
+from bramleybend.decisions.allotments import (
+    STARTUP_HOLD_S,
+    AllotmentLedger,
     make_allotment_ledger,
 )
 
--- a/tests/direct/test_allotments_after_restart.py
+++ b/tests/direct/test_allotments_after_restart.py
@@ -2,11 +2,8 @@
 
 import pytest
 
-from bramleybend.decisions.allotments import (
-    STARTUP_HOLD_S,
-    Allowance,
-    Tolerance,
-)
+from bramleybend.decisions.allotment_models import Allowance, Tolerance
+from bramleybend.decisions.allotments import STARTUP_HOLD_S
 from bramleybend.direct.members import HEARTBEAT_INTERVAL_S
 from tests.utils.allotment_demand import Demand
 from tests.utils.peer_network import Network
--- a/tests/direct/test_allotments_on_many_vms.py
+++ b/tests/direct/test_allotments_on_many_vms.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bramleybend.decisions.allotments import Allowance, Tolerance
+from bramleybend.decisions.allotment_models import Allowance, Tolerance
 from tests.utils.allotment_demand import Demand
 from tests.utils.peer_network import Network
 
--- a/tests/direct/test_attempt.py
+++ b/tests/direct/test_attempt.py
@@ -9,9 +9,9 @@
 
 from bramleybend.clients.channel import Channel, OutgoingRequest
 from bramleybend.clock import SystemClock
-from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.attempt import Attempt, Failure, RunStatus
 from bramleybend.direct.channels import RunnerChannels
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.models import RunnerEntry, RunnerState
 from bramleybend.direct.runner_limits import RunnerLimits
 from bramleybend.events import EventLog
--- a/tests/direct/test_spending_reports.py
+++ b/tests/direct/test_spending_reports.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bramleybend.decisions.allotments import AccountReport
+from bramleybend.decisions.allotment_models import AccountReport
 from bramleybend.direct.digests import Digests
 from bramleybend.direct.heartbeat_messages import (
     Digest,
--- a/tests/utils/allotment_demand.py
+++ b/tests/utils/allotment_demand.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from bramleybend.decisions.allotments import Allowance, Tolerance
+from bramleybend.decisions.allotment_models import Allowance, Tolerance
 from tests.utils.peer_network import STEP_S, Network, Vm
 
 RUN_S = 0.5  # until a run breaks off
--- a/tests/utils/peer_network.py
+++ b/tests/utils/peer_network.py
@@ -12,11 +12,10 @@
 from typing import Any
 
 from bramleybend.clock import Clock, ManualClock
+from bramleybend.decisions.allotment_models import Allowance, Tolerance
 from bramleybend.decisions.allotments import (
     STARTUP_HOLD_S,
     AllotmentLedger,
-    Allowance,
-    Tolerance,
     make_allotment_ledger,
 )
 from bramleybend.direct.catalog import Catalog
--- a/tests/utils/runner_channels.py
+++ b/tests/utils/runner_channels.py
@@ -4,10 +4,10 @@
 
 from bramleybend.clients.message_bounds import MessageBounds
 from bramleybend.clock import SystemClock
-from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.channels import RunnerChannels
 from bramleybend.direct.members import Members, OwnVm
+from bramleybend.direct.message_memory import MessageMemory
 from bramleybend.direct.runner_access import RunnerAccess
 from bramleybend.events import EventLog
 
