--- a/bramleybend/direct/drain.py
+++ b/bramleybend/direct/drain.py
@@ -9,12 +9,12 @@
 from bramleybend.direct.request_handler import RequestHandler
 from bramleybend.events import EventLog
 
-# Requests are accepted for this long. Callers cache an answer of
-# the directory for up to three times its lifetime, and until then may send
-# requests on open connections.
+# Requests are accepted for this long. Callers cache an answer of the directory
+# for up to three times its lifetime, and until then may send requests on open
+# connections.
 ACCEPT_REQUESTS_S: Final = 2.6
-# New connections are accepted for this long, as callers may not
-# have asked the directory again.
+# New connections are accepted for this long, as callers may not have asked the
+# directory again.
 ACCEPT_CONNECTIONS_S: Final = 1.6
 DRAIN_POLL_S: Final = 0.05
 # Share of the time between the last accepted request and the end of a drain in
--- a/bramleybend/direct/try_charges.py
+++ b/bramleybend/direct/try_charges.py
@@ -9,12 +9,12 @@
 from typing import Final
 
 from bramleybend.direct.job import Components, Job
+from bramleybend.direct.slot_acquisition import ms_between
 
 # Other VMs' admissions arrive with their heartbeats, so a longer sleep would
 # miss changes of the account.
 MAX_SLEEP_S: Final = 0.1
 MIN_SLEEP_S: Final = 0.005
-MS_PER_S: Final = 1000
 
 
 class TryCharges:
@@ -59,11 +59,11 @@
         self._record(job, 'refunded', units=int(units))
 
     def _record(self, job: Job, event: str, **facts: int) -> None:
-        waited_s = self._components.clock.monotonic() - job.req.received_at
+        now = self._components.clock.monotonic()
         self._components.events.record(
             event,
             req=job.facts.attempt_id,
             workspace=job.admission.workspace,
             **facts,
-            ms=int(waited_s * MS_PER_S),
+            ms=ms_between(job.req.received_at, now),
         )
