--- a/bramleybend/decisions/allotment_account.py
+++ b/bramleybend/decisions/allotment_account.py
@@ -12,8 +12,7 @@
 from bramleybend.decisions.decaying_sum import DecayingSum
 from bramleybend.decisions.recent_sum import RecentSum
 
-# Half-life of the rate at which the other VMs admit. Shorter, the rate would
-# follow single requests; longer, it would miss the start of a burst.
+# Half-life of the rate at which the other VMs admit.
 RATE_HALF_LIFE_S: Final = 1.0
 # VMs that were not heard for longer count as silent.
 MAX_NEWS_AGE_S: Final = 2.0
