--- a/review/standins_2/standins.py
+++ b/review/standins_2/standins.py
@@ -489,6 +489,10 @@
             )
             await vm.start(self.folder)
             self.vms.append(vm)
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all VMs are ready."""
         try:
             async with asyncio.timeout(20):
                 for vm in self.vms:
