Review case 6: streams of two versions, taken up at a VM that slept 1.1 s

Requests that wait for a slot when runners of a new version join begin there at once, as such runners are barred only in the ask. Nothing is fixed.

--- a/review/9/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
-cd "$(dirname "$0")/../.." && exec python3 review/9/case.py
+cd "$(dirname "$0")/../.." && exec python3 review/6/case.py
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # standard library alone, so nothing is installed.
 set -eu
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/standins_2 review/7 review/9
+python3 -m compileall -q review/standins_2 review/6 review/7 review/8
