--- a/review/6/case.py
+++ b/review/6/case.py
@@ -29,14 +29,15 @@
 LIMIT_MS = 8000
 EVENTS = 24
 EVENT_S = 0.15
-OLD_RUNNERS = 6
+OLD_RUNNERS = 7
 NEW_RUNNERS = 2  # scale_out, share = 0.3
 SLOTS = 4
-CLIENTS = 36
+CLIENTS = 40
 CALM_S = 4.0
 LOAD_S = 0.5  # until all slots are taken and others wait
 KILL_AFTER_S = 0.95  # after the freeze began
 FREEZE_S = 1.1
+DOWN_S = 2.1  # node_kill
 MOST_JOINED = 2
 
 
@@ -232,6 +233,11 @@
             await asyncio.sleep(FREEZE_S - KILL_AFTER_S)
             record.add(f'{asleep.name} wakes')
             asleep.process.send_signal(signal.SIGCONT)
+            await killed.process.wait()
+            await asyncio.sleep(DOWN_S - (FREEZE_S - KILL_AFTER_S))
+            killed.settings['FIRST_START'] = 'false'
+            await killed.start(deployment.folder)
+            record.add(f'{killed.name} starts again')
         await asyncio.gather(*tasks)
     finally:
         await deployment.end()
