A waiting stream begins at no version that has just joined

Cause: the runners that a stream may not begin at were read when it asked for a slot, and not when the slot was granted. In the other direction, a stream that asked while a version was barred stayed away from it for as long as it waited.

Change: the bar is checked again at the grant, and a waiting slot request is repeated with the runners that it excludes now, without losing its place.

Evidence: two tests of test_software_versions (waiting_stream) failed before: a stream at the new runner at once, and none there 2 s after the bar had ended. Ruled out: origins that never reach the log, as the VM that slept doesn't read it while it knows one version.

--- a/bramleybend/decisions/shard_policy.py
+++ b/bramleybend/decisions/shard_policy.py
@@ -53,13 +53,20 @@
         self._idle_until = -inf
 
     def request_slot(self, ask: SlotRequest, now: float) -> list[Action]:
-        """Handle a request for a slot; a repeated request changes nothing."""
+        """Handle a request for a slot.
+
+        A repeated request changes nothing but the runners that it excludes.
+        """
         moment = self._advance_clock(now)
         run = self._shard.runs.get(ask.request_id)
         if run is not None:
             return [Grant(ask.request_id, run.runner)]
-        if ask.request_id in self._shard.queue_for(ask):
-            return []
+        queue = self._shard.queue_for(ask)
+        if ask.request_id in queue:
+            if not queue.update_excluded(ask):
+                return []
+            self._idle_until = -inf
+            return self._decide_or_defer(moment)
         ask = sanitize_ask(ask)
         if min(ask.latest_answer_start, ask.deadline) <= moment:
             return [self._refuse(ask, 'deadline_past', shed=False)]
@@ -221,9 +228,10 @@
         shard = self._shard
         if not shard.queue:
             return None
+        counts, oldest_arrival = shard.queue.summary()
         return Backlog(
-            shard.queue.count_by_tier(),
-            moment - shard.queue.oldest_arrival(),
+            counts,
+            moment - oldest_arrival,
             len(shard.runs),
             shard.pool.total_capacity(),
             len(shard.pool.free_runners(moment)),
--- a/bramleybend/decisions/waiting_queue.py
+++ b/bramleybend/decisions/waiting_queue.py
@@ -116,6 +116,21 @@
                 tier_queue.lateness.record_empty()
         return entry
 
+    def update_excluded(self, ask: SlotRequest) -> bool:
+        """Exclude other runners for a queued request, which keeps its place.
+
+        Returns whether they changed.
+        """
+        entry = self._entries[ask.request_id]
+        if entry.ask.excluded == ask.excluded:
+            return False
+        updated = replace(entry, ask=replace(entry.ask, excluded=ask.excluded))
+        self._entries[ask.request_id] = updated
+        tier_queue = self._tier_queue(entry.ask.tier)
+        tier_queue.remove(entry)
+        tier_queue.add(updated)
+        return True
+
     def demote_late(self, now: float) -> bool:
         """Sort entries that can't be on time last; tell whether any was moved."""
         has_moved = False
@@ -207,15 +222,14 @@
         expiry = self._tiers[tier].by_expiry if tier in self._tiers else ()
         return expiry[0][0] if expiry else inf
 
-    def count_by_tier(self) -> dict[int, int]:
-        """Return the number of entries of each tier."""
-        return {tier: len(self._tiers[tier]) for tier in sorted(self._tiers)}
+    def summary(self) -> tuple[dict[int, int], float]:
+        """Return the number of entries of each tier and the oldest arrival.
 
-    def oldest_arrival(self) -> float:
-        """Return when the oldest entry was queued, `inf` without entries."""
-        return min(
-            (one.arrived_at for one in self._entries.values()), default=inf
-        )
+        Without entries, the arrival is `inf`.
+        """
+        counts = {tier: len(self._tiers[tier]) for tier in sorted(self._tiers)}
+        arrivals = (one.arrived_at for one in self._entries.values())
+        return counts, min(arrivals, default=inf)
 
     def count_ahead(self, ask: SlotRequest) -> int:
         """Estimate the number of entries of its tier ahead of a new one."""
--- a/bramleybend/direct/placement.py
+++ b/bramleybend/direct/placement.py
@@ -56,6 +56,9 @@
 DISTRUST_S: Final = 1.0  # an owner that didn't answer is avoided this long
 
 Send = Callable[[Message, str], None]
+# Returns a slot request as it is now: the runners that it excludes may change
+# while it waits.
+Refresh = Callable[[SlotRequest], SlotRequest]
 
 
 @dataclass(frozen=True)
@@ -108,13 +111,19 @@
         """Return the runs that this VM has at engines now."""
         return list(self._engine_runs.values())
 
-    async def place(self, ask: SlotRequest) -> Placement | NoSlot:
-        """Wait for a slot until the queue's policy grants or refuses it."""
+    async def place(
+        self, ask: SlotRequest, refresh: Refresh | None = None
+    ) -> Placement | NoSlot:
+        """Wait for a slot until the queue's policy grants or refuses it.
+
+        `refresh` is called whenever the request is repeated.
+        """
         result = None
+        refresh = refresh or _keep
         if self._queues.is_engine(ask.service):
-            result = await self._request_from_owners(ask)
+            result = await self._request_from_owners(ask, refresh)
         if result is None:
-            result = await self._request_from_own_queue(ask)
+            result = await self._request_from_own_queue(ask, refresh)
         if isinstance(result, Placement):
             self._note_started(result)
         return result
@@ -187,7 +196,7 @@
         )
 
     async def _request_from_own_queue(
-        self, ask: SlotRequest
+        self, ask: SlotRequest, refresh: Refresh
     ) -> Placement | NoSlot:
         loop = asyncio.get_running_loop()
         fut: asyncio.Future[Grant | Refuse] = loop.create_future()
@@ -195,7 +204,7 @@
         on_decision = partial(_set_result, fut)
         try:
             while not fut.done():
-                queue.request_slot(ask, on_decision)
+                queue.request_slot(refresh(ask), on_decision)
                 await asyncio.wait((fut,), timeout=REFRESH_S)
             return self._result_of(ask, fut.result(), None)
         except asyncio.CancelledError:
@@ -203,7 +212,7 @@
             raise
 
     async def _request_from_owners(
-        self, ask: SlotRequest
+        self, ask: SlotRequest, refresh: Refresh
     ) -> Placement | NoSlot | None:
         """Ask the owner, then its successor.
 
@@ -217,8 +226,8 @@
                 return None
             # Each owner gets a request ID of its own, so that a late answer
             # of the previous owner isn't taken for one of the next.
-            owner_ask = replace(ask, request_id=self.next_request_id())
-            result = await self._request_from_owner(owner_ask, owner)
+            owner_ask = replace(refresh(ask), request_id=self.next_request_id())
+            result = await self._request_from_owner(owner_ask, owner, refresh)
             if result is not None:
                 return result
         return None
@@ -232,7 +241,7 @@
         return owner is not None and owner.vm == vm
 
     async def _request_from_owner(
-        self, ask: SlotRequest, owner: Member
+        self, ask: SlotRequest, owner: Member, refresh: Refresh
     ) -> Placement | NoSlot | None:
         """Ask another VM for a slot; `None` if it doesn't answer.
 
@@ -240,7 +249,7 @@
         already removed; then this VM asks it for another runner.
         """
         for _ in range(MAX_ATTEMPTS):
-            message = await self._decision_of(ask, owner)
+            message = await self._decision_of(ask, owner, refresh)
             if isinstance(message, Refused):
                 return NoSlot(message.reason, message.retry_after_s)
             if not isinstance(message, Granted):
@@ -253,6 +262,7 @@
                 exclude_runner(ask, message.runner),
                 request_id=self.next_request_id(),
             )
+            refresh = partial(_refresh_without, refresh, message.runner)
         else:
             return None
         if self._is_owner(ask, owner.vm):
@@ -264,7 +274,7 @@
         return None
 
     async def _decision_of(
-        self, ask: SlotRequest, owner: Member
+        self, ask: SlotRequest, owner: Member, refresh: Refresh
     ) -> Message | None:
         """Return the owner's decision.
 
@@ -274,7 +284,7 @@
         self._inboxes[ask.request_id] = inbox
         message = None
         try:
-            message = await self._wait_for_decision(ask, owner, inbox)
+            message = await self._wait_for_decision(ask, owner, refresh, inbox)
         finally:
             self._inboxes.pop(ask.request_id, None)
             if not isinstance(message, Granted | Refused):
@@ -283,14 +293,18 @@
         return message
 
     async def _wait_for_decision(
-        self, ask: SlotRequest, owner: Member, inbox: 'asyncio.Queue[Message]'
+        self,
+        ask: SlotRequest,
+        owner: Member,
+        refresh: Refresh,
+        inbox: 'asyncio.Queue[Message]',
     ) -> Message | None:
         unanswered = 0
         # A request that waits at a former owner would starve: that VM learns
         # of a free slot only after the new owner has granted it again.
         while unanswered < MAX_ATTEMPTS and self._is_owner(ask, owner.vm):
             self.send(
-                slot_request_message(ask, self._clock.monotonic()),
+                slot_request_message(refresh(ask), self._clock.monotonic()),
                 owner.address,
             )
             message = await _receive(inbox, ACK_TIMEOUT_S * 2**unanswered)
@@ -351,6 +365,17 @@
         return None
 
 
+def _keep(ask: SlotRequest) -> SlotRequest:
+    return ask
+
+
+def _refresh_without(
+    refresh: Refresh, runner: str, ask: SlotRequest
+) -> SlotRequest:
+    """Refresh a slot request that this runner can't be granted."""
+    return exclude_runner(refresh(ask), runner)
+
+
 def _set_result(
     fut: 'asyncio.Future[Grant | Refuse]', action: Grant | Refuse
 ) -> None:
--- a/bramleybend/direct/slot_acquisition.py
+++ b/bramleybend/direct/slot_acquisition.py
@@ -1,7 +1,9 @@
 """Acquires runner slots for jobs, and the exceptions for suspect content."""
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from typing import Final
 
 from bramleybend.decisions.actions import RunReport
@@ -82,6 +84,12 @@
             ),
         )
 
+    def _refresh(self, job: Job, ask: SlotRequest) -> SlotRequest:
+        """Exclude the runners that a waiting stream may not begin at now."""
+        if not job.may_be_resumed:
+            return ask
+        return replace(ask, excluded=self._excluded_runners(job))
+
     def _answer_deadline(self, job: Job) -> float:
         """Return when the answer should end at its runner's current rate."""
         deadline = job.answer_due_at - QUEUE_MARGIN_S
@@ -115,9 +123,12 @@
 
     async def _place(self, job: Job, ask: SlotRequest) -> Placement | NoSlot:
         """Wait for a slot; stop waiting once there can be none."""
+        place = partial(
+            self._components.placer.place, ask, partial(self._refresh, job)
+        )
         if not ask.suspect and job.version is None:
-            return await self._components.placer.place(ask)
-        placing = asyncio.create_task(self._components.placer.place(ask))
+            return await place()
+        placing = asyncio.create_task(place())
         try:
             while not placing.done():
                 if self._is_refused(job):
@@ -175,9 +186,7 @@
         """
         if self._runs_alone(job) and not ask.suspect:
             return False
-        return job.version is None or self._components.versions.may_join(
-            job.version, placement.runner
-        )
+        return placement.runner.incarnation not in self._barred_runners(job)
 
     def _is_version_gone(self, job: Job) -> bool:
         return job.version is not None and not (
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -1,15 +1,19 @@
 """Streams go on only at the software version that began them."""
 
+import asyncio
+import itertools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
 
+from bramleybend.direct.software_versions import MAX_LIST_AGE_S
 from tests.direct.cluster import (
     ENGINE,
     KEY,
     Cluster,
     RawAnswer,
+    RawCaller,
     manifest,
     route,
     running_cluster,
@@ -27,6 +31,8 @@
 FIRST = 'attempt-1'
 STREAM_LOG = 'bramleybend-streams'
 RECORDED_S = 3
+SLOTS = 4  # of a runner
+EVENT_PAUSE_S = 0.2
 RUNNER_LOG = 'keyed.servers'
 BACKUPS = 'keyed.bramleybend-last-known'
 
@@ -38,6 +44,14 @@
     seen.writer.transport.abort()
 
 
+async def stream_until_closed(seen: ReceivedRequest) -> None:
+    """Send events until the caller leaves."""
+    seen.writer.write(seen.stream_head())
+    for number in itertools.count(1):
+        seen.writer.write(chunk(event(number)))
+        await asyncio.sleep(EVENT_PAUSE_S)
+
+
 @asynccontextmanager
 async def mixed_cluster(vms: int = 1) -> AsyncIterator[Cluster]:
     """Run one runner of the old version that breaks, and two of the new."""
@@ -321,3 +335,46 @@
                 cluster, f'again-{number}', vm=1, Resumes=FIRST
             )
             assert answer.is_whole
+
+
+async def take_all_slots(cluster: Cluster) -> list[RawCaller]:
+    """Hold all slots of one runner of the old version."""
+    old = await cluster.add_runner('old', ENGINE, stream_until_closed, OLD)
+    await cluster.wait_for_runners(ENGINE)
+    callers = await send_streams(cluster, SLOTS)
+    await wait_until(lambda: len(old.seen) == SLOTS, 'all slots are taken')
+    return callers
+
+
+async def send_streams(cluster: Cluster, count: int) -> list[RawCaller]:
+    """Send new streams, each on a connection of its own."""
+    callers = [await cluster.connect() for _ in range(count)]
+    for caller in callers:
+        await caller.send('/check/x')
+    return callers
+
+
+async def test_a_waiting_stream_begins_at_no_version_that_just_joined() -> None:
+    """A stream that waited must not begin where other VMs know no version."""
+    async with running_cluster() as cluster:
+        callers = await take_all_slots(cluster)
+        callers += await send_streams(cluster, 2)
+        new = await cluster.add_runner('new', ENGINE, stream_until_closed, NEW)
+        await cluster.wait_for_runners(ENGINE, 2)
+        await asyncio.sleep(MAX_LIST_AGE_S)
+        assert not new.seen
+        for caller in callers:
+            caller.close()
+
+
+async def test_a_waiting_stream_begins_at_a_version_that_all_vms_know() -> None:
+    """A stream must not wait on for what kept it from a version at first."""
+    async with running_cluster() as cluster:
+        callers = await take_all_slots(cluster)
+        new = await cluster.add_runner('new', ENGINE, stream_until_closed, NEW)
+        await cluster.wait_for_runners(ENGINE, 2)
+        await asyncio.sleep(MAX_LIST_AGE_S)
+        callers += await send_streams(cluster, 2)
+        await wait_until(lambda: len(new.seen) == 2, 'the streams begin', 2)
+        for caller in callers:
+            caller.close()
