A placement is checked again right before its first byte

Cause, shown by tests on their own: a VM that wakes places what waited in its sockets by its list from before the standstill; and a runner that leaves while the connection to it opens still gets the request, as only the grant is checked.

Change: PlacementCheck holds all facts of a placement and is asked at the grant and before the first byte. A list older than 2.0 s counts as outdated, and a request waits up to 0.5 s until it is confirmed; while reads of the store fail, the list is used as it is. A new event, slot_returned, tells why.

Evidence: test_a_vm_that_wakes_sends_nothing_to_a_runner_that_left[draining] and test_nothing_is_sent_to_a_runner_that_left_meanwhile failed before. Ruled out: an owner's old list, since who asked checks the runner's state. A wait also for lists from the backup was tried and failed test_a_loss_of_power_beside_a_silent_log_is_short, so those are used at once; heartbeats of VMs that read nothing no longer confirm such a list.

--- a/bramleybend/direct/attempt.py
+++ b/bramleybend/direct/attempt.py
@@ -47,6 +47,7 @@
     MOVED = 'moved'  # another process listens at the runner's address
     UNREACHABLE = 'unreachable'
     PATH_LOST = 'path_lost'  # this VM doesn't reach it; others may
+    OUTDATED = 'outdated'  # the placement no longer holds
     CONNECTION_CLOSED = 'broke_off'  # before the answer was complete
 
 
@@ -105,11 +106,14 @@
         return FailureCause.NONE
 
     async def send(
-        self, make_outgoing: Callable[[], OutgoingRequest], send_by: float
+        self,
+        make_outgoing: Callable[[], OutgoingRequest | Failure],
+        send_by: float,
     ) -> ResponseHead | Failure:
         """Send the request and read the head of its answer.
 
-        Nothing is sent at or after `send_by`, in monotonic seconds.
+        Nothing is sent at or after `send_by`, in monotonic seconds, or if
+        `make_outgoing` returns a failure.
         """
         try:
             channel = await self._open_connection()
@@ -122,8 +126,11 @@
         sent_at = self._limits.now()
         if sent_at >= send_by:
             return Failure(RunStatus.NOT_RUN, TIMEOUT, FailureCause.NONE)
+        outgoing = make_outgoing()
+        if isinstance(outgoing, Failure):
+            return outgoing
         try:
-            await self._send(channel, make_outgoing())
+            await self._send(channel, outgoing)
             head = await self._read_own_head(channel)
         except CONNECTION_ERRORS as exc:
             return self._connection_failure(exc)
--- a/bramleybend/direct/attempt_dispatcher.py
+++ b/bramleybend/direct/attempt_dispatcher.py
@@ -15,8 +15,8 @@
 )
 from bramleybend.direct.header_codec import ForwardingFacts
 from bramleybend.direct.job import Components, Job
-from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.placement import NoSlot, Placement
+from bramleybend.direct.placement_check import PlacementCheck
 from bramleybend.direct.replies import Reply, own_reply
 from bramleybend.direct.slot_acquisition import (
     ANSWER_MARGIN_S,
@@ -35,8 +35,9 @@
 DONE: Final = 'done'
 FAILED: Final = 'failed'
 UNKNOWN: Final = 'unknown'  # nothing is known about how the runner did
-UNCONNECTED: Final = frozenset(
-    (FailureCause.UNREACHABLE, FailureCause.PATH_LOST)
+# Causes for which an attempt that was not run was not sent either.
+NEVER_SENT: Final = frozenset(
+    (FailureCause.UNREACHABLE, FailureCause.PATH_LOST, FailureCause.OUTDATED)
 )
 CALLER_LEFT: Final = Failure(
     RunStatus.MAY_HAVE_RUN, 'its caller left', FailureCause.NONE
@@ -52,7 +53,8 @@
     def __init__(self, components: Components) -> None:
         """Create a dispatcher that uses the given components."""
         self._components = components
-        self.acquire_slot = SlotAcquisition(components).acquire
+        self._check = PlacementCheck(components)
+        self.acquire_slot = SlotAcquisition(components, self._check).acquire
 
     def make_attempt(self, job: Job, placement: Placement) -> Attempt:
         """Create the attempt that sends a job to the runner of its slot."""
@@ -65,10 +67,18 @@
         )
         return job.current_attempt
 
-    def make_outgoing(self, job: Job, runner: RunnerEntry) -> OutgoingRequest:
-        """Return the request with the headers rewritten for the runner."""
+    def make_outgoing(
+        self, job: Job, placement: Placement
+    ) -> OutgoingRequest | Failure:
+        """Return the request with the headers rewritten for the runner.
+
+        Returns a failure if the job may no longer run there.
+        """
+        problem = self._check.problem(job, placement)
+        if problem:
+            return Failure(RunStatus.NOT_RUN, problem, FailureCause.OUTDATED)
         forwarding = ForwardingFacts(
-            runner,
+            placement.runner,
             job.admission.workspace,
             max(self.remaining_s(job), 0),
             job.last_event_id or job.facts.last_event_id,
@@ -95,7 +105,7 @@
         failure = outcome if isinstance(outcome, Failure) else None
         if failure is None or failure.run_status is RunStatus.MAY_HAVE_RUN:
             job.possible_runs += 1
-        if not _is_path_lost_unsent(failure):
+        if not _may_be_tried_again_there(failure):
             job.excluded |= {placement.runner.incarnation}
         if failure is None:
             self._components.containment.record_completion(job.content)
@@ -125,13 +135,13 @@
             return False
         if failure.run_status is RunStatus.MAY_HAVE_RUN:
             return job.admission.route.can_run_again and self.take_rerun(job)
-        if failure.cause is not FailureCause.MOVED:
+        if failure.cause not in {FailureCause.MOVED, FailureCause.OUTDATED}:
             job.refusal_count += 1
         if job.refusal_count >= MAX_REFUSALS or self.remaining_s(job) <= 0:
             return False
-        # An attempt that could not connect put no load on a runner, so it is
-        # not counted against the resend budget.
-        return failure.cause in UNCONNECTED or self._spend_resend(job)
+        # An attempt of which nothing was sent put no load on a runner, so it
+        # is not counted against the resend budget.
+        return failure.cause in NEVER_SENT or self._spend_resend(job)
 
     def take_rerun(self, job: Job) -> bool:
         """Decide whether a job that may have run runs again; count it if so."""
@@ -227,18 +237,18 @@
         return FAILED if _is_runner_failure(job, outcome) else DONE
     if outcome.cause is FailureCause.PATH_LOST:
         return UNKNOWN
-    is_unsent = (
-        outcome.run_status is RunStatus.NOT_RUN
-        and outcome.cause is FailureCause.NONE
-    )
+    is_unsent = outcome.run_status is RunStatus.NOT_RUN and outcome.cause in {
+        FailureCause.NONE,
+        FailureCause.OUTDATED,
+    }
     return UNSENT if is_unsent else FAILED
 
 
-def _is_path_lost_unsent(failure: Failure | None) -> bool:
-    """Return whether the runner may get the request on another path."""
+def _may_be_tried_again_there(failure: Failure | None) -> bool:
+    """Return whether the runner may get the request later or on another path."""
     return (
         failure is not None
-        and failure.cause is FailureCause.PATH_LOST
+        and failure.cause in {FailureCause.PATH_LOST, FailureCause.OUTDATED}
         and failure.run_status is RunStatus.NOT_RUN
     )
 
--- a/bramleybend/direct/catalog.py
+++ b/bramleybend/direct/catalog.py
@@ -8,6 +8,7 @@
 
 from bramleybend.clock import Clock
 from bramleybend.direct.addresses import drop_replaced_entries
+from bramleybend.direct.list_age import ListAge
 from bramleybend.direct.models import Manifest, RunnerEntry
 from bramleybend.events import EventLog
 
@@ -29,7 +30,7 @@
         self._events = events
         self._listeners: list[Listener] = []
         self._manifest_confirmed_at = -inf
-        self._runners_confirmed_at = -inf
+        self.runner_list_age = ListAge(clock, events)
         self._listed_runners: Mapping[str, RunnerEntry] = {}  # by incarnation
         # By incarnation, the monotonic end of its exclusion.
         self._moved_until: dict[str, float] = {}
@@ -57,10 +58,6 @@
         """Return the seconds since the manifest was confirmed as current."""
         return self._clock.monotonic() - self._manifest_confirmed_at
 
-    def runner_list_age_s(self) -> float:
-        """Return the seconds since the runner list was confirmed as current."""
-        return self._clock.monotonic() - self._runners_confirmed_at
-
     def used_runner(self, incarnation: str) -> RunnerEntry | None:
         """Return a runner in use by its incarnation."""
         return self._used_runners.get(incarnation)
@@ -84,10 +81,6 @@
         """Record a time at which the manifest was confirmed as current."""
         self._manifest_confirmed_at = max(self._manifest_confirmed_at, at)
 
-    def confirm_runners(self, at: float) -> None:
-        """Record a time at which the runner list was confirmed as current."""
-        self._runners_confirmed_at = max(self._runners_confirmed_at, at)
-
     def apply_manifest(self, manifest: Manifest) -> None:
         """Put a manifest in force unless a newer one or the same one is."""
         manifest_in_force = self.manifest
--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -84,6 +84,8 @@
         self.confirmed_at = -inf
         self.on_page: Callable[[Page], None] = _ignore_argument
         self.on_confirmed: Callable[[float], None] = _ignore_argument
+        # Called with the time at which a failed read of the store began.
+        self.on_failed: Callable[[float], None] = _ignore_argument
         self._store = store
         self._peer_source = peer_source
         self._clock = clock
@@ -134,7 +136,7 @@
         own_end = self._next_offset()
         if news.end > own_end:
             self._wake.set()
-        elif news.end == own_end:
+        elif news.end == own_end and self.copy.end is not None:
             self._confirm(confirmed_at)
 
     def remove_peer(self, vm: str) -> None:
@@ -174,6 +176,7 @@
             self.store_schedule.record_failure(
                 has_fresh_copy=not self._is_stale()
             )
+            self.on_failed(started_at)
             return
         self.store_schedule.record_success(started_at)
         self._record_large_page(page.ok_value, 'store', started_at)
--- a/bramleybend/direct/request_handler.py
+++ b/bramleybend/direct/request_handler.py
@@ -173,9 +173,7 @@
         try:
             async with self._runs.limit(self._dispatcher.remaining_s(job)):
                 head = await attempt.send(
-                    partial(
-                        self._dispatcher.make_outgoing, job, placement.runner
-                    ),
+                    partial(self._dispatcher.make_outgoing, job, placement),
                     job.next_event_due_at,
                 )
                 if isinstance(head, Failure):
@@ -260,9 +258,7 @@
         try:
             async with self._runs.limit(self._dispatcher.remaining_s(job)):
                 head = await attempt.send(
-                    partial(
-                        self._dispatcher.make_outgoing, job, placement.runner
-                    ),
+                    partial(self._dispatcher.make_outgoing, job, placement),
                     job.next_event_due_at,
                 )
                 outcome = (
--- a/bramleybend/direct/runner_list.py
+++ b/bramleybend/direct/runner_list.py
@@ -49,7 +49,7 @@
         if at - self._confirmed_at > OUTAGE_S:
             self._grace_until = self._catalog.now() + EXPIRY_GRACE_S
         self._confirmed_at = max(at, self._confirmed_at)
-        self._catalog.confirm_runners(at)
+        self._catalog.runner_list_age.confirm(at)
 
     def apply_page(self, page: Page) -> None:
         """Apply a page of entries."""
--- a/bramleybend/direct/slot_acquisition.py
+++ b/bramleybend/direct/slot_acquisition.py
@@ -11,7 +11,9 @@
 from bramleybend.direct.messages import StreamOrigin
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.placement import NoSlot, Placement
+from bramleybend.direct.placement_check import PlacementCheck
 from bramleybend.direct.stream_origins import key_of
+from bramleybend.events import MS_PER_S
 from bramleybend.models import SlotRequest
 
 # The time before a caller's timeout at which its answer must be sent.
@@ -35,32 +37,34 @@
 class SlotAcquisition:
     """Asks for slots and gives back those that may not be used."""
 
-    def __init__(self, components: Components) -> None:
+    def __init__(self, components: Components, check: PlacementCheck) -> None:
         """Use the given components."""
         self._components = components
+        self._check = check
 
     async def acquire(self, job: Job) -> Placement | NoSlot:
         """Wait for the owner to grant a slot at a runner.
 
-        Content may become suspect or refused while it waits. Then the slot is
-        given back: suspect content must not run beside other requests.
+        The slot is given back if the job may no longer run there.
         """
         self._keep_recorded_version(job)
         while True:
+            await self._components.catalog.runner_list_age.wait_until_current()
+            if self._is_refused(job):
+                return QUARANTINED
             if self._is_version_gone(job):
                 return VERSION_GONE
             ask = self._ask(job)
             placement = await self._place(job, ask)
             if isinstance(placement, NoSlot):
                 return placement
-            if self._is_refused(job):
-                self._return_slot(placement)
-                return QUARANTINED
-            if self._is_usable(job, ask, placement):
+            problem = self._check.problem(job, placement)
+            if not problem:
                 self._note_version(job, placement.runner)
                 self._record_placement(job, placement)
                 return placement
-            self._return_slot(placement)
+            self._record_return(job, placement, problem)
+            self._components.placer.release(placement, RunReport(UNSENT))
 
     def _ask(self, job: Job) -> SlotRequest:
         facts = job.facts
@@ -108,7 +112,7 @@
         entries = self._components.catalog.runners_by_service.get(
             job.admission.service, ()
         )
-        barred = self._barred_runners(job)
+        barred = self._check.barred_runners(job)
         known = {entry.incarnation for entry in entries} - barred
         avoided = self._components.channels.connector.avoided()
         for excluded in (
@@ -170,24 +174,6 @@
             )
         )
 
-    def _barred_runners(self, job: Job) -> set[str]:
-        if not job.may_be_resumed:
-            return set()
-        return self._components.versions.barred_runners(
-            job.admission.service, job.version
-        )
-
-    def _is_usable(
-        self, job: Job, ask: SlotRequest, placement: Placement
-    ) -> bool:
-        """Tell whether a job may still run at the runner of its slot.
-
-        The owner may know a runner that this VM didn't know when it asked.
-        """
-        if self._runs_alone(job) and not ask.suspect:
-            return False
-        return placement.runner.incarnation not in self._barred_runners(job)
-
     def _is_version_gone(self, job: Job) -> bool:
         return job.version is not None and not (
             self._components.versions.is_served(
@@ -195,14 +181,24 @@
             )
         )
 
-    def _return_slot(self, placement: Placement) -> None:
-        self._components.placer.release(placement, RunReport(UNSENT))
-
     def _is_refused(self, job: Job) -> bool:
         return self._components.containment.is_refused(job.content)
 
-    def _runs_alone(self, job: Job) -> bool:
-        return self._components.containment.runs_alone(job.content)
+    def _record_return(
+        self, job: Job, placement: Placement, problem: str
+    ) -> None:
+        self._components.events.record(
+            'slot_returned',
+            req=job.facts.attempt_id,
+            service=job.admission.service,
+            runner=placement.runner.name,
+            version=placement.runner.version,
+            owner=placement.owner.vm if placement.owner else 'own',
+            list_age_ms=round(
+                self._components.catalog.runner_list_age.seconds() * MS_PER_S
+            ),
+            why=problem,
+        )
 
     def _record_placement(self, job: Job, placement: Placement) -> None:
         job.tried_runners.append(placement.runner.name)
--- a/bramleybend/direct/software_versions.py
+++ b/bramleybend/direct/software_versions.py
@@ -11,12 +11,11 @@
 from typing import Final
 
 from bramleybend.direct.catalog import Catalog
+from bramleybend.direct.list_age import MAX_LIST_AGE_S
 from bramleybend.direct.models import Manifest, RunnerEntry, RunnerState
 
 # Callers may come back for a stream for this long after its time limit.
 RETURN_MARGIN_S: Final = 2.0
-# A list of runners that was confirmed longer ago may lack a version.
-MAX_LIST_AGE_S: Final = 2.0
 # For this long after its first entry, a version begins no streams while
 # another one serves. All VMs whose list counts as current know it by then.
 SETTLE_S: Final = MAX_LIST_AGE_S + 0.5
@@ -83,7 +82,7 @@
     def only_version(self, service: str) -> str | None:
         """Return the version of all streams, or `None` if it isn't known."""
         recent = self.recent(service)
-        is_current = self._catalog.runner_list_age_s() <= MAX_LIST_AGE_S
+        is_current = self._catalog.runner_list_age.seconds() <= MAX_LIST_AGE_S
         if len(recent) != 1 or self.is_mixed(service) or not is_current:
             return None
         return next(iter(recent))
--- a/bramleybend/platform/platform_process.py
+++ b/bramleybend/platform/platform_process.py
@@ -113,6 +113,7 @@
         )
         feed.on_page = runners.apply_page
         feed.on_confirmed = runners.note_confirmed
+        feed.on_failed = self.entry.catalog.runner_list_age.note_failed
         self.entry.on_sweep = runners.drop_expired
         return feed
 
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bramleybend.direct.software_versions import MAX_LIST_AGE_S
+from bramleybend.direct.list_age import MAX_LIST_AGE_S
 from tests.direct.cluster import (
     ENGINE,
     KEY,
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -6,8 +6,15 @@
 
 import pytest
 
-from tests.direct.cluster import ENGINE, Cluster, RawCaller, running_cluster
+from tests.direct.cluster import (
+    ENGINE,
+    PLAIN,
+    Cluster,
+    RawCaller,
+    running_cluster,
+)
 from tests.direct.program import program
+from tests.utils.path_cuts import SLOW_OPEN_S, PathState
 from tests.utils.peer_network import start_network
 from tests.utils.processes import Process
 from tests.utils.raw_runner import (
@@ -21,6 +28,9 @@
 OLD, NEW = 'v1', 'v2'
 STREAMS = 8  # more than the old runner has slots
 HEARD_S = 1.5  # heartbeats that list the old runner alone
+FROZEN_S = 3.0
+CALLERS = 12
+LATER_ROUNDS, ROUND_S = 12, 0.2  # after the VM woke
 RECORDED_S = 0.3  # until their origins are in the log
 
 
@@ -103,6 +113,64 @@
         assert not joined
 
 
+@pytest.mark.parametrize('state', ['draining'])
+async def test_a_vm_that_wakes_sends_nothing_to_a_runner_that_left(
+    tmp_path: Path, state: str
+) -> None:
+    """A VM that wakes must not act on its list of runners from before.
+
+    Some runners announce that they leave; of others only the entry is removed.
+    """
+    async with running_cluster(vms=2) as cluster:
+        left = await cluster.add_runner('left', PLAIN)
+        await cluster.add_runner('stays', PLAIN)
+        await cluster.wait_for_runners(PLAIN, 2)
+        async with program(cluster, tmp_path) as process:
+            await wait_until(
+                lambda: process.log_text().count('event=runner ') == 2,
+                'the runners',
+            )
+            await cluster.wait_until_ready_at(2)
+            callers = [await cluster.connect(1) for _ in range(CALLERS)]
+            process.send_signal(signal.SIGSTOP)
+            leave(cluster, 'left', state)
+            await asyncio.sleep(FROZEN_S)
+            for caller in callers:
+                await caller.send('/read/x')
+            process.send_signal(signal.SIGCONT)
+            answers = [await caller.answer() for caller in callers]
+            for _ in range(LATER_ROUNDS):
+                await asyncio.sleep(ROUND_S)
+                answers.append(await cluster.call('/read/x', 1))
+            for caller in callers:
+                caller.close()
+        assert {answer.status for answer in answers} == {200}
+        assert not left.seen
+
+
+async def test_nothing_is_sent_to_a_runner_that_left_meanwhile() -> None:
+    """A runner may leave while the connection to it opens."""
+    async with running_cluster() as cluster:
+        runner = await cluster.add_runner('left', PLAIN)
+        await cluster.wait_for_runners(PLAIN)
+        cluster.paths.set_state(0, PathState.SLOW)
+        call = asyncio.create_task(cluster.call('/read/x'))
+        await asyncio.sleep(SLOW_OPEN_S / 2)
+        cluster.vms[0].entry.catalog.exclude_moved_runner('left')
+        answer = await call
+        assert answer.status == 503
+        assert not runner.seen
+
+
+def leave(cluster: Cluster, name: str, state: str) -> None:
+    """Announce that a runner leaves, or remove its entry."""
+    if state == 'removed':
+        cluster.store.topic('keyed.servers').put(name, b'')
+        return
+    entry = cluster.runners[name].entry(PLAIN, state)
+    cluster.store.put('keyed.servers', name, entry)
+
+
 def test_heartbeats_that_waited_make_nobody_alive() -> None:
     """A VM that wakes would act as if it heard VMs that may be gone."""
     network = start_network(6)
--- a/tests/utils/path_cuts.py
+++ b/tests/utils/path_cuts.py
@@ -18,6 +18,7 @@
 current_vm: ContextVar[int] = ContextVar('current_vm')
 
 MS_PER_SECOND: Final = 1000
+SLOW_OPEN_S: Final = 0.2
 
 
 class PathState(StrEnum):
@@ -27,6 +28,7 @@
     SILENT = 'silent'  # packets are lost, in both directions
     RESET = 'reset'  # open connections are reset, new ones are refused
     REFUSED = 'refused'  # open connections work, new ones are refused
+    SLOW = 'slow'  # a new connection takes `SLOW_OPEN_S`
 
 
 class PathCuts:
@@ -89,7 +91,9 @@
         state = self._states.get(vm, PathState.INTACT)
         if state is PathState.SILENT:
             await asyncio.Event().wait()
-        if state is not PathState.INTACT:
+        if state is PathState.SLOW:
+            await asyncio.sleep(SLOW_OPEN_S)
+        elif state is not PathState.INTACT:
             raise ConnectionRefusedError(errno.ECONNREFUSED, 'refused')
 
 
