A VM that stood still drops runners whose entries were removed

Some runners never announce that they leave; their entry is removed.

Cause: a list that was not confirmed for 2.0 s was taken for an outage of the store, in which entries of live runners expire; a standstill looks the same.

Change: the time in which the VM stood still is measured and doesn't count towards an outage.

Evidence: test_a_vm_that_wakes_sends_nothing_to_a_runner_that_left[removed] failed before and passes.

--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -35,7 +35,7 @@
 from bramleybend.direct.runner_access import RunnerAccess
 from bramleybend.direct.stream_origins import StreamLog
 from bramleybend.direct.stream_recorder import make_streams
-from bramleybend.direct.suspension import WatchedSleep
+from bramleybend.direct.suspension import StandstillMeter, WatchedSleep
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.events import EventLog
 
@@ -148,6 +148,7 @@
             self._request_handler.record_unreadable,
             cfg.request_memory(),
         )
+        self.standstills = StandstillMeter(clock, SWEEP_EVERY_S)
         self._tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
         self.is_leaving = False
@@ -319,6 +320,7 @@
             if await watched.sleep(SWEEP_EVERY_S):
                 for feed in self._message_handler.feeds:
                     feed.wake()
+            self.standstills.note_running()
             for _, queue in self._queues:
                 queue.drop_expired()
             self._queues.update_rate_limits()
--- a/bramleybend/direct/runner_list.py
+++ b/bramleybend/direct/runner_list.py
@@ -5,6 +5,9 @@
 and reappear about two seconds after the store is back. Entries that expire
 around an outage are therefore dropped after a grace period. If they were
 dropped at once, a service would have no runner while all of them are alive.
+
+A VM that stood still hasn't seen the store either, but its list shows no outage
+by that: an entry that expired meanwhile is that of a runner that has left.
 """
 
 from collections.abc import Callable
@@ -33,9 +36,18 @@
     """Applies pages of runner entries to the `Catalog`."""
 
     def __init__(
-        self, catalog: Catalog, decode_entry: DecodeEntry, events: EventLog
+        self,
+        catalog: Catalog,
+        decode_entry: DecodeEntry,
+        events: EventLog,
+        standstill_s: Callable[[], float] = float,
     ) -> None:
-        """Start without runners."""
+        """Start without runners.
+
+        `standstill_s` returns for how long this VM stood still so far.
+        """
+        self._standstill_s = standstill_s
+        self._standstill_when_confirmed_s = float(0)
         self._catalog = catalog
         self._decode_entry = decode_entry
         self._events = events
@@ -46,15 +58,15 @@
 
     def note_confirmed(self, at: float) -> None:
         """Note that the list was up to date at a point in time."""
-        if at - self._confirmed_at > OUTAGE_S:
-            self._grace_until = self._catalog.now() + EXPIRY_GRACE_S
-        self._confirmed_at = max(at, self._confirmed_at)
+        self._note_outage(at)
+        if at > self._confirmed_at:
+            self._confirmed_at = at
+            self._standstill_when_confirmed_s = self._standstill_s()
         self._catalog.runner_list_age.confirm(at)
 
     def apply_page(self, page: Page) -> None:
         """Apply a page of entries."""
-        if self._catalog.now() - self._confirmed_at > OUTAGE_S:
-            self._grace_until = self._catalog.now() + EXPIRY_GRACE_S
+        self._note_outage(self._catalog.now())
         if page.is_snapshot:
             listed = {record.key for record in page.records}
             for key in self._entries.keys() - listed:
@@ -74,6 +86,12 @@
         if due:
             self._catalog.replace_runner_list(self._entries)
 
+    def _note_outage(self, at: float) -> None:
+        """Start the grace period if the store probably had an outage."""
+        stood_still_s = self._standstill_s() - self._standstill_when_confirmed_s
+        if at - self._confirmed_at - stood_still_s > OUTAGE_S:
+            self._grace_until = self._catalog.now() + EXPIRY_GRACE_S
+
     def _apply(self, record: KeyedRecord) -> None:
         if record.is_deleted:
             self._mark_expired(record.key)
--- a/bramleybend/direct/suspension.py
+++ b/bramleybend/direct/suspension.py
@@ -16,6 +16,8 @@
 # The two clocks are read a few microseconds apart, and the kernel may schedule
 # another process in between. Suspensions last for seconds.
 MIN_SUSPENSION_S: Final = 0.5
+# A busy event loop is late by less.
+MIN_STANDSTILL_S: Final = 0.5
 
 
 class SuspensionWatch:
@@ -63,3 +65,29 @@
         if suspended_s:
             self._events.record('suspended', seconds=f'{suspended_s:.1f}')
         return bool(suspended_s)
+
+
+class StandstillMeter:
+    """Measures for how long this VM stood still: suspended or not scheduled.
+
+    Adds up the gaps between calls that are due at an interval.
+    """
+
+    def __init__(self, clock: Clock, interval_s: float) -> None:
+        """Expect `note_running` to be called every `interval_s` seconds."""
+        self._clock = clock
+        self._interval_s = interval_s
+        self._running_at = clock.monotonic()
+        self._total_s = float(0)
+
+    def note_running(self) -> None:
+        """Note that this VM runs now."""
+        self._total_s = self.total_s()
+        self._running_at = self._clock.monotonic()
+
+    def total_s(self) -> float:
+        """Return the seconds of all standstills, the one in progress too."""
+        gap_s = self._clock.monotonic() - self._running_at - self._interval_s
+        if gap_s < MIN_STANDSTILL_S:
+            return self._total_s
+        return self._total_s + gap_s
--- a/bramleybend/platform/platform_process.py
+++ b/bramleybend/platform/platform_process.py
@@ -109,7 +109,10 @@
     def _make_runner_feed(self) -> Feed:
         feed = self._make_feed(RUNNER_FEED)
         runners = RunnerList(
-            self.entry.catalog, decode_runner, self.entry.events
+            self.entry.catalog,
+            decode_runner,
+            self.entry.events,
+            self.entry.standstills.total_s,
         )
         feed.on_page = runners.apply_page
         feed.on_confirmed = runners.note_confirmed
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -113,7 +113,7 @@
         assert not joined
 
 
-@pytest.mark.parametrize('state', ['draining'])
+@pytest.mark.parametrize('state', ['draining', 'removed'])
 async def test_a_vm_that_wakes_sends_nothing_to_a_runner_that_left(
     tmp_path: Path, state: str
 ) -> None:
