Records of crashing content outlive a kill of all VMs

Cause: the records lay in the VMs' memory and their heartbeats alone.

Change: one VM saves the records of content that crashed two runners or more to a topic of our own, at most once a second and 256 of them at most; a VM that starts reads them before it serves, or later if the store doesn't answer within 0.3 s. A record ends an hour after its last crash. The meter of standstills moved into the runner list, which uses it.

Ruled out: new lifetimes of runners (no late crash with TROUBLE=0).

--- a/bramleybend/decisions/content_quarantine.py
+++ b/bramleybend/decisions/content_quarantine.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable, Sequence
 
 from bramleybend.decisions.quarantine import (
+    SUSPECT_TTL_S,
     ContentStatus,
     CrashRecord,
     CrashRegistry,
@@ -74,6 +75,20 @@
         """Return the records changed since a time, and all refused ones."""
         return self._registry.changed_records(since)
 
+    def aged_records(
+        self, min_crashes: int, now: float
+    ) -> list[tuple[CrashRecord, float]]:
+        """Return records and the seconds since each changed.
+
+        Only those with this many crashes or more, and not the expired ones.
+        """
+        aged = [
+            (record, now - (self._registry.changed_at(record.fingerprint) or 0))
+            for record in self._registry.all_records()
+            if len(record.runners) >= min_crashes
+        ]
+        return [(record, age) for record, age in aged if age < SUSPECT_TTL_S]
+
     def _is_sound(self, part: str, now: float) -> bool:
         completed_at = self._completed_at.get(part)
         return completed_at is not None and now - completed_at < SOUND_S
--- a/bramleybend/decisions/quarantine.py
+++ b/bramleybend/decisions/quarantine.py
@@ -108,6 +108,10 @@
             if record.refused or self._changed_at[fingerprint] >= since
         ]
 
+    def changed_at(self, fingerprint: str) -> float | None:
+        """Return when a record last changed, or `None` without a record."""
+        return self._changed_at.get(fingerprint)
+
     def merge(self, records: Iterable[CrashRecord], now: float) -> None:
         """Merge the records of another process."""
         for record in records:
--- a/bramleybend/direct/containment.py
+++ b/bramleybend/direct/containment.py
@@ -22,11 +22,15 @@
 
 from bramleybend.clock import Clock
 from bramleybend.decisions.content_quarantine import ContentQuarantine
-from bramleybend.decisions.quarantine import CrashRecord
+from bramleybend.decisions.quarantine import (
+    REFUSAL_CRASHES,
+    SUSPECT_TTL_S,
+    CrashRecord,
+)
 from bramleybend.direct.heartbeat_messages import CrashReport
 from bramleybend.direct.models import RequestMetadata, RunnerEntry
 from bramleybend.direct.replies import RawRequest
-from bramleybend.events import EventLog
+from bramleybend.events import MS_PER_S, EventLog
 
 ISOLATE_AFTER_CRASHES: Final = 2  # crashes after which it runs alone
 # Heartbeats carry a record for this long, which is about 25 of them. Only
@@ -41,9 +45,17 @@
 # Thousands of requests may share a part, and a new version of a model may cure
 # it. So its refusal ends, and single runs tell whether it was right.
 PART_REFUSAL_TTL_S: Final = 600.0
+# Records that are saved for VMs that start, about 100 bytes each.
+MAX_SAVED_RECORDS: Final = 256
 PART_PREFIX: Final = 'p:'  # of a part's fingerprint
 
 
+class SavedCrashes(CrashReport, array_like=True):
+    """A crash record as it is saved for VMs that start."""
+
+    changed_ms: int = 0  # since the epoch
+
+
 @dataclass(frozen=True)
 class ContentIds:
     """Identifies the content of a request: the whole, and what it shares."""
@@ -145,17 +157,43 @@
     def merge_news(self, news: Sequence[CrashReport]) -> None:
         """Merge the records of another VM's heartbeat."""
         now = self._clock.monotonic()
-        records = [
-            CrashRecord(
+        records = list(map(_record_of, news))
+        self._requests.merge([one for one in records if not _is_part(one)], now)
+        self._parts.merge([one for one in records if _is_part(one)], now)
+
+    def records_to_save(self) -> list[SavedCrashes]:
+        """Return the records that VMs that start need, the worst first.
+
+        Content that crashed one runner is left out: most of it only ran beside
+        the content that did.
+        """
+        now = self._clock.monotonic()
+        aged = [
+            *self._requests.aged_records(ISOLATE_AFTER_CRASHES, now),
+            *self._parts.aged_records(ISOLATE_AFTER_CRASHES, now),
+        ]
+        aged.sort(key=lambda one: (not one[0].refused, one[1]))
+        wall_s = self._clock.now().timestamp()
+        return [
+            SavedCrashes(
                 record.fingerprint,
                 record.generation,
-                frozenset(record.runners),
+                sorted(record.runners)[:REFUSAL_CRASHES],
                 record.refused,
+                round((wall_s - age_s) * MS_PER_S),
             )
-            for record in news
+            for record, age_s in aged[:MAX_SAVED_RECORDS]
         ]
-        self._requests.merge([one for one in records if not _is_part(one)], now)
-        self._parts.merge([one for one in records if _is_part(one)], now)
+
+    def recall(self, saved: Sequence[SavedCrashes]) -> None:
+        """Merge saved records, as old as they are."""
+        wall_ms = self._clock.now().timestamp() * MS_PER_S
+        for one in saved:
+            age_s = max(wall_ms - one.changed_ms, 0) / MS_PER_S
+            if age_s < SUSPECT_TTL_S:
+                table = self._parts if _is_part(one) else self._requests
+                record = _record_of(one)
+                table.merge([record], self._clock.monotonic() - age_s)
 
     def _crashes(self, content: ContentIds) -> dict[str, frozenset[str]]:
         """Return the runners that crashed, by fingerprint."""
@@ -177,9 +215,18 @@
         yield from islice(cycle(others), start, start + count)
 
 
+def _record_of(report: CrashReport) -> CrashRecord:
+    return CrashRecord(
+        report.fingerprint,
+        report.generation,
+        frozenset(report.runners),
+        report.refused,
+    )
+
+
 def _crash_count(record: CrashRecord) -> int:
     return len(record.runners)
 
 
-def _is_part(record: CrashRecord) -> bool:
+def _is_part(record: CrashRecord | CrashReport) -> bool:
     return record.fingerprint.startswith(PART_PREFIX)
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -35,7 +35,7 @@
 from bramleybend.direct.runner_access import RunnerAccess
 from bramleybend.direct.stream_origins import StreamLog
 from bramleybend.direct.stream_recorder import make_streams
-from bramleybend.direct.suspension import StandstillMeter, WatchedSleep
+from bramleybend.direct.suspension import WatchedSleep
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.events import EventLog
 
@@ -82,7 +82,7 @@
             clock.monotonic(),
             is_first_start=cfg.first_start,
         )
-        self._containment = Containment(clock, self.events)
+        self.containment = Containment(clock, self.events)
         self._queues = make_queues(
             self.catalog,
             self.members,
@@ -113,7 +113,7 @@
             self.placer,
             self._queues,
             self._allotments,
-            self._containment,
+            self.containment,
         )
         self._message_handler = PeerMessageHandler(
             tables, self._readiness, clock
@@ -148,7 +148,6 @@
             self._request_handler.record_unreadable,
             cfg.request_memory(),
         )
-        self.standstills = StandstillMeter(clock, SWEEP_EVERY_S)
         self._tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
         self.is_leaving = False
@@ -254,8 +253,8 @@
                 rng,
             ),
             self.placer,
-            self._containment,
-            self._access.make_crash_check(self._containment),
+            self.containment,
+            self._access.make_crash_check(self.containment),
             self._queues.limits,
             self._access.channels,
             header_codec,
@@ -320,7 +319,6 @@
             if await watched.sleep(SWEEP_EVERY_S):
                 for feed in self._message_handler.feeds:
                     feed.wake()
-            self.standstills.note_running()
             for _, queue in self._queues:
                 queue.drop_expired()
             self._queues.update_rate_limits()
--- a/bramleybend/direct/runner_list.py
+++ b/bramleybend/direct/runner_list.py
@@ -18,6 +18,7 @@
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.feed_copy import KeyedRecord, Page
 from bramleybend.direct.models import RunnerEntry
+from bramleybend.direct.suspension import StandstillMeter
 from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 
@@ -40,13 +41,10 @@
         catalog: Catalog,
         decode_entry: DecodeEntry,
         events: EventLog,
-        standstill_s: Callable[[], float] = float,
+        standstills: StandstillMeter,
     ) -> None:
-        """Start without runners.
-
-        `standstill_s` returns for how long this VM stood still so far.
-        """
-        self._standstill_s = standstill_s
+        """Start without runners; `sweep` feeds the meter."""
+        self._standstills = standstills
         self._standstill_when_confirmed_s = float(0)
         self._catalog = catalog
         self._decode_entry = decode_entry
@@ -61,7 +59,7 @@
         self._note_outage(at)
         if at > self._confirmed_at:
             self._confirmed_at = at
-            self._standstill_when_confirmed_s = self._standstill_s()
+            self._standstill_when_confirmed_s = self._standstills.total_s()
         self._catalog.runner_list_age.confirm(at)
 
     def apply_page(self, page: Page) -> None:
@@ -76,6 +74,11 @@
         self.drop_expired()
         self._catalog.replace_runner_list(self._entries)
 
+    def sweep(self) -> None:
+        """Note that this VM runs, and drop what has expired."""
+        self._standstills.note_running()
+        self.drop_expired()
+
     def drop_expired(self) -> None:
         """Drop the expired entries whose grace period is over."""
         now = self._catalog.now()
@@ -88,7 +91,9 @@
 
     def _note_outage(self, at: float) -> None:
         """Start the grace period if the store probably had an outage."""
-        stood_still_s = self._standstill_s() - self._standstill_when_confirmed_s
+        stood_still_s = (
+            self._standstills.total_s() - self._standstill_when_confirmed_s
+        )
         if at - self._confirmed_at - stood_still_s > OUTAGE_S:
             self._grace_until = self._catalog.now() + EXPIRY_GRACE_S
 
--- a/bramleybend/platform/platform_process.py
+++ b/bramleybend/platform/platform_process.py
@@ -8,8 +8,10 @@
 from bramleybend.direct.ingress import Ingress
 from bramleybend.direct.log_backup import BackedUpLog, LogBackup
 from bramleybend.direct.models import IngressLimits
-from bramleybend.direct.process import EntryProcess
+from bramleybend.direct.process import SWEEP_EVERY_S, EntryProcess
+from bramleybend.direct.quarantine_backup import QuarantineBackup
 from bramleybend.direct.runner_list import RunnerList
+from bramleybend.direct.suspension import StandstillMeter
 from bramleybend.direct.vm_discovery import VmDiscovery
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.platform.directory import Directory
@@ -20,6 +22,7 @@
 )
 from bramleybend.platform.mirror import Mirror
 from bramleybend.platform.platform_dialect import make_header_codec
+from bramleybend.platform.quarantine_records import QuarantineRecords
 from bramleybend.platform.runner_entry import decode_runner
 from bramleybend.platform.snapshot_store import SnapshotStore
 from bramleybend.platform.store_client import StoreClient, make_mirror_client
@@ -57,6 +60,9 @@
             self.entry.follow_feed(feed)
         self.entry.spawn(self._make_last_known().run())
         self.entry.spawn(self._make_discovery().run())
+        quarantine = self._make_quarantine_backup()
+        await quarantine.prepare()
+        self.entry.spawn(quarantine.run())
         await self.entry.start()
 
     async def stop(self) -> None:
@@ -94,6 +100,16 @@
             self._rng,
         )
 
+    def _make_quarantine_backup(self) -> QuarantineBackup:
+        manifests, _ = self.feeds
+        return QuarantineBackup(
+            self.entry.containment,
+            QuarantineRecords(self.store),
+            manifests.is_leader,
+            self._clock,
+            self.entry.events,
+        )
+
     def _render_metrics(self) -> bytes:
         # Imported at the first scrape only; see `bramleybend.direct.meters`.
         exposition_module = import_module('bramleybend.direct.exposition')
@@ -112,12 +128,12 @@
             self.entry.catalog,
             decode_runner,
             self.entry.events,
-            self.entry.standstills.total_s,
+            StandstillMeter(self._clock, SWEEP_EVERY_S),
         )
         feed.on_page = runners.apply_page
         feed.on_confirmed = runners.note_confirmed
         feed.on_failed = self.entry.catalog.runner_list_age.note_failed
-        self.entry.on_sweep = runners.drop_expired
+        self.entry.on_sweep = runners.sweep
         return feed
 
     def _make_feed(self, terms: FeedSettings) -> Feed:
--- a/bramleybend/platform/wire_names.py
+++ b/bramleybend/platform/wire_names.py
@@ -37,3 +37,4 @@
 SNAPSHOT_TOPIC: Final = 'keyed.bramleybend-last-known'  # this system's own
 VM_TOPIC: Final = 'keyed.bramleybend-vms'  # this system's own
 STREAM_TOPIC: Final = 'bramleybend-streams'  # this system's own
+QUARANTINE_TOPIC: Final = 'keyed.bramleybend-crashes'  # this system's own
--- a/tests/direct/test_containment.py
+++ b/tests/direct/test_containment.py
@@ -17,6 +17,7 @@
     RunnerEntry,
     RunnerState,
 )
+from bramleybend.direct.quarantine_backup import SAVE_EVERY_S
 from bramleybend.direct.replies import RawRequest
 from bramleybend.events import EventLog
 from bramleybend.platform.platform_dialect import make_header_codec
@@ -84,6 +85,27 @@
             assert answer.status == 200
 
 
+async def test_content_stays_refused_after_all_vms_were_killed() -> None:
+    """VMs that lost their memory must not let content crash runners again."""
+    async with running_cluster(vms=2) as cluster:
+        await add_runners(cluster, 6)
+        for number in range(CALLS):
+            await cluster.call('/read/x', number % 2, body=POISON)
+            await asyncio.sleep(HEARTBEAT_WAIT_S)
+        runs = count_runs(cluster, POISON)
+        assert runs == REFUSAL_CRASHES
+        await asyncio.sleep(SAVE_EVERY_S)
+        for _ in range(2):
+            await cluster.restart_vms()
+            await cluster.wait_for_runners(PLAIN, 6)
+            for vm in (0, 1):
+                answer = await cluster.call('/read/x', vm, body=POISON)
+                assert answer.status == 503
+                answer = await cluster.call('/read/x', vm, body=INNOCENT)
+                assert answer.status == 200
+        assert count_runs(cluster, POISON) == runs
+
+
 async def test_a_lookup_that_crashes_runners_is_not_retried_forever() -> None:
     """An idempotent request stops crashing runners after three crashes.
 
@@ -263,7 +285,7 @@
         await cluster.wait_for_runners(ENGINE)
         other = asyncio.create_task(cluster.call('/draft/x', body=INNOCENT))
         await wait_until(lambda: bool(cluster.runners['r'].seen), 'a run')
-        containment = cluster.vms[0].entry._containment
+        containment = cluster.vms[0].entry.containment
         req = RawRequest(b'POST', b'/draft/x', (), POISON, 0)
         facts = RequestMetadata('a', KEY, None, 0, 0, None, '')
         content = containment.identify(req, facts)
