A part that a runner sends before it has read the request is not whole

A runner answers an upload early, without a length, ends its side of the connection and resets it: callers got the part as a whole 200 in 41 of 48 combinations of path, size, way and pause, the gateway's client as whole JSON in 2 of 2. With a reset alone, or a status of 000, they don't.

Cause: the end of the peer's bytes ends such an answer, and asyncio stops to read there, so that a reset after it is not seen.

Change: such an answer is broken off if bytes of its request were not acknowledged at that end, or if a reset follows within 0.1 s. The VM that forwards a tunnel and the gateway's client do the same.

Ruled out: one rule for both ends of a tunnel, since the end that is told on closes the tunnel itself.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -17,6 +17,10 @@
 
 import h11
 
+from bramleybend.clients.connection_end import (
+    require_no_reset,
+    unacknowledged_bytes,
+)
 from bramleybend.clients.framing import Framing, framing_of
 from bramleybend.clients.h11_protocol import H11Protocol
 from bramleybend.clients.message_bounds import (
@@ -95,6 +99,9 @@
         self._last_used_at = clock.monotonic()
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._sent_request: h11.Request | None = None
+        self._sent_bytes = 0  # of the body of that request
+        self._framing = Framing.LENGTH  # of the response
+        self._is_request_cut = False
         self.request_count = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -111,6 +118,8 @@
 
     def eof_received(self) -> bool:
         """Close an idle connection when its peer closes it."""
+        if self._is_busy:
+            self._is_request_cut = unacknowledged_bytes(self.transport) > 0
         super().eof_received()
         return self._is_busy
 
@@ -132,7 +141,8 @@
         self.request_count += 1
         self.received_bytes = 0
         self._meter = MessageMeter(self._bounds)
-        length = str(len(outgoing.body)).encode()
+        self._sent_bytes = len(outgoing.body)
+        length = str(self._sent_bytes).encode()
         framing = [(b'Content-Length', length)]
         if not outgoing.body and outgoing.method in {b'GET', b'HEAD'}:
             framing = []
@@ -165,6 +175,7 @@
         if not isinstance(event, h11.Response):
             raise EOFError('the connection ended before an answer')
         head = ResponseHead(event.status_code, list(event.headers))
+        self._framing = head.framing
         timeout_match = _KEEP_ALIVE_TIMEOUT.search(
             (head.get('keep-alive') or '').encode()
         )
@@ -185,6 +196,10 @@
             event = await self.next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise EOFError('the connection ended within an answer')
+        if self.has_peer_ended and self._framing is Framing.CONNECTION:
+            if self._is_request_cut:
+                raise EOFError('the connection ended before the request')
+            await self._require_no_reset()
 
     async def read_body(
         self, max_bytes: float, on_growth: Callable[[int], None] | None = None
@@ -247,6 +262,11 @@
         self._last_used_at = self._clock.monotonic()
         return True
 
+    async def _require_no_reset(self) -> None:
+        await require_no_reset(self.transport, self._sent_bytes)
+        if self.connection_error is not None:
+            raise self.connection_error
+
     def _is_open(self) -> bool:
         return self.connection_error is None and not self.transport.is_closing()
 
--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -16,6 +16,10 @@
 import h11
 from result import Err, Ok, Result
 
+from bramleybend.clients.connection_end import (
+    require_no_reset,
+    unacknowledged_bytes,
+)
 from bramleybend.clients.framing import Framing, framing_of
 from bramleybend.clients.message_bounds import (
     MessageBounds,
@@ -65,6 +69,8 @@
         self._http = h11.Connection(h11.CLIENT)
         self._meter = MessageMeter(RESPONSE_BOUNDS)
         self._received_bytes = 0
+        self._sent_bytes = 0  # of the body
+        self._framing = Framing.LENGTH  # of the response
 
     async def send(
         self,
@@ -85,6 +91,7 @@
                 *headers,
             ],
         )
+        self._sent_bytes = len(body)
         parts = [self._http.send(request)]
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
@@ -108,7 +115,9 @@
             name.decode('latin-1'): text.decode('latin-1')
             for name, text in event.headers
         }
-        return HttpResponse(event.status_code, headers, b'')
+        head = HttpResponse(event.status_code, headers, b'')
+        self._framing = head.framing
+        return head
 
     async def iter_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; raises if it is truncated."""
@@ -119,6 +128,11 @@
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise EOFError('the connection ended within an answer')
+        if self._reader.at_eof() and self._framing is Framing.CONNECTION:
+            transport = self._writer.transport
+            if unacknowledged_bytes(transport):
+                raise EOFError('the connection ended before the request')
+            await require_no_reset(transport, self._sent_bytes)
 
     def close(self) -> None:
         """Close the connection in any state of the exchange."""
--- a/bramleybend/direct/tunnel_channel.py
+++ b/bramleybend/direct/tunnel_channel.py
@@ -75,6 +75,9 @@
         """Fail what waits on the tunnel."""
         self._fail(ConnectionError(f'the tunnel was lost: {exc}'))
 
+    async def _require_no_reset(self) -> None:
+        """Rely on the other VM, which tells a reset from an orderly end."""
+
     def _handle_frame(self, frame: Frame) -> None:
         kind, payload = frame
         match kind:
--- a/bramleybend/direct/tunnel_server.py
+++ b/bramleybend/direct/tunnel_server.py
@@ -16,6 +16,12 @@
 import msgspec
 
 from bramleybend.clients.channel import set_peer_timeouts
+from bramleybend.clients.connection_end import (
+    LONG_REQUEST_BYTES,
+    RESET_GRACE_S,
+    unacknowledged_bytes,
+    was_reset,
+)
 from bramleybend.clients.h11_protocol import reset_transport
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.tunnel_frames import (
@@ -160,21 +166,45 @@
     def __init__(self, peer: '_PeerLink') -> None:
         super().__init__()
         self.other = peer
+        self._written_bytes = 0
+        self._is_request_cut = False
+
+    def write(self, payload: bytes) -> None:
+        self._written_bytes += len(payload)
+        super().write(payload)
 
     def data_received(self, data: bytes) -> None:
         assert self.other is not None
         self.other.write(encode_frame(FrameType.DATA, data))
 
+    def eof_received(self) -> bool:
+        """Find out whether the end cuts off a request before it is told on."""
+        if self._transport is None:
+            return False
+        self._is_request_cut = unacknowledged_bytes(self._transport) > 0
+        if self._is_request_cut or self._written_bytes < LONG_REQUEST_BYTES:
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESET_GRACE_S, self._end)
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         reason = EndReason.CLOSED
-        if exc is not None:
+        if self._is_request_cut:
+            reason = EndReason.RESET
+        elif exc is not None:
             is_timeout = isinstance(exc, TimeoutError)
             reason = EndReason.TIMEOUT if is_timeout else EndReason.RESET
         assert self.other is not None
         self.other.write(encode_frame(FrameType.END, reason.encode()))
         self.other.close()
 
+    def _end(self) -> None:
+        if self._transport is not None:
+            self._is_request_cut = was_reset(self._transport)
+            self.close()
+
 
 class _PeerLink(_Link):
     """The end at the VM that opened the tunnel."""
