A HEAD request that the VM answers itself gets its answer

Cause: the VM's own answers have a body for every method, and h11 refuses one in an answer to HEAD, so the connection was aborted.

Change: a caller's connection leaves out the body of an answer to HEAD.

Ruled out: that the answer is late, as a GET gets its 504.

--- a/bramleybend/direct/ingress.py
+++ b/bramleybend/direct/ingress.py
@@ -68,6 +68,7 @@
         self._unsent: list[bytes] = []
         self._has_request = False
         self._has_ambiguous_framing = False
+        self._is_head_request = False
         self._has_left = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -110,7 +111,12 @@
         )
 
     def enqueue(self, event: h11.Event) -> None:
-        """Serialize an event; `flush` sends it."""
+        """Serialize an event; `flush` sends it.
+
+        The body of an answer to HEAD is left out.
+        """
+        if self._is_head_request and isinstance(event, h11.Data):
+            return
         payload = self.http.send(event)
         if payload:
             self._unsent.append(payload)
@@ -186,6 +192,7 @@
 
     async def _read_request(self) -> RawRequest | Reply | None:
         """Read one request; `None` if the connection ends without one."""
+        self._is_head_request = False
         if not await self._wait_for_first_byte():
             return None
         try:
@@ -197,6 +204,7 @@
             return None
         received_at = self._ingress.clock.monotonic()
         self._has_ambiguous_framing = _has_two_framings(head)
+        self._is_head_request = head.method == b'HEAD'
         self._has_request = True
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
--- a/tests/direct/test_callers.py
+++ b/tests/direct/test_callers.py
@@ -17,6 +17,8 @@
 from tests.utils.raw_runner import ReceivedRequest, answer_at_once, chunk, event
 from tests.utils.waiting import wait_until
 
+ANSWER_S = 5.0
+
 
 async def hangs(seen: ReceivedRequest) -> None:
     """Accept the request and send nothing until the caller disconnects."""
@@ -331,3 +333,22 @@
         assert len(runner.seen) == 4
         for caller in holding:
             caller.close()
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [('/read/x', 'none', 401), ('/none/x', KEY, 404), ('/read/x', KEY, 503)],
+)
+async def test_a_head_request_that_is_refused_is_answered(
+    path: str, key: str, status: int
+) -> None:
+    """An answer of the VM itself to HEAD must not end as a reset."""
+    async with running_cluster() as cluster:
+        caller = await cluster.connect()
+        for _ in range(2):  # the connection stays open
+            await caller.send(path, method='HEAD', key=key, body=b'')
+            async with asyncio.timeout(ANSWER_S):
+                head = await caller.reader.readuntil(b'\r\n\r\n')
+            assert int(head.split()[1]) == status
+            assert b'Content-Length: ' in head
+        caller.close()
