Soak: releases of runners beside frozen VMs

A plan of its own (--releases): every 6.6 s five runners leave, 0.76 s apart, half of them without announcing it, and one VM, by turns, is frozen for 4 s.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from bramleybend.exit_status import ExitStatus
+from tests.soak.plan import draw_faults, draw_release_faults
 from tests.soak.play import SoakResult, run_soak
 
 # A VM's number is the last byte of its address, at most two digits.
@@ -44,7 +45,8 @@
     with tempfile.TemporaryDirectory(prefix='soak-') as temporary:
         folder = Path(cfg.keep or temporary) / f'seed-{seed}'
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(run_soak(seed, cfg.seconds, cfg.vms, folder))
+        draw = draw_release_faults if cfg.releases else draw_faults
+        return asyncio.run(run_soak(seed, cfg.seconds, cfg.vms, folder, draw))
 
 
 def _format_result(result: SoakResult) -> str:
@@ -70,6 +72,9 @@
     flags.add_argument('--seeds', type=int, default=1, help='how many')
     flags.add_argument('--seconds', type=float, default=30, help='of load each')
     flags.add_argument('--vms', type=int, default=6, help='entry processes')
+    flags.add_argument(
+        '--releases', action='store_true', help='releases beside frozen VMs'
+    )
     flags.add_argument('--keep', help='folder for logs and faults')
     return flags
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import StrEnum
+from itertools import count
 from random import Random
 from typing import Final
 
@@ -27,6 +28,7 @@
     STORE_AWAY = 'store_away'  # the store refuses all requests
     RUNNER_CRASH = 'runner_crash'
     RUNNER_LEAVE = 'runner_leave'  # orderly, after draining
+    RUNNER_DELIST = 'runner_delist'  # its entry is removed, it serves on
     RUNNER_MUTE = 'runner_mute'  # accepts requests and never answers
     PATHS_SILENT = 'paths_silent'  # one VM's packets to all runners are lost
     PATHS_RESET = 'paths_reset'  # its connections to them are reset or refused
@@ -54,6 +56,11 @@
 }
 
 
+RELEASE_FAULTS: Final = (FaultKind.RUNNER_LEAVE, FaultKind.RUNNER_DELIST)
+RELEASE_INTERVAL_S: Final = 6.6
+RELEASE_PAUSE_S: Final = 0.76  # between two runners of a release
+RELEASED_RUNNERS: Final = 5
+FREEZE_DELAY_S: Final = 0.4  # after the start of a release
 PATH_FAULTS: Final = (FaultKind.PATHS_SILENT, FaultKind.PATHS_RESET)
 PATH_FAULT_INTERVAL_S: Final = (2.0, 8.0)
 PATH_FAULT_S: Final = (0.5, 5.0)
@@ -88,6 +95,27 @@
     return sorted(faults, key=_start_of)
 
 
+def draw_release_faults(seed: int, duration_s: float) -> list[Fault]:
+    """Return releases of runners, beside each of which one VM freezes.
+
+    Half of the runners that leave announce it; of the others the entry is
+    removed.
+    """
+    rng = Random(f'releases-{seed}')
+    at = WARMUP_S
+    faults = []
+    for turn in count(seed):
+        if at >= duration_s - RECOVERY_S:
+            break
+        faults.append(Fault(at + FREEZE_DELAY_S, FaultKind.FREEZE, 4, turn))
+        for step in range(RELEASED_RUNNERS):
+            kind = rng.choice(RELEASE_FAULTS)
+            leaves_at = at + step * RELEASE_PAUSE_S
+            faults.append(Fault(leaves_at, kind, 0, rng.randrange(1000)))
+        at += RELEASE_INTERVAL_S
+    return sorted(faults, key=_start_of)
+
+
 def _draw_path_faults(seed: int, duration_s: float) -> Iterator[Fault]:
     """Yield faults of VMs' paths to runners, drawn apart from the others."""
     rng = Random(f'paths-{seed}')
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 from collections import Counter
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -45,12 +45,19 @@
 
 
 async def run_soak(
-    seed: int, duration_s: float, vm_count: int, folder: Path
+    seed: int,
+    duration_s: float,
+    vm_count: int,
+    folder: Path,
+    draw: Callable[[int, float], list[Fault]] = draw_faults,
 ) -> SoakResult:
-    """Run one seed; write logs and the timeline of faults to a folder."""
+    """Run one seed; write logs and the timeline of faults to a folder.
+
+    `draw` returns the faults of a seed and a duration in seconds.
+    """
     ledger = Ledger(contract_for(seed))
     clock = SystemClock()
-    faults = draw_faults(seed, duration_s)
+    faults = draw(seed, duration_s)
     async with run_world(vm_count, _SUBNET, folder, ledger, clock) as (
         world,
         vms,
@@ -152,7 +159,12 @@
         FaultKind.STORE_RESET: lambda: vm.reset_store(),
         FaultKind.STORE_AWAY: lambda: world.refuse_store_calls(fault.seconds),
         FaultKind.RUNNER_CRASH: lambda: world.crash_runner(runner),
-        FaultKind.RUNNER_LEAVE: lambda: world.drain_runner(runner),
+        FaultKind.RUNNER_LEAVE: lambda: world.drain_runner(
+            runner, announces=True
+        ),
+        FaultKind.RUNNER_DELIST: lambda: world.drain_runner(
+            runner, announces=False
+        ),
         FaultKind.RUNNER_MUTE: lambda: world.mute_runner(runner, fault.seconds),
     }
     return actions[fault.kind]()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.soak.__main__ import main
-from tests.soak.plan import FaultKind, draw_faults
+from tests.soak.plan import FaultKind, draw_faults, draw_release_faults
 from tests.soak.play import run_soak
 
 
@@ -23,11 +23,28 @@
     assert result.statuses[200] > result.sent / 2
 
 
+async def test_runners_that_leave_beside_frozen_vms_get_nothing_new(
+    tmp_path: Path,
+) -> None:
+    """Calm VMs must not send to leaving runners while others freeze and wake."""
+    result = await run_soak(
+        2,
+        duration_s=23,
+        vm_count=6,
+        folder=tmp_path,
+        draw=draw_release_faults,
+    )
+    assert not result.violations
+    assert result.statuses[200] > result.sent / 2
+
+
 def test_a_seed_gives_one_plan() -> None:
     """The same seed repeats a run, and all kinds of faults occur."""
     assert draw_faults(7, 60) == draw_faults(7, 60)
     kinds = {
-        fault.kind for seed in range(40) for fault in draw_faults(seed, 60)
+        fault.kind
+        for seed in range(40)
+        for fault in draw_faults(seed, 60) + draw_release_faults(seed, 60)
     }
     assert kinds == set(FaultKind)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -88,12 +88,18 @@
         self.store.topic('keyed.servers').put(name, b'')
         await self.add_runner(self._services[name])
 
-    async def drain_runner(self, name: str) -> None:
-        """Start a replacement, announce the runner as draining and end it."""
+    async def drain_runner(self, name: str, *, announces: bool) -> None:
+        """Start a replacement, announce the runner as draining and end it.
+
+        One that doesn't announce it is delisted, and serves for as long.
+        """
         if name not in self.runners or name in self.ledger.leaving_at:
             return
         await self.add_runner(self._services[name])
-        self._register(name, 'draining')
+        if announces:
+            self._register(name, 'draining')
+        else:
+            self.store.topic('keyed.servers').put(name, b'')
         self.ledger.leaving_at[name] = self._clock.monotonic()
         await asyncio.sleep(LEAVE_DELAY_S)
         self.store.topic('keyed.servers').put(name, b'')
