A list of runners from before a standstill is not current

A VM that starts while two versions serve takes both for known to all and begins streams at the newer one; they were taken up at the old one at a VM that woke from 1.1 s of standstill.

Cause: a list counted as current for 2.0 s, also over a standstill in which the VM read nothing.

Change: the meter of standstills tells when the last one of 0.7 s or more ended; a list confirmed before that is outdated, for take-ups and for what is placed, and the feeds then read the store at once.

Ruled out: barring all versions at a VM that starts, which would hold streams for 2.5 s after each start.

--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -24,6 +24,7 @@
 from bramleybend.clock import Clock
 from bramleybend.direct.feed_copy import FeedCopy, Page
 from bramleybend.direct.heartbeat_messages import FeedStatus
+from bramleybend.direct.list_age import WAKE_TOLERANCE_S
 from bramleybend.direct.peer_progress import (
     BEFORE_FIRST_OFFSET,
     PeerProgress,
@@ -88,6 +89,8 @@
         self.on_confirmed: Callable[[float], None] = _ignore_argument
         # Called with the time at which a failed read of the store began.
         self.on_failed: Callable[[float], None] = _ignore_argument
+        # Returns when this VM's last standstill ended.
+        self.woke_at: Callable[[], float] = _never
         self._store = store
         self._peer_source = peer_source
         self._clock = clock
@@ -157,8 +160,11 @@
                 await self._sleep()
 
     def _is_stale(self) -> bool:
+        """Return whether the copy is old, or from before a standstill."""
         age_s = self._clock.monotonic() - self.confirmed_at
-        return age_s > self.settings.max_age_s
+        if age_s > self.settings.max_age_s:
+            return True
+        return self.confirmed_at < self.woke_at() - WAKE_TOLERANCE_S
 
     def _next_offset(self) -> int:
         return BEFORE_FIRST_OFFSET if self.copy.end is None else self.copy.end
@@ -330,5 +336,9 @@
     return started_at
 
 
+def _never() -> float:
+    return -inf
+
+
 def _ignore_argument(_: object) -> None:
     """Serve as the callback until another one is set."""
--- a/bramleybend/direct/list_age.py
+++ b/bramleybend/direct/list_age.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from bramleybend.clock import Clock
+from bramleybend.direct.suspension import SWEEP_EVERY_S, StandstillMeter
 from bramleybend.events import EventLog
 
 # A list that was confirmed longer ago may lack a version, or name runners that
@@ -18,6 +19,9 @@
 # can't be: the store is down or out of reach.
 LIST_WAIT_S: Final = 0.5
 MIN_FAILED_AGE_S: Final = MAX_LIST_AGE_S / 2
+# What is read in the same pass of the event loop in which a standstill is
+# noticed is new.
+WAKE_TOLERANCE_S: Final = 0.1
 
 
 class ListAge:
@@ -27,6 +31,7 @@
         """Start with a list that was never confirmed."""
         self._clock = clock
         self._events = events
+        self.standstills = StandstillMeter(clock, SWEEP_EVERY_S)
         self._confirmed_at = -inf
         # When the list was last known to be impossible to confirm.
         self._unconfirmable_at = -inf
@@ -36,20 +41,28 @@
         """Return the seconds since the list was confirmed as current."""
         return self._clock.monotonic() - self._confirmed_at
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the list is new enough, and read since a standstill."""
+        woke_at = self.standstills.woke_at() - WAKE_TOLERANCE_S
+        is_young = self.seconds() <= MAX_LIST_AGE_S
+        return is_young and self._confirmed_at >= woke_at
+
     @property
     def is_outdated(self) -> bool:
         """Whether the list is old and probably confirmed again soon.
 
         A list that was never confirmed is the backup of one.
         """
+        if self.is_current or self._confirmed_at == -inf:
+            return False
         now = self._clock.monotonic()
-        is_unconfirmable = now - self._unconfirmable_at < MAX_LIST_AGE_S
-        return MAX_LIST_AGE_S < self.seconds() < inf and not is_unconfirmable
+        return now - self._unconfirmable_at >= MAX_LIST_AGE_S
 
     def confirm(self, at: float) -> None:
         """Record a time at which the list was confirmed as current."""
         self._confirmed_at = max(self._confirmed_at, at)
-        if self.seconds() <= MAX_LIST_AGE_S:
+        if self.is_current:
             self._unconfirmable_at = -inf
             self._has_confirmed.set()
 
--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -35,11 +35,10 @@
 from bramleybend.direct.runner_access import RunnerAccess
 from bramleybend.direct.stream_origins import StreamLog
 from bramleybend.direct.stream_recorder import make_streams
-from bramleybend.direct.suspension import WatchedSleep
+from bramleybend.direct.suspension import SWEEP_EVERY_S, WatchedSleep
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.events import EventLog
 
-SWEEP_EVERY_S: Final = 0.2
 # Share of the connections that a runner accepts from all VMs together. The rest
 # is left for VMs that start and for connections that only one end has closed.
 CONNECTION_SHARE: Final = 0.8
@@ -185,6 +184,7 @@
     def follow_feed(self, feed: Feed) -> None:
         """Follow a log of the platform and report progress to other VMs."""
         feed.store_schedule.is_among_first = self.members.is_among_first
+        feed.woke_at = self.catalog.runner_list_age.standstills.woke_at
         self._message_handler.feeds.append(feed)
         self.spawn(feed.run())
 
@@ -319,6 +319,7 @@
             if await watched.sleep(SWEEP_EVERY_S):
                 for feed in self._message_handler.feeds:
                     feed.wake()
+            self.catalog.runner_list_age.standstills.note_running()
             for _, queue in self._queues:
                 queue.drop_expired()
             self._queues.update_rate_limits()
--- a/bramleybend/direct/runner_list.py
+++ b/bramleybend/direct/runner_list.py
@@ -18,7 +18,6 @@
 from bramleybend.direct.catalog import Catalog
 from bramleybend.direct.feed_copy import KeyedRecord, Page
 from bramleybend.direct.models import RunnerEntry
-from bramleybend.direct.suspension import StandstillMeter
 from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 
@@ -41,10 +40,9 @@
         catalog: Catalog,
         decode_entry: DecodeEntry,
         events: EventLog,
-        standstills: StandstillMeter,
     ) -> None:
-        """Start without runners; `sweep` feeds the meter."""
-        self._standstills = standstills
+        """Start without runners."""
+        self._standstills = catalog.runner_list_age.standstills
         self._standstill_when_confirmed_s = float(0)
         self._catalog = catalog
         self._decode_entry = decode_entry
@@ -74,11 +72,6 @@
         self.drop_expired()
         self._catalog.replace_runner_list(self._entries)
 
-    def sweep(self) -> None:
-        """Note that this VM runs, and drop what has expired."""
-        self._standstills.note_running()
-        self.drop_expired()
-
     def drop_expired(self) -> None:
         """Drop the expired entries whose grace period is over."""
         now = self._catalog.now()
--- a/bramleybend/direct/software_versions.py
+++ b/bramleybend/direct/software_versions.py
@@ -82,7 +82,7 @@
     def only_version(self, service: str) -> str | None:
         """Return the version of all streams, or `None` if it isn't known."""
         recent = self.recent(service)
-        is_current = self._catalog.runner_list_age.seconds() <= MAX_LIST_AGE_S
+        is_current = self._catalog.runner_list_age.is_current
         if len(recent) != 1 or self.is_mixed(service) or not is_current:
             return None
         return next(iter(recent))
--- a/bramleybend/direct/suspension.py
+++ b/bramleybend/direct/suspension.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from math import inf
 from typing import Final
 
 from bramleybend.clock import Clock
@@ -16,6 +17,8 @@
 # The two clocks are read a few microseconds apart, and the kernel may schedule
 # another process in between. Suspensions last for seconds.
 MIN_SUSPENSION_S: Final = 0.5
+# Interval at which this VM notes that it runs.
+SWEEP_EVERY_S: Final = 0.2
 # A busy event loop is late by less.
 MIN_STANDSTILL_S: Final = 0.5
 
@@ -68,26 +71,34 @@
 
 
 class StandstillMeter:
-    """Measures for how long this VM stood still: suspended or not scheduled.
+    """Measures when and for how long this VM stood still.
 
-    Adds up the gaps between calls that are due at an interval.
+    It was suspended or not scheduled if `note_running`, which is due every
+    `interval_s` seconds, is late. Nothing is measured before its first call.
     """
 
     def __init__(self, clock: Clock, interval_s: float) -> None:
-        """Expect `note_running` to be called every `interval_s` seconds."""
+        """Start without standstills."""
         self._clock = clock
         self._interval_s = interval_s
-        self._running_at = clock.monotonic()
+        self._running_at = inf
+        self._woke_at = -inf
         self._total_s = float(0)
 
     def note_running(self) -> None:
         """Note that this VM runs now."""
+        self._woke_at = self.woke_at()
         self._total_s = self.total_s()
         self._running_at = self._clock.monotonic()
 
+    def woke_at(self) -> float:
+        """Return when the last standstill ended, in monotonic seconds."""
+        return self._clock.monotonic() if self._gap_s() else self._woke_at
+
     def total_s(self) -> float:
         """Return the seconds of all standstills, the one in progress too."""
+        return self._total_s + self._gap_s()
+
+    def _gap_s(self) -> float:
         gap_s = self._clock.monotonic() - self._running_at - self._interval_s
-        if gap_s < MIN_STANDSTILL_S:
-            return self._total_s
-        return self._total_s + gap_s
+        return gap_s if gap_s >= MIN_STANDSTILL_S else 0
--- a/bramleybend/platform/platform_process.py
+++ b/bramleybend/platform/platform_process.py
@@ -8,10 +8,9 @@
 from bramleybend.direct.ingress import Ingress
 from bramleybend.direct.log_backup import BackedUpLog, LogBackup
 from bramleybend.direct.models import IngressLimits
-from bramleybend.direct.process import SWEEP_EVERY_S, EntryProcess
+from bramleybend.direct.process import EntryProcess
 from bramleybend.direct.quarantine_backup import QuarantineBackup
 from bramleybend.direct.runner_list import RunnerList
-from bramleybend.direct.suspension import StandstillMeter
 from bramleybend.direct.vm_discovery import VmDiscovery
 from bramleybend.entry_settings import EntrySettings
 from bramleybend.platform.directory import Directory
@@ -128,12 +127,11 @@
             self.entry.catalog,
             decode_runner,
             self.entry.events,
-            StandstillMeter(self._clock, SWEEP_EVERY_S),
         )
         feed.on_page = runners.apply_page
         feed.on_confirmed = runners.note_confirmed
         feed.on_failed = self.entry.catalog.runner_list_age.note_failed
-        self.entry.on_sweep = runners.sweep
+        self.entry.on_sweep = runners.drop_expired
         return feed
 
     def _make_feed(self, terms: FeedSettings) -> Feed:
--- a/tests/direct/test_event_log.py
+++ b/tests/direct/test_event_log.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bramleybend.direct.process import SWEEP_EVERY_S
+from bramleybend.direct.suspension import SWEEP_EVERY_S
 from bramleybend.direct.traffic import LARGE_BYTES
 from bramleybend.event_loop_monitor import MIN_REPORTED_DELAY_S
 from tests.direct.cluster import PLAIN, publish_token_limit, running_cluster
--- a/tests/direct/test_feeds.py
+++ b/tests/direct/test_feeds.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-from math import inf
 from random import Random
 
 import pytest
@@ -22,7 +21,6 @@
 )
 from bramleybend.direct.models import RunnerState
 from bramleybend.direct.runner_list import RunnerList
-from bramleybend.direct.suspension import StandstillMeter
 from bramleybend.errors import ErrorKind, Problem
 from bramleybend.events import EventLog
 from bramleybend.models import Idempotency, Tier
@@ -177,12 +175,7 @@
     """A runner whose entry ends without an outage is gone at once."""
     clock = ManualClock(START)
     catalog = Catalog(clock, EventLog('vm', 'i', clock, max_kept_events=0))
-    runners = RunnerList(
-        catalog,
-        decode_runner,
-        EventLog('vm', 'i', clock, 0),
-        StandstillMeter(clock, inf),
-    )
+    runners = RunnerList(catalog, decode_runner, EventLog('vm', 'i', clock, 0))
     runners.apply_page(page(record(0, 'r1', ENTRY), whole=True))
     assert [one.name for one in catalog.runners_by_service['app']] == ['r1']
     clock.advance(0.7)
--- a/tests/direct/test_moved_runners.py
+++ b/tests/direct/test_moved_runners.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Iterable
 from itertools import count, islice
-from math import inf
 
 import pytest
 
@@ -12,7 +11,6 @@
 from bramleybend.direct.feed_copy import KeyedRecord, Page
 from bramleybend.direct.models import DeclaredService, Manifest
 from bramleybend.direct.runner_list import RunnerList
-from bramleybend.direct.suspension import StandstillMeter
 from bramleybend.events import EventLog
 from bramleybend.platform.runner_entry import decode_runner
 from tests.direct.cluster import ENGINE, PLAIN, Cluster, running_cluster
@@ -107,12 +105,7 @@
     """Return the names of the runners that are used after a page."""
     catalog = make_catalog()
     clock = SystemClock()
-    runners = RunnerList(
-        catalog,
-        decode_runner,
-        EventLog('vm', 'i', clock, 0),
-        StandstillMeter(clock, inf),
-    )
+    runners = RunnerList(catalog, decode_runner, EventLog('vm', 'i', clock, 0))
     runners.note_confirmed(clock.monotonic())
     runners.apply_page(Page(records, 2, is_snapshot=True))
     return {
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import signal
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
+from bramleybend.platform.platform_process import make_platform_process
 from tests.direct.cluster import (
     ENGINE,
     PLAIN,
@@ -29,6 +31,7 @@
 STREAMS = 8  # more than the old runner has slots
 HEARD_S = 1.5  # heartbeats that list the old runner alone
 FROZEN_S = 3.0
+SHORT_FREEZE_S = 1.1  # in which a program can start
 CALLERS = 12
 LATER_ROUNDS, ROUND_S = 12, 0.2  # after the VM woke
 RECORDED_S = 0.3  # until their origins are in the log
@@ -113,6 +116,45 @@
         assert not joined
 
 
+async def test_a_vm_that_wakes_joins_no_versions_begun_at_a_new_vm(
+    tmp_path: Path,
+) -> None:
+    """A VM that starts can't tell which of two versions others don't know yet.
+
+    Streams begin there at the newer one, and are taken up at a VM that stood
+    still for less time than a list counts as current.
+    """
+    async with running_cluster(vms=2) as cluster:
+        await cluster.add_runner('old', ENGINE, hold_after_one_event, OLD)
+        await cluster.wait_for_runners(ENGINE)
+        async with program(cluster, tmp_path) as process:
+            await wait_until(
+                lambda: 'event=runner ' in process.log_text(), 'the runner'
+            )
+            await cluster.wait_until_ready_at(2)
+            process.send_signal(signal.SIGSTOP)
+            await cluster.add_runner('new', ENGINE, hold_after_one_event, NEW)
+            await cluster.kill_vms()
+            vm = make_platform_process(
+                replace(cluster.cfgs[0], first_start=False), cluster.clock
+            )
+            await vm.start()
+            cluster.vms.append(vm)
+            await cluster.wait_for_runners(ENGINE, 2)
+            callers: list[RawCaller] = []
+            begun_at_new = await begin_streams(cluster, callers)
+            await cluster.kill_vms()
+            for caller in callers:
+                caller.close()
+            await asyncio.sleep(SHORT_FREEZE_S - RECORDED_S)
+            await take_up_on_waking(cluster, process, begun_at_new, 0)
+        assert not [
+            seen
+            for seen in cluster.runners['old'].seen
+            if seen.attempt.startswith('again-')
+        ]
+
+
 @pytest.mark.parametrize('state', ['draining', 'removed'])
 async def test_a_vm_that_wakes_sends_nothing_to_a_runner_that_left(
     tmp_path: Path, state: str
