--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -198,7 +198,7 @@
             raise EOFError('the connection ended within an answer')
         if self.has_peer_ended and self._framing is Framing.CONNECTION:
             if self._is_request_cut:
-                raise EOFError('the connection ended before the request')
+                raise EOFError('the peer ended before it read the request')
             await self._require_no_reset()
 
     async def read_body(
--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -131,7 +131,7 @@
         if self._reader.at_eof() and self._framing is Framing.CONNECTION:
             transport = self._writer.transport
             if unacknowledged_bytes(transport):
-                raise EOFError('the connection ended before the request')
+                raise EOFError('the peer ended before it read the request')
             await require_no_reset(transport, self._sent_bytes)
 
     def close(self) -> None:
--- a/bramleybend/direct/feed.py
+++ b/bramleybend/direct/feed.py
@@ -65,7 +65,7 @@
     poll_timeout_s: float  # long-poll timeout; 0 returns at once
     min_interval_s: float  # min interval between two reads of the store
     max_age_s: float  # age from which a VM reads the store itself
-    # For changes from another VM, after which the store is read.
+    # Limit of a read of changes from another VM; then the store is read.
     peer_timeout_s: float | None = None
 
 
--- a/bramleybend/direct/list_age.py
+++ b/bramleybend/direct/list_age.py
@@ -18,6 +18,7 @@
 # A list that is not confirmed in this time, although it is read again at once,
 # can't be: the store is down or out of reach.
 LIST_WAIT_S: Final = 0.5
+# Failed reads count from this age of the list on.
 MIN_FAILED_AGE_S: Final = MAX_LIST_AGE_S / 2
 # What is read in the same pass of the event loop in which a standstill is
 # noticed is new.
--- a/bramleybend/direct/tunnel_server.py
+++ b/bramleybend/direct/tunnel_server.py
@@ -178,7 +178,7 @@
         self.other.write(encode_frame(FrameType.DATA, data))
 
     def eof_received(self) -> bool:
-        """Find out whether the end cuts off a request before it is told on."""
+        """Check whether the runner ended its side before it read a request."""
         if self._transport is None:
             return False
         self._is_request_cut = unacknowledged_bytes(self._transport) > 0
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -31,7 +31,6 @@
 STREAMS = 8  # more than the old runner has slots
 HEARD_S = 1.5  # heartbeats that list the old runner alone
 FROZEN_S = 3.0
-SHORT_FREEZE_S = 1.1  # in which a program can start
 CALLERS = 12
 LATER_ROUNDS, ROUND_S = 12, 0.2  # after the VM woke
 RECORDED_S = 0.3  # until their origins are in the log
@@ -116,8 +115,9 @@
         assert not joined
 
 
+@pytest.mark.parametrize('frozen_s', [0.3, 1.1])
 async def test_a_vm_that_wakes_joins_no_versions_begun_at_a_new_vm(
-    tmp_path: Path,
+    tmp_path: Path, frozen_s: float
 ) -> None:
     """A VM that starts can't tell which of two versions others don't know yet.
 
@@ -146,7 +146,7 @@
             await cluster.kill_vms()
             for caller in callers:
                 caller.close()
-            await asyncio.sleep(SHORT_FREEZE_S - RECORDED_S)
+            await asyncio.sleep(frozen_s - RECORDED_S)
             await take_up_on_waking(cluster, process, begun_at_new, 0)
         assert not [
             seen
