Standstills are measured from the start on

Seen: test_a_vm_that_wakes_joins_no_versions_begun_at_a_new_vm[1.1] failed once in 3 runs beside other tests, and in none of 6 alone. Likely cause, not proved: the VM stood still within 0.2 s of its start, before the meter's first call.

--- a/bramleybend/direct/process.py
+++ b/bramleybend/direct/process.py
@@ -315,11 +315,13 @@
     async def _sweep_queues(self) -> None:
         loop = asyncio.get_running_loop()
         watched = WatchedSleep(self.events, self._clock, loop.time)
+        standstills = self.catalog.runner_list_age.standstills
+        standstills.note_running()
         while True:
             if await watched.sleep(SWEEP_EVERY_S):
                 for feed in self._message_handler.feeds:
                     feed.wake()
-            self.catalog.runner_list_age.standstills.note_running()
+            standstills.note_running()
             for _, queue in self._queues:
                 queue.drop_expired()
             self._queues.update_rate_limits()
