An answer whose status is not one of HTTP is no answer

What callers saw: a runner that answers with status 600 or 999 had it passed on as a whole answer, on streaming, idempotent and other routes; the gateway's client took it for one, too. 000, 099 and an unasked 101 were refused already.

Cause: h11 takes any three digits of at least 200 for a final status, and neither client looked at it again.

Ruled out: that the runner's proof is missing in these answers; it is there, and only checked for successes.

Both clients now share require_final_response, which treats such a status as a malformed head: the request ends as if the connection had been lost.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -21,6 +21,7 @@
     require_no_reset,
     unacknowledged_bytes,
 )
+from bramleybend.clients.final_response import require_final_response
 from bramleybend.clients.framing import Framing, framing_of
 from bramleybend.clients.h11_protocol import H11Protocol
 from bramleybend.clients.message_bounds import (
@@ -166,15 +167,15 @@
         """Read status and headers of the next final response.
 
         Raises `MessageTooLongError` if informational (1xx) responses exceed
-        the bounds, and `EOFError` if the peer closes the connection.
+        the bounds, `EOFError` if the peer closes the connection, and
+        `h11.RemoteProtocolError` if the head is malformed.
         """
         event = await self.next_event()
         while isinstance(event, h11.InformationalResponse):
             self._meter.add_filler(head_bytes(event))
             event = await self.next_event()
-        if not isinstance(event, h11.Response):
-            raise EOFError('the connection ended before an answer')
-        head = ResponseHead(event.status_code, list(event.headers))
+        response = require_final_response(event)
+        head = ResponseHead(response.status_code, list(response.headers))
         self._framing = head.framing
         timeout_match = _KEEP_ALIVE_TIMEOUT.search(
             (head.get('keep-alive') or '').encode()
--- a/bramleybend/clients/http.py
+++ b/bramleybend/clients/http.py
@@ -20,6 +20,7 @@
     require_no_reset,
     unacknowledged_bytes,
 )
+from bramleybend.clients.final_response import require_final_response
 from bramleybend.clients.framing import Framing, framing_of
 from bramleybend.clients.message_bounds import (
     MessageBounds,
@@ -103,19 +104,19 @@
         """Read status and headers; `iter_body` reads the body.
 
         The result's body is empty. Raises `EOFError` if the peer closes the
-        connection first.
+        connection first, and `h11.RemoteProtocolError` if the head is
+        malformed.
         """
         event = await self._next_event()
         while isinstance(event, h11.InformationalResponse):
             self._meter.add_filler(head_bytes(event))
             event = await self._next_event()
-        if not isinstance(event, h11.Response):
-            raise EOFError('the connection ended before an answer')
+        response = require_final_response(event)
         headers = {
             name.decode('latin-1'): text.decode('latin-1')
-            for name, text in event.headers
+            for name, text in response.headers
         }
-        head = HttpResponse(event.status_code, headers, b'')
+        head = HttpResponse(response.status_code, headers, b'')
         self._framing = head.framing
         return head
 
--- a/tests/direct/test_early_answers.py
+++ b/tests/direct/test_early_answers.py
@@ -18,7 +18,7 @@
     running_cluster,
 )
 from tests.utils.path_cuts import PathState
-from tests.utils.raw_runner import RawRunner, event
+from tests.utils.raw_runner import RawRunner, ReceivedRequest, event
 from tests.utils.waiting import wait_until
 
 BODY_BYTES = (50_000, 300_000, 2_000_000, 12_000_000)
@@ -116,3 +116,21 @@
         answer = await cluster.call('/book/x', body=bytes(2_000_000))
         assert (answer.status, answer.body) == (200, b'a part of it')
         assert answer.is_whole
+
+
+@pytest.mark.parametrize(
+    'status', ['000 OK', '099 OK', '101 X', '600 OK', '999 OK']
+)
+@pytest.mark.parametrize('path', ['/book/x', '/read/x', '/draft/x'])
+async def test_an_invalid_status_is_no_answer(path: str, status: str) -> None:
+    """A caller must not get a status outside the classes of HTTP."""
+
+    async def answer_oddly(seen: ReceivedRequest) -> None:
+        seen.writer.write(seen.answer(status))
+
+    service = ENGINE if path == '/draft/x' else PLAIN
+    async with running_cluster() as cluster:
+        await cluster.add_runner('r1', service, answer_oddly)
+        await cluster.wait_for_runners(service)
+        answer = await cluster.call(path)
+        assert answer.status in {502, 503, 504}
