A VM's own standstill doesn't make its runners unreachable

Cause: opening a connection to a runner had 0.4 s by the clock. After a standstill of that length the limit had passed though the connection was open, so all runners with connections in progress counted as unreachable and were closed to the queue for a second or more.

Ruled out: a standstill as long as the deadline, and slots returned by the check of placements (none logged; the older code fails, too).

The limit counts in steps now, at all three places that open a connection to a runner. test_a_standstill_while_connections_open_tells_nothing_of_runners failed with one VM and with two before the change; 3 of 3 since.

--- a/bramleybend/clients/channel.py
+++ b/bramleybend/clients/channel.py
@@ -32,6 +32,7 @@
     head_bytes,
 )
 from bramleybend.clock import Clock
+from bramleybend.timeouts import timeout_scope
 
 HeaderList: TypeAlias = Sequence[tuple[bytes, bytes]]
 
@@ -304,7 +305,7 @@
     """Open a connection; an `OSError` means that nothing was sent."""
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with timeout_scope(timeout_s):
             _, channel = await loop.create_connection(
                 lambda: Channel(clock, bounds), address, port
             )
--- a/bramleybend/direct/runner_connector.py
+++ b/bramleybend/direct/runner_connector.py
@@ -26,6 +26,7 @@
 from bramleybend.direct.models import RunnerEntry
 from bramleybend.direct.tunnel_channel import TunnelRefusedError, open_tunnel
 from bramleybend.events import EventLog
+from bramleybend.timeouts import timeout_scope
 
 STAGGER_S: Final = 0.08
 # Shorter than the time after which a silent connection is given up: if any
@@ -78,7 +79,7 @@
         if self._paths.is_lost(runner.service, runner.incarnation):
             ways = [*tunnels, direct]
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with timeout_scope(CONNECT_TIMEOUT_S):
                 return await race(ways, STAGGER_S)
         except OSError as exc:
             self._note_unreached(runner, search)
--- a/bramleybend/direct/tunnel_server.py
+++ b/bramleybend/direct/tunnel_server.py
@@ -35,6 +35,7 @@
     encode_frame,
 )
 from bramleybend.events import EventLog
+from bramleybend.timeouts import timeout_scope
 
 # In which a runner has to accept a connection. The VM that waits for the tunnel
 # gives up soon after.
@@ -269,7 +270,7 @@
             return RefusalReason.UNKNOWN_RUNNER
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with timeout_scope(CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(
                     lambda: _RunnerLink(self), runner.address, runner.port
                 )
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -1,12 +1,16 @@
 """A VM that stands still while others go on, and then wakes."""
 
 import asyncio
+import logging
 import signal
+import time
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
+from bramleybend.clients.channel import CONNECT_TIMEOUT_S
+from bramleybend.events import EVENT_LOGGER
 from bramleybend.platform.platform_process import make_platform_process
 from tests.direct.cluster import (
     ENGINE,
@@ -204,6 +208,45 @@
         assert not runner.seen
 
 
+async def stand_still_at(
+    event_name: str, caplog: pytest.LogCaptureFixture, seconds: float
+) -> None:
+    """Stop this process's event loop right after its first such event."""
+    while event_name not in logged_events(caplog):
+        await asyncio.sleep(0)
+    time.sleep(seconds)  # noqa: ASYNC251
+
+
+def logged_events(caplog: pytest.LogCaptureFixture) -> list[str]:
+    """Return the names of the events logged so far."""
+    return [
+        record.msg['event']
+        for record in caplog.records
+        if record.name == EVENT_LOGGER
+    ]
+
+
+@pytest.mark.parametrize('vms', [1, 2])
+async def test_a_standstill_while_connections_open_tells_nothing_of_runners(
+    caplog: pytest.LogCaptureFixture, vms: int
+) -> None:
+    """A VM that stood still would take sound runners for unreachable."""
+    caplog.set_level(logging.INFO, EVENT_LOGGER)
+    async with running_cluster(vms) as cluster:
+        for name in ('r1', 'r2'):
+            await cluster.add_runner(name, ENGINE, stream_three_events)
+        await cluster.wait_for_runners(ENGINE, 2)
+        _, *answers = await asyncio.gather(
+            stand_still_at('placed', caplog, CONNECT_TIMEOUT_S + 0.1),
+            *(
+                cluster.call('/draft/x', attempt=f'a{number}')
+                for number in range(CALLERS)
+            ),
+        )
+    assert {answer.status for answer in answers} == {200}
+    assert 'try_failed' not in logged_events(caplog)
+
+
 def leave(cluster: Cluster, name: str, state: str) -> None:
     """Announce that a runner leaves, or remove its entry."""
     if state == 'removed':
