--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import replace
 from pathlib import Path
+from typing import cast
 
 import pytest
 
@@ -214,13 +215,13 @@
     """Stop this process's event loop right after its first such event."""
     while event_name not in logged_events(caplog):
         await asyncio.sleep(0)
-    time.sleep(seconds)  # noqa: ASYNC251
+    time.sleep(seconds)
 
 
 def logged_events(caplog: pytest.LogCaptureFixture) -> list[str]:
     """Return the names of the events logged so far."""
     return [
-        record.msg['event']
+        cast(dict[str, str], record.msg)['event']
         for record in caplog.records
         if record.name == EVENT_LOGGER
     ]
@@ -236,13 +237,12 @@
         for name in ('r1', 'r2'):
             await cluster.add_runner(name, ENGINE, stream_three_events)
         await cluster.wait_for_runners(ENGINE, 2)
-        _, *answers = await asyncio.gather(
-            stand_still_at('placed', caplog, CONNECT_TIMEOUT_S + 0.1),
-            *(
-                cluster.call('/draft/x', attempt=f'a{number}')
-                for number in range(CALLERS)
-            ),
-        )
+        calls = [
+            asyncio.create_task(cluster.call('/draft/x', attempt=f'a{number}'))
+            for number in range(CALLERS)
+        ]
+        await stand_still_at('placed', caplog, CONNECT_TIMEOUT_S + 0.1)
+        answers = await asyncio.gather(*calls)
     assert {answer.status for answer in answers} == {200}
     assert 'try_failed' not in logged_events(caplog)
 
