--- a/bramleybend/direct/quarantine_backup.py
+++ b/bramleybend/direct/quarantine_backup.py
@@ -22,7 +22,7 @@
 from bramleybend.errors import Problem
 from bramleybend.events import EventLog
 
-LOAD_WAIT_S: Final = 0.3  # of a start; the store answers in 4 ms
+LOAD_WAIT_S: Final = 0.3  # of a start
 LOAD_RETRY_S: Final = 1.0
 CHECK_EVERY_S: Final = 0.1
 SAVE_EVERY_S: Final = 1.0
