A second standstill makes no old list usable

What callers could see: requests sent to runners that left, by a VM that wakes from a standstill, awaits its list of runners and stands still again.

Cause: the wait for the list ended by the clock. On waking the limit had passed, which counts as a store that can't be read, and the old list is used then. The same cause as in the connections to runners, found by reading for it.

Evidence: test_a_standstill_while_a_list_is_awaited_makes_no_old_list_usable failed before (is_outdated is False) and passes in 3 of 3 since. Ruled out: the guard of failed reads, which this path doesn't use.

--- a/bramleybend/direct/list_age.py
+++ b/bramleybend/direct/list_age.py
@@ -11,6 +11,7 @@
 from bramleybend.clock import Clock
 from bramleybend.direct.suspension import SWEEP_EVERY_S, StandstillMeter
 from bramleybend.events import EventLog
+from bramleybend.timeouts import timeout_scope
 
 # A list that was confirmed longer ago may lack a version, or name runners that
 # are leaving.
@@ -82,7 +83,7 @@
             return
         self._has_confirmed.clear()
         try:
-            async with asyncio.timeout(LIST_WAIT_S):
+            async with timeout_scope(LIST_WAIT_S):
                 await self._has_confirmed.wait()
         except TimeoutError:
             self._unconfirmable_at = self._clock.monotonic()
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/test_standstill.py
@@ -11,7 +11,9 @@
 import pytest
 
 from bramleybend.clients.channel import CONNECT_TIMEOUT_S
-from bramleybend.events import EVENT_LOGGER
+from bramleybend.clock import SystemClock
+from bramleybend.direct.list_age import LIST_WAIT_S, MAX_LIST_AGE_S, ListAge
+from bramleybend.events import EVENT_LOGGER, EventLog
 from bramleybend.platform.platform_process import make_platform_process
 from tests.direct.cluster import (
     ENGINE,
@@ -247,6 +249,23 @@
     assert 'try_failed' not in logged_events(caplog)
 
 
+async def test_a_standstill_while_a_list_is_awaited_makes_no_old_list_usable() -> (
+    None
+):
+    """A VM that stands still twice would act on its list from before."""
+    clock = SystemClock()
+    age = ListAge(clock, EventLog('vm', 'i', clock, 0))
+    age.confirm(clock.monotonic() - 2 * MAX_LIST_AGE_S)
+    waiting = asyncio.create_task(age.wait_until_current())
+    await asyncio.sleep(0)
+    time.sleep(LIST_WAIT_S + 0.1)
+    await asyncio.sleep(0.01)
+    assert age.is_outdated
+    age.confirm(clock.monotonic())
+    await waiting
+    assert age.is_current
+
+
 def leave(cluster: Cluster, name: str, state: str) -> None:
     """Announce that a runner leaves, or remove its entry."""
     if state == 'removed':
